--- /dev/null
+++ b/src/adapters/etcd_store.ts
@@ -0,0 +1,258 @@
+/**
+ * Key-value service over etcd's v3 JSON gateway, as its API reference publishes it.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { Agent, request } from "undici";
+import { z } from "zod";
+import type { Outcome } from "../base/outcome.ts";
+import { failure, success } from "../base/outcome.ts";
+import type {
+  KeyValueStore,
+  StoreEntry,
+  StoreError,
+  StoreLease,
+  StorePut,
+  StoreWatch,
+  TransactionResult,
+  WatchListener,
+} from "../platform/key_value_store.ts";
+import { LineReader } from "./line_reader.ts";
+
+/** Longest wait for an answer. */
+export const STORE_TIMEOUT_MS = 2_000;
+
+const Int = z.union([z.string(), z.number()]).transform(Number).pipe(z.int());
+const Header = z.object({ revision: Int.default(0) });
+const KeyValue = z.object({
+  key: z.string(),
+  value: z.string().default(""),
+  mod_revision: Int,
+});
+const RangeResponse = z.object({ kvs: z.array(KeyValue).default([]) });
+const TxnResponse = z.object({
+  header: Header,
+  succeeded: z.boolean().default(false),
+  responses: z.array(z.object({ response_range: RangeResponse.optional() }))
+    .default([]),
+});
+const GrantResponse = z.object({ ID: z.string(), TTL: Int });
+const KeepAliveResponse = z.object({
+  result: z.object({ TTL: Int.default(0) }),
+});
+const WatchResponse = z.object({
+  result: z.object({
+    events: z.array(z.object({
+      type: z.string().default("PUT"),
+      kv: KeyValue.partial({ mod_revision: true }),
+    })).default([]),
+  }),
+});
+
+/** Where the service is. */
+export interface EtcdStoreOptions {
+  /** For example `http://127.0.0.1:2379`. */
+  readonly endpoint: string;
+}
+
+/** {@linkcode KeyValueStore} by HTTP and JSON. */
+export class EtcdStore implements KeyValueStore {
+  readonly #endpoint: string;
+  readonly #agent = new Agent({ connections: 16, pipelining: 1 });
+
+  constructor(options: EtcdStoreOptions) {
+    this.#endpoint = options.endpoint;
+  }
+
+  async read(key: string): Promise<Outcome<StoreEntry, StoreError>> {
+    const res = await this.#call("/v3/kv/range", { key: encode(key) });
+    if (!res.ok) return readFailed(res.err);
+    const parsed = RangeResponse.safeParse(res.value);
+    if (!parsed.success) return malformed();
+    const [kv] = parsed.data.kvs;
+    return success(kv ? toEntry(kv) : absent(key));
+  }
+
+  async readPrefix(
+    prefix: string,
+  ): Promise<Outcome<readonly StoreEntry[], StoreError>> {
+    const body = { key: encode(prefix), range_end: encode(prefixEnd(prefix)) };
+    const res = await this.#call("/v3/kv/range", body);
+    if (!res.ok) return readFailed(res.err);
+    const parsed = RangeResponse.safeParse(res.value);
+    return parsed.success ? success(parsed.data.kvs.map(toEntry)) : malformed();
+  }
+
+  async transact(
+    puts: readonly StorePut[],
+  ): Promise<Outcome<TransactionResult, StoreError>> {
+    const res = await this.#call("/v3/kv/txn", {
+      compare: puts.map((put) => ({
+        key: encode(put.key),
+        target: "MOD",
+        result: "EQUAL",
+        mod_revision: String(put.expectRevision),
+      })),
+      success: puts.map((put) => ({
+        request_put: {
+          key: encode(put.key),
+          value: encode(put.value),
+          lease: put.leaseId,
+        },
+      })),
+      failure: puts.map((put) => ({
+        request_range: { key: encode(put.key) },
+      })),
+    });
+    if (!res.ok) return res;
+    const parsed = TxnResponse.safeParse(res.value);
+    if (!parsed.success) {
+      return failure({ kind: "ambiguous", detail: "Malformed answer" });
+    }
+    const { succeeded, header, responses } = parsed.data;
+    if (succeeded) return success({ applied: true, revision: header.revision });
+    const current = puts.map((put, i) => {
+      const [kv] = responses[i]?.response_range?.kvs ?? [];
+      return kv ? toEntry(kv) : absent(put.key);
+    });
+    return success({ applied: false, current });
+  }
+
+  async grantLease(ttlMs: number): Promise<Outcome<StoreLease, StoreError>> {
+    const body = { TTL: String(Math.ceil(ttlMs / 1000)) };
+    const res = await this.#call("/v3/lease/grant", body);
+    if (!res.ok) return res;
+    const parsed = GrantResponse.safeParse(res.value);
+    if (!parsed.success) return malformed();
+    const { ID: id, TTL } = parsed.data;
+    return success({ id, ttlMs: TTL * 1000 });
+  }
+
+  async renewLease(lease: StoreLease): Promise<Outcome<boolean, StoreError>> {
+    const res = await this.#call("/v3/lease/keepalive", { ID: lease.id });
+    if (!res.ok) return res;
+    const parsed = KeepAliveResponse.safeParse(res.value);
+    return parsed.success ? success(parsed.data.result.TTL > 0) : malformed();
+  }
+
+  watchPrefix(prefix: string, listener: WatchListener): StoreWatch {
+    const abort = new AbortController();
+    this.#watch(prefix, listener, abort.signal);
+    return { cancel: () => abort.abort() };
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #watch(
+    prefix: string,
+    listener: WatchListener,
+    signal: AbortSignal,
+  ): Promise<void> {
+    try {
+      const res = await request(`${this.#endpoint}/v3/watch`, {
+        method: "POST",
+        dispatcher: this.#agent,
+        signal,
+        bodyTimeout: 0,
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify({
+          create_request: {
+            key: encode(prefix),
+            range_end: encode(prefixEnd(prefix)),
+          },
+        }),
+      });
+      const lines = new LineReader();
+      for await (const chunk of res.body) {
+        for (const line of lines.push(chunk)) deliver(line, listener);
+      }
+    } catch {
+      // A watch that ends for whatever reason is told by `onClosed`.
+    }
+    if (!signal.aborted) listener.onClosed();
+  }
+
+  async #call(
+    path: string,
+    body: unknown,
+  ): Promise<Outcome<unknown, StoreError>> {
+    try {
+      const res = await request(`${this.#endpoint}${path}`, {
+        method: "POST",
+        dispatcher: this.#agent,
+        headersTimeout: STORE_TIMEOUT_MS,
+        bodyTimeout: STORE_TIMEOUT_MS,
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(body),
+      });
+      const text = await res.body.text();
+      if (res.statusCode !== 200) {
+        const detail = `The store answered ${res.statusCode}`;
+        const notSent = res.statusCode === 429;
+        return failure({ kind: notSent ? "unavailable" : "ambiguous", detail });
+      }
+      return success(JSON.parse(text));
+    } catch (err) {
+      return failure(toStoreError(err));
+    }
+  }
+}
+
+/** A refused connection sent nothing; after that nothing is certain. */
+function toStoreError(err: unknown): StoreError {
+  const code = (err as { code?: string }).code ?? "";
+  const detail = err instanceof Error ? err.message : String(err);
+  const notSent = code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT";
+  return { kind: notSent ? "unavailable" : "ambiguous", detail };
+}
+
+/** A read has no effect, so its failure is never ambiguous. */
+function readFailed(
+  err: StoreError,
+): { readonly ok: false; readonly err: StoreError } {
+  return failure({ kind: "unavailable", detail: err.detail });
+}
+
+function malformed(): { readonly ok: false; readonly err: StoreError } {
+  return failure({ kind: "unavailable", detail: "Malformed answer" });
+}
+
+function deliver(line: string, listener: WatchListener): void {
+  const parsed = WatchResponse.safeParse(JSON.parse(line));
+  if (!parsed.success) return;
+  for (const { type, kv } of parsed.data.result.events) {
+    const key = decode(kv.key);
+    const value = type === "DELETE" ? "" : decode(kv.value);
+    listener.onEntry({ key, value, modRevision: kv.mod_revision ?? 0 });
+  }
+}
+
+function toEntry(kv: z.infer<typeof KeyValue>): StoreEntry {
+  return {
+    key: decode(kv.key),
+    value: decode(kv.value),
+    modRevision: kv.mod_revision,
+  };
+}
+
+function absent(key: string): StoreEntry {
+  return { key, value: "", modRevision: 0 };
+}
+
+function encode(text: string): string {
+  return Buffer.from(text, "utf8").toString("base64");
+}
+
+function decode(text: string): string {
+  return Buffer.from(text, "base64").toString("utf8");
+}
+
+/** The first key after all keys with the prefix. */
+function prefixEnd(prefix: string): string {
+  const last = prefix.charCodeAt(prefix.length - 1);
+  return prefix.slice(0, -1) + String.fromCharCode(last + 1);
+}
--- /dev/null
+++ b/src/adapters/http_json.ts
@@ -0,0 +1,62 @@
+/**
+ * JSON calls to the platform and to engines.
+ *
+ * @module
+ */
+import type { Dispatcher } from "undici";
+import { request } from "undici";
+import type { Outcome } from "../base/outcome.ts";
+import { failure, success } from "../base/outcome.ts";
+
+/** Why a call gave no usable answer. */
+export interface HttpJsonError {
+  readonly kind: "unreachable" | "rejected" | "malformed";
+  readonly detail: string;
+}
+
+/** A call. */
+export interface HttpJsonCall {
+  readonly dispatcher: Dispatcher;
+  readonly timeoutMs: number;
+  readonly method: "GET" | "POST";
+  readonly body?: unknown;
+}
+
+/**
+ * Sends a call and reads the answer as JSON.
+ *
+ * @example
+ * ```ts
+ * const res = await callJson(url, { dispatcher, timeoutMs: 400, method: "GET" });
+ * ```
+ */
+export async function callJson(
+  url: string,
+  call: HttpJsonCall,
+): Promise<Outcome<unknown, HttpJsonError>> {
+  let text: string;
+  let status: number;
+  try {
+    const res = await request(url, {
+      method: call.method,
+      dispatcher: call.dispatcher,
+      headersTimeout: call.timeoutMs,
+      bodyTimeout: call.timeoutMs,
+      headers: { "content-type": "application/json" },
+      body: call.body === undefined ? undefined : JSON.stringify(call.body),
+    });
+    status = res.statusCode;
+    text = await res.body.text();
+  } catch (err) {
+    const detail = err instanceof Error ? err.message : String(err);
+    return failure({ kind: "unreachable", detail });
+  }
+  if (status >= 400) {
+    return failure({ kind: "rejected", detail: `Status ${status}: ${text}` });
+  }
+  try {
+    return success(JSON.parse(text));
+  } catch {
+    return failure({ kind: "malformed", detail: "The answer is not JSON" });
+  }
+}
--- /dev/null
+++ b/src/adapters/listen.ts
@@ -0,0 +1,27 @@
+/**
+ * Opening listening sockets.
+ *
+ * @module
+ */
+import type { Server } from "node:http";
+
+/**
+ * Listens on an IP number and port.
+ *
+ * @example
+ * ```ts
+ * await listen(server, "127.0.0.1:7001");
+ * ```
+ */
+export function listen(server: Server, address: string): Promise<void> {
+  const at = address.lastIndexOf(":");
+  const host = address.slice(0, at).replace(/^\[|\]$/g, "");
+  const port = Number(address.slice(at + 1));
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => {
+      server.off("error", reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/src/adapters/undici_upstream_client.ts
@@ -0,0 +1,140 @@
+/**
+ * Requests to engines and plain services by undici.
+ *
+ * @module
+ */
+import type { Dispatcher } from "undici";
+import { Agent } from "undici";
+import type {
+  AnswerHead,
+  Attempt,
+  AttemptEnd,
+  AttemptListener,
+  AttemptRequest,
+  UpstreamClient,
+} from "../platform/upstream_client.ts";
+import type { Upstream } from "../world/upstream.ts";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Longest answer; the product's own limits are far below. */
+const ANSWER_TIMEOUT_MS = 600_000;
+
+/** Answer headers that are passed on to callers. */
+const PASSED_HEADERS = ["content-type", "x-not-run", "retry-after"];
+
+/** {@linkcode UpstreamClient} over HTTP/1.1 with kept connections. */
+export class UndiciUpstreamClient implements UpstreamClient {
+  readonly #agent = new Agent({
+    connections: 512,
+    pipelining: 1,
+    connectTimeout: CONNECT_TIMEOUT_MS,
+    headersTimeout: ANSWER_TIMEOUT_MS,
+    bodyTimeout: ANSWER_TIMEOUT_MS,
+  });
+
+  send(
+    upstream: Upstream,
+    req: AttemptRequest,
+    listener: AttemptListener,
+  ): Attempt {
+    const attempt = new UndiciAttempt(listener);
+    this.#agent.dispatch({
+      origin: `http://${upstream.address}`,
+      path: req.path,
+      method: req.method as Dispatcher.HttpMethod,
+      headers: {
+        ...req.headers,
+        "x-request-id": req.attemptId,
+        "x-group-epoch": String(upstream.epoch),
+        "x-resume-after": String(req.resumeAfter),
+      },
+      body: req.body.length > 0 ? req.body as never : null,
+    }, attempt);
+    return attempt;
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+}
+
+/** One dispatch; matched to its answer by its own connection. */
+class UndiciAttempt implements Attempt, Dispatcher.DispatchHandler {
+  readonly #listener: AttemptListener;
+  #controller: Dispatcher.DispatchController | undefined;
+  #cancelled = false;
+  #ended = false;
+
+  constructor(listener: AttemptListener) {
+    this.#listener = listener;
+  }
+
+  cancel(): void {
+    if (this.#ended) return;
+    this.#cancelled = true;
+    this.#controller?.abort(new Error("Cancelled"));
+  }
+
+  pause(): void {
+    this.#controller?.pause();
+  }
+
+  resume(): void {
+    this.#controller?.resume();
+  }
+
+  /** Called once a connection is there and the request goes out on it. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#cancelled) controller.abort(new Error("Cancelled"));
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    if (status < 200) return;
+    this.#listener.onHead({ status, headers: passedHeaders(headers) });
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Uint8Array,
+  ): void {
+    this.#listener.onData(chunk);
+  }
+
+  onResponseEnd(): void {
+    this.#end({ kind: "ended" });
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController | undefined,
+    err: Error,
+  ): void {
+    const detail = err.message || String((err as { code?: string }).code);
+    if (this.#cancelled) return this.#end({ kind: "cancelled" });
+    // Without a connection the request was never started.
+    const sent = this.#controller !== undefined;
+    this.#end(sent ? { kind: "broken", detail } : { kind: "not_sent", detail });
+  }
+
+  #end(end: AttemptEnd): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#listener.onEnd(end);
+  }
+}
+
+function passedHeaders(
+  headers: Record<string, string | string[] | undefined>,
+): AnswerHead["headers"] {
+  const passed: Record<string, string> = {};
+  for (const name of PASSED_HEADERS) {
+    const value = headers[name];
+    if (typeof value === "string") passed[name] = value;
+  }
+  return passed;
+}
--- /dev/null
+++ b/src/base/timers.ts
@@ -0,0 +1,67 @@
+/**
+ * The timer service: the only source of time for every decision.
+ *
+ * @module
+ */
+
+/** A scheduled callback that can be cancelled. */
+export interface Timer {
+  /** Prevents any later call of the callback. Safe to call twice. */
+  cancel(): void;
+}
+
+/** Source of monotonic time and of callbacks in it. Times are milliseconds. */
+export interface Timers {
+  /** Returns monotonic time in milliseconds from an arbitrary origin. */
+  now(): number;
+  /** Calls `callback` once after `delayMs`. */
+  after(delayMs: number, callback: () => void): Timer;
+  /** Calls `callback` every `periodMs`, first after one period. */
+  subscribe(periodMs: number, callback: () => void): Timer;
+}
+
+/**
+ * Waits in the time of `timers`.
+ *
+ * @example
+ * ```ts
+ * await sleep(timers, 250);
+ * ```
+ */
+export function sleep(timers: Timers, delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    timers.after(delayMs, resolve);
+  });
+}
+
+/** Result of {@linkcode withTimeout} when the time ran out first. */
+export const TIMED_OUT = Symbol("timed out");
+
+/**
+ * Settles with the promise, or with {@linkcode TIMED_OUT} after `limitMs`.
+ *
+ * @example
+ * ```ts
+ * const res = await withTimeout(timers, store.read("k"), 500);
+ * if (res === TIMED_OUT) return;
+ * ```
+ */
+export function withTimeout<T>(
+  timers: Timers,
+  promise: Promise<T>,
+  limitMs: number,
+): Promise<T | typeof TIMED_OUT> {
+  return new Promise((resolve, reject) => {
+    const timer = timers.after(limitMs, () => resolve(TIMED_OUT));
+    promise.then(
+      (value) => {
+        timer.cancel();
+        resolve(value);
+      },
+      (err) => {
+        timer.cancel();
+        reject(err);
+      },
+    );
+  });
+}
--- /dev/null
+++ b/src/bin/oleander_gateway.ts
@@ -0,0 +1,16 @@
+#!/usr/bin/env node
+/**
+ * The gateway's binary.
+ *
+ * @module
+ */
+import { GatewayProcess } from "../gateway/gateway_process.ts";
+import { GatewaySettingsSchema } from "../settings/gateway_settings.ts";
+import { runProcess } from "./run_process.ts";
+
+runProcess({
+  name: "oleander-gateway",
+  schema: GatewaySettingsSchema,
+  log: (settings) => settings.log,
+  create: (settings, log) => new GatewayProcess(settings, log),
+});
--- /dev/null
+++ b/src/bin/run_process.ts
@@ -0,0 +1,126 @@
+/**
+ * What the long-running binaries share: arguments, settings, signals.
+ *
+ * @module
+ */
+import process from "node:process";
+import type { ConsolaInstance } from "consola";
+import { cac } from "cac";
+import type { z } from "zod";
+import { createLogger } from "../logging/logger.ts";
+import {
+  EXIT_BAD_SETTINGS,
+  formatProblem,
+  loadSettings,
+} from "../settings/settings_file.ts";
+import type { LogSettings } from "../settings/gateway_settings.ts";
+import { VERSION } from "./version.ts";
+
+/** A process that can be started and stopped gracefully. */
+export interface RunnableProcess {
+  start(): Promise<void>;
+  shutdown(): Promise<void>;
+}
+
+/** What makes one binary different from another. */
+export interface ProcessDefinition<T extends z.ZodType> {
+  readonly name: string;
+  readonly schema: T;
+  readonly log: (settings: z.infer<T>) => LogSettings;
+  readonly create: (
+    settings: z.infer<T>,
+    log: ConsolaInstance,
+  ) => RunnableProcess;
+}
+
+/**
+ * Runs a binary until it is told to stop.
+ *
+ * @example
+ * ```ts
+ * runProcess({ name: "oleander-gateway", schema, log, create });
+ * ```
+ */
+export function runProcess<T extends z.ZodType>(
+  definition: ProcessDefinition<T>,
+): void {
+  const cli = cac(definition.name);
+  cli.command("<settings>", "Run with the settings in an INI file")
+    .option("--check", "Check the settings and leave")
+    .action((file: string, options: { check?: boolean }) =>
+      runWith(definition, file, options.check === true)
+    );
+  cli.help();
+  cli.version(VERSION);
+  parseOrExit(cli);
+}
+
+/**
+ * Parses the command line; a mistake is told in one line with exit code 2.
+ *
+ * @example
+ * ```ts
+ * parseOrExit(cli);
+ * ```
+ */
+export function parseOrExit(cli: ReturnType<typeof cac>): void {
+  try {
+    cli.parse(process.argv, { run: false });
+    const asked = cli.options.help === true || cli.options.version === true;
+    if (cli.matchedCommand === undefined && !asked) {
+      cli.outputHelp();
+      process.exitCode = EXIT_BAD_SETTINGS;
+      return;
+    }
+    cli.runMatchedCommand();
+  } catch (err) {
+    process.stderr.write(`${cli.name}: ${(err as Error).message}\n`);
+    process.exitCode = EXIT_BAD_SETTINGS;
+  }
+}
+
+async function runWith<T extends z.ZodType>(
+  definition: ProcessDefinition<T>,
+  file: string,
+  checkOnly: boolean,
+): Promise<void> {
+  const settings = loadSettings(file, definition.schema);
+  if (!settings.ok) {
+    for (const problem of settings.err) {
+      process.stderr.write(`${formatProblem(problem)}\n`);
+    }
+    process.exitCode = EXIT_BAD_SETTINGS;
+    return;
+  }
+  if (checkOnly) {
+    process.stdout.write(`${file}: settings are valid\n`);
+    return;
+  }
+  const log = createLogger({
+    ...definition.log(settings.value),
+    process: definition.name,
+  });
+  const runnable = definition.create(settings.value, log);
+  stopOnSignal(runnable, log);
+  try {
+    await runnable.start();
+    log.info({ message: "Started", settings: file });
+  } catch (err) {
+    log.error({ message: (err as Error).message });
+    process.exit(1);
+  }
+}
+
+function stopOnSignal(runnable: RunnableProcess, log: ConsolaInstance): void {
+  let stopping = false;
+  const stop = async (signal: string) => {
+    if (stopping) return;
+    stopping = true;
+    log.info({ message: `Shutting down after ${signal}` });
+    await runnable.shutdown();
+    log.info({ message: "Stopped" });
+    process.exit(0);
+  };
+  process.on("SIGTERM", () => stop("SIGTERM"));
+  process.on("SIGINT", () => stop("SIGINT"));
+}
--- /dev/null
+++ b/src/controller/admin_server.ts
@@ -0,0 +1,173 @@
+/**
+ * The administration API.
+ *
+ * @module
+ */
+import type { Server } from "node:http";
+import { createServer } from "node:http";
+import { getRequestListener } from "@hono/node-server";
+import type { Context } from "hono";
+import { Hono } from "hono";
+import type { Registry } from "prom-client";
+import { match, P } from "ts-pattern";
+import { sha256 } from "../base/hash.ts";
+import type { AdministrationError } from "../core/configuration/administration.ts";
+import type { Action, Change } from "../core/configuration/change.ts";
+import { ChangeSchema } from "../core/configuration/change.ts";
+import type { Controller } from "../core/controller/controller.ts";
+import type { TokenSettings } from "../settings/controller_settings.ts";
+import type { DecisionRing } from "./decision_ring.ts";
+
+/** Longest wait for a change to be in force everywhere. */
+const CHANGE_LIMIT_MS = 15_000;
+
+/** What the server works with. */
+export interface AdminServerParts {
+  readonly controller: Controller;
+  readonly tokens: Readonly<Record<string, TokenSettings>>;
+  readonly decisions: DecisionRing;
+  readonly registry: Registry;
+}
+
+/** Whoever sent a request. */
+interface Author {
+  readonly name: string;
+  readonly token: TokenSettings;
+}
+
+/**
+ * Makes the HTTP server for operators.
+ *
+ * @example
+ * ```ts
+ * createAdminServer(parts).listen(7300, "127.0.0.1");
+ * ```
+ */
+export function createAdminServer(parts: AdminServerParts): Server {
+  const app = createApp(parts);
+  return createServer(
+    getRequestListener(app.fetch, { overrideGlobalObjects: false }),
+  );
+}
+
+function createApp(parts: AdminServerParts): Hono {
+  const app = new Hono();
+  app.get("/healthz", (c) => c.json({ active: parts.controller.active }));
+  app.get("/metrics", async (c) => c.text(await parts.registry.metrics()));
+  app.get("/admin/v1/configuration", (c) => readConfiguration(c, parts));
+  app.get("/admin/v1/fleet", (c) => readFleet(c, parts));
+  app.get("/admin/v1/decisions", (c) => readDecisions(c, parts));
+  app.post("/admin/v1/changes", (c) => submitChange(c, parts));
+  app.notFound((c) => c.json(problem("not_found", "No such path"), 404));
+  return app;
+}
+
+async function readConfiguration(
+  c: Context,
+  parts: AdminServerParts,
+): Promise<Response> {
+  const author = authenticate(c, parts);
+  if (author === undefined) return unauthenticated(c);
+  const res = await parts.controller.administration.read();
+  if (!res.ok) return failed(c, res.err);
+  const { token } = author;
+  if (token.role !== "team") return c.json(res.value.cfg);
+  return c.json({
+    ...res.value.cfg,
+    customers: res.value.cfg.customers.filter((x) => x.team === token.team),
+  });
+}
+
+function readFleet(c: Context, parts: AdminServerParts): Response {
+  if (authenticate(c, parts) === undefined) return unauthenticated(c);
+  const { controller } = parts;
+  return c.json({
+    active: controller.active,
+    hosts: controller.hosts,
+    domains: controller.records,
+  });
+}
+
+function readDecisions(c: Context, parts: AdminServerParts): Response {
+  if (authenticate(c, parts) === undefined) return unauthenticated(c);
+  return c.json({ decisions: parts.decisions.newest });
+}
+
+async function submitChange(
+  c: Context,
+  parts: AdminServerParts,
+): Promise<Response> {
+  const author = authenticate(c, parts);
+  if (author === undefined) return unauthenticated(c);
+  const body = await c.req.json().catch(() => undefined);
+  const parsed = ChangeSchema.omit({ author: true }).safeParse(body);
+  if (!parsed.success) {
+    const [issue] = parsed.error.issues;
+    const where = issue.path.join(".") || "body";
+    return c.json(problem("invalid", `${where}: ${issue.message}`), 400);
+  }
+  const change: Change = { ...parsed.data, author: author.name };
+  if (!mayDo(author.token, change.action)) {
+    const detail = `Token "${author.name}" may not do this`;
+    return c.json(problem("forbidden", detail), 403);
+  }
+  const { administration } = parts.controller;
+  const res = await administration.submit(change, CHANGE_LIMIT_MS);
+  if (!res.ok) return failed(c, res.err);
+  return c.json({ accepted: true, ...res.value.change });
+}
+
+/** Operators do everything but the gateways' own changes; teams their own. */
+function mayDo(token: TokenSettings, action: Action): boolean {
+  return match([token.role, action] as const)
+    .with(
+      [P._, { kind: P.union("gateway_join", "gateway_leave") }],
+      () => false,
+    )
+    .with(["operator", P._], () => true)
+    .with(["viewer", P._], () => false)
+    .with(["team", { kind: "set_zone" }], () => false)
+    .with(["team", { kind: "remove" }], ([, a]) => a.team === token.team)
+    .with(["team", { value: P._ }], ([, a]) => a.value.team === token.team)
+    .exhaustive();
+}
+
+function authenticate(
+  c: Context,
+  parts: AdminServerParts,
+): Author | undefined {
+  const header = c.req.header("authorization") ?? "";
+  const [, secret] = /^Bearer (\S+)$/.exec(header) ?? [];
+  if (secret === undefined) return undefined;
+  const digest = sha256(secret);
+  const found = Object.entries(parts.tokens)
+    .find(([, token]) => token.hash === digest);
+  return found && { name: found[0], token: found[1] };
+}
+
+function unauthenticated(c: Context): Response {
+  return c.json(problem("not_authenticated", "The token is not known"), 401);
+}
+
+function failed(c: Context, err: AdministrationError): Response {
+  return match(err)
+    .with({ kind: "conflict" }, (e) => {
+      const detail = `"${e.target}" was changed by ${e.other.author}`;
+      return c.json({ ...problem("conflict", detail), other: e.other }, 409);
+    })
+    .with({ kind: "invalid" }, (e) => c.json(problem(e.kind, e.detail), 422))
+    .with(
+      { kind: "store_unavailable" },
+      (e) => c.json(problem(e.kind, e.detail), 503),
+    )
+    .with(
+      { kind: "unconfirmed" },
+      (e) => c.json(problem(e.kind, e.detail), 504),
+    )
+    .exhaustive();
+}
+
+function problem(outcome: string, detail: string) {
+  const type = `urn:oleander:problem:${outcome}`;
+  return { type, title: outcome.replaceAll("_", " "), detail, outcome };
+}
--- /dev/null
+++ b/src/controller/controller_process.ts
@@ -0,0 +1,80 @@
+/**
+ * The controller as a process: adapters, administration server, signals.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import type { Server } from "node:http";
+import type { ConsolaInstance } from "consola";
+import { EtcdStore } from "../adapters/etcd_store.ts";
+import { HttpEngineControl } from "../adapters/http_engine_control.ts";
+import { HttpHostList } from "../adapters/http_host_list.ts";
+import { listen } from "../adapters/listen.ts";
+import { SystemTimers } from "../base/system_timers.ts";
+import { Controller } from "../core/controller/controller.ts";
+import { ConsolaDecisionLog } from "../logging/logger.ts";
+import { PeerClient } from "../peer/peer_client.ts";
+import type { ControllerSettings } from "../settings/controller_settings.ts";
+import { createAdminServer } from "./admin_server.ts";
+import { createControllerMetrics } from "./controller_metrics.ts";
+import { DecisionRing } from "./decision_ring.ts";
+
+/** A running controller with its server and adapters. */
+export class ControllerProcess {
+  readonly controller: Controller;
+  readonly #settings: ControllerSettings;
+  readonly #store: EtcdStore;
+  readonly #hostList: HttpHostList;
+  readonly #control = new HttpEngineControl();
+  readonly #network: PeerClient;
+  readonly #server: Server;
+
+  constructor(settings: ControllerSettings, log: ConsolaInstance) {
+    this.#settings = settings;
+    this.#store = new EtcdStore({ endpoint: settings.platform.store });
+    this.#hostList = new HttpHostList(settings.platform.host_list);
+    this.#network = new PeerClient(settings.peers.key);
+    const decisions = new DecisionRing(new ConsolaDecisionLog(log));
+    this.controller = new Controller({
+      id: settings.controller.id,
+      incarnation: randomUUID(),
+      timers: new SystemTimers(),
+      store: this.#store,
+      hostList: this.#hostList,
+      control: this.#control,
+      network: this.#network,
+      log: decisions,
+    });
+    this.#server = createAdminServer({
+      controller: this.controller,
+      tokens: settings.token,
+      decisions,
+      registry: createControllerMetrics(() => this.controller),
+    });
+  }
+
+  /** Opens the port and begins. */
+  async start(): Promise<void> {
+    await listen(this.#server, this.#settings.controller.admin_address);
+    this.controller.start();
+  }
+
+  /** Gives the lease up and stops. */
+  async shutdown(): Promise<void> {
+    await this.controller.shutdown();
+    await this.close();
+  }
+
+  /** Closes everything at once. */
+  async close(): Promise<void> {
+    this.controller.halt();
+    this.#server.close();
+    this.#server.closeAllConnections();
+    this.#network.close();
+    await Promise.all([
+      this.#store.close(),
+      this.#hostList.close(),
+      this.#control.close(),
+    ]);
+  }
+}
--- /dev/null
+++ b/src/core/configuration/administration.ts
@@ -0,0 +1,235 @@
+/**
+ * Accepting operators' changes.
+ *
+ * @module
+ */
+import type { Outcome } from "../../base/outcome.ts";
+import { failure, success } from "../../base/outcome.ts";
+import type { Timers } from "../../base/timers.ts";
+import { sleep, TIMED_OUT, withTimeout } from "../../base/timers.ts";
+import type { KeyValueStore } from "../../platform/key_value_store.ts";
+import type {
+  AppliedChange,
+  Configuration,
+  GatewayMember,
+} from "../../world/configuration.ts";
+import { EMPTY_CONFIGURATION } from "../../world/configuration.ts";
+import type { PeerNetwork, SyncMessage } from "../membership/messages.ts";
+import type { Change, ChangeError } from "./change.ts";
+import { applyChange, findApplied } from "./change.ts";
+import { CONFIG_STALE_MS, confirmers, majorityOf } from "./config_replica.ts";
+import { parseConfiguration } from "./parse.ts";
+import { CONFIG_KEY } from "./store_keys.ts";
+
+/** Longest wait for one gateway's acknowledgement of a push. */
+const PUSH_TIMEOUT_MS = 700;
+/** Pause between pushes to gateways that have not acknowledged. */
+const PUSH_PAUSE_MS = 100;
+/** Added to the bound by which unconfirmed gateways stop, for timer slack. */
+const STALE_MARGIN_MS = 250;
+/** Pause after a store error. */
+const STORE_PAUSE_MS = 200;
+
+/** A change that is in force everywhere. */
+export interface Accepted {
+  readonly change: AppliedChange;
+  readonly cfg: Configuration;
+}
+
+/** Why a change was not accepted. */
+export type AdministrationError =
+  | ChangeError
+  /** The change is certainly not in the store. */
+  | { readonly kind: "store_unavailable"; readonly detail: string }
+  /** The change may be, or is, in the store, but not known to be in force. */
+  | { readonly kind: "unconfirmed"; readonly detail: string };
+
+/** What administration works with. */
+export interface AdministrationParts {
+  readonly timers: Timers;
+  readonly store: KeyValueStore;
+  readonly network: PeerNetwork;
+  readonly selfId: string;
+  readonly incarnation: string;
+}
+
+/** The document as read, with the revision to compare with. */
+interface StoredConfiguration {
+  readonly cfg: Configuration;
+  readonly modRevision: number;
+}
+
+/**
+ * Writes changes by compare-and-swap and calls them accepted once they are
+ * durable, a majority of the confirming gateways has them, and every other
+ * gateway either has them or must have stopped taking work on older ones.
+ */
+export class Administration {
+  readonly #parts: AdministrationParts;
+
+  constructor(parts: AdministrationParts) {
+    this.#parts = parts;
+  }
+
+  /** Reads the configuration as the store holds it. */
+  async read(): Promise<Outcome<StoredConfiguration, AdministrationError>> {
+    const res = await this.#parts.store.read(CONFIG_KEY);
+    if (!res.ok) {
+      return failure({ kind: "store_unavailable", detail: res.err.detail });
+    }
+    if (res.value.modRevision === 0) {
+      return success({ cfg: EMPTY_CONFIGURATION, modRevision: 0 });
+    }
+    const cfg = parseConfiguration(res.value.value);
+    if (cfg === undefined) {
+      const detail = "The configuration in the store is malformed";
+      return failure({ kind: "store_unavailable", detail });
+    }
+    return success({ cfg, modRevision: res.value.modRevision });
+  }
+
+  /** Applies a change, and answers once it is in force everywhere. */
+  async submit(
+    change: Change,
+    limitMs: number,
+  ): Promise<Outcome<Accepted, AdministrationError>> {
+    const deadline = this.#parts.timers.now() + limitMs;
+    const written = await this.#write(change, deadline);
+    if (!written.ok) return written;
+    const { before, cfg } = written.value;
+    const confirmed = await this.#confirm(before, cfg, deadline);
+    if (!confirmed) {
+      const detail = "Too few gateways acknowledged the change in time";
+      return failure({ kind: "unconfirmed", detail });
+    }
+    const applied = findApplied(cfg, change.changeId);
+    if (applied === undefined) {
+      const detail = "The change is no longer listed";
+      return failure({ kind: "unconfirmed", detail });
+    }
+    return success({ change: applied, cfg });
+  }
+
+  /**
+   * Writes the change unless it is there already: an answer that was lost is
+   * settled by reading the change's id back, never by writing blindly again.
+   */
+  async #write(
+    change: Change,
+    deadline: number,
+  ): Promise<
+    Outcome<
+      { readonly before: Configuration; readonly cfg: Configuration },
+      AdministrationError
+    >
+  > {
+    const { timers, store } = this.#parts;
+    let mayHaveLanded = false;
+    while (timers.now() < deadline) {
+      const stored = await this.read();
+      if (!stored.ok) {
+        if (!mayHaveLanded) return stored;
+        await sleep(timers, STORE_PAUSE_MS);
+        continue;
+      }
+      const { cfg: before, modRevision } = stored.value;
+      if (findApplied(before, change.changeId) !== undefined) {
+        return success({ before, cfg: before });
+      }
+      const next = applyChange(before, change);
+      if (!next.ok) return next;
+      const value = JSON.stringify(next.value);
+      const put = { key: CONFIG_KEY, value, expectRevision: modRevision };
+      const res = await store.transact([put]);
+      if (res.ok && res.value.applied) {
+        return success({ before, cfg: next.value });
+      }
+      if (!res.ok && res.err.kind === "ambiguous") mayHaveLanded = true;
+      if (!res.ok) await sleep(timers, STORE_PAUSE_MS);
+    }
+    const detail = "The store did not answer in time";
+    return mayHaveLanded
+      ? failure({ kind: "unconfirmed", detail })
+      : failure({ kind: "store_unavailable", detail });
+  }
+
+  /** Pushes a revision until the conditions for acceptance hold. */
+  async #confirm(
+    before: Configuration,
+    cfg: Configuration,
+    deadline: number,
+  ): Promise<boolean> {
+    const { timers } = this.#parts;
+    const acknowledged = new Set<string>();
+    const members = new Map(
+      [...before.gateways, ...cfg.gateways].map((g) => [gatewayName(g), g]),
+    );
+    let majorityAt: number | undefined;
+    while (true) {
+      const missing = [...members.values()]
+        .filter((g) => !acknowledged.has(gatewayName(g)));
+      if (missing.length === 0) return true;
+      const now = timers.now();
+      const majority = hasMajority(before, acknowledged) &&
+        hasMajority(cfg, acknowledged);
+      if (majority) majorityAt ??= now;
+      const stale = CONFIG_STALE_MS + STALE_MARGIN_MS;
+      if (majorityAt !== undefined && now >= majorityAt + stale) return true;
+      if (now >= deadline) return false;
+      await Promise.race([
+        Promise.all(missing.map((g) => this.#push(g, cfg, acknowledged))),
+        sleep(timers, PUSH_PAUSE_MS),
+      ]);
+      await sleep(timers, majority ? PUSH_PAUSE_MS : 0);
+    }
+  }
+
+  async #push(
+    member: GatewayMember,
+    cfg: Configuration,
+    acknowledged: Set<string>,
+  ): Promise<void> {
+    const { timers, network } = this.#parts;
+    const call = network.sync(member, this.#message(cfg));
+    const res = await withTimeout(timers, call, PUSH_TIMEOUT_MS);
+    if (res === TIMED_OUT || !res.ok) {
+      await sleep(timers, PUSH_PAUSE_MS);
+      return;
+    }
+    const same = res.value.incarnation === member.incarnation;
+    if (same && res.value.configRevision >= cfg.revision) {
+      acknowledged.add(gatewayName(member));
+    }
+  }
+
+  #message(cfg: Configuration): SyncMessage {
+    return {
+      from: this.#parts.selfId,
+      incarnation: this.#parts.incarnation,
+      lifecycle: "starting",
+      configRevision: cfg.revision,
+      cfg,
+      digests: [],
+      records: [],
+      evidence: [],
+      warm: [],
+      cold: [],
+      suspects: [],
+      reports: [],
+    };
+  }
+}
+
+function gatewayName(member: GatewayMember): string {
+  return `${member.id}/${member.incarnation}`;
+}
+
+function hasMajority(
+  cfg: Configuration,
+  acknowledged: ReadonlySet<string>,
+): boolean {
+  const members = confirmers(cfg);
+  if (members.length === 0) return true;
+  const count = members.filter((g) => acknowledged.has(gatewayName(g))).length;
+  return count >= majorityOf(members.length);
+}
--- /dev/null
+++ b/src/core/configuration/store_reader.ts
@@ -0,0 +1,136 @@
+/**
+ * Reads configuration and domain records from the key-value service.
+ *
+ * @module
+ */
+import { rendezvousOrder } from "../../base/hash.ts";
+import type { Timer, Timers } from "../../base/timers.ts";
+import type {
+  KeyValueStore,
+  StoreEntry,
+  StoreWatch,
+} from "../../platform/key_value_store.ts";
+import type { DomainRecord } from "../../world/replica_group.ts";
+import type { ConfigReplica } from "./config_replica.ts";
+import { parseConfiguration, parseDomainRecord } from "./parse.ts";
+import { CONFIG_KEY, DOMAIN_PREFIX } from "./store_keys.ts";
+
+/** Time between looks at whether anything must be read. */
+const READ_PERIOD_MS = 500;
+/** Gateways that read and watch the store for all of them. */
+export const STORE_READERS = 2;
+/** Age of the last confirmation at which any gateway reads for itself. */
+const SELF_READ_AGE_MS = 1_200;
+/** Time between complete reads of the domain records. */
+const RECORDS_PERIOD_MS = 5_000;
+
+/** What the reader works with. */
+export interface StoreReaderParts {
+  readonly timers: Timers;
+  readonly store: KeyValueStore;
+  readonly replica: ConfigReplica;
+  readonly selfId: string;
+  onRecord(record: DomainRecord): void;
+}
+
+/**
+ * Two gateways read and watch; the others hear from them and read only when
+ * their copy has not been confirmed lately.
+ */
+export class StoreReader {
+  readonly #parts: StoreReaderParts;
+  #watches: StoreWatch[] = [];
+  #timer: Timer | undefined;
+  #reading = false;
+  #recordsReadAt = -Infinity;
+
+  constructor(parts: StoreReaderParts) {
+    this.#parts = parts;
+  }
+
+  /** Begins to read. */
+  start(): void {
+    this.#timer = this.#parts.timers.subscribe(
+      READ_PERIOD_MS,
+      () => this.#step(),
+    );
+    this.#step();
+  }
+
+  /** Ends all reading. */
+  stop(): void {
+    this.#timer?.cancel();
+    this.#unwatch();
+  }
+
+  /** Reads the configuration now. */
+  async readConfig(): Promise<void> {
+    const askedAt = this.#parts.timers.now();
+    const res = await this.#parts.store.read(CONFIG_KEY);
+    if (!res.ok) return;
+    const cfg = parseConfiguration(res.value.value);
+    if (cfg === undefined) return;
+    this.#parts.replica.offer(cfg);
+    this.#parts.replica.confirmByStore(askedAt, cfg.revision);
+  }
+
+  async #step(): Promise<void> {
+    const reader = this.#isReader();
+    if (reader && this.#watches.length === 0) this.#watch();
+    if (!reader) this.#unwatch();
+    const now = this.#parts.timers.now();
+    const stale = this.#parts.replica.ageMs(now) > SELF_READ_AGE_MS;
+    if (this.#reading || (!reader && !stale)) return;
+    this.#reading = true;
+    await this.readConfig();
+    if (now - this.#recordsReadAt >= RECORDS_PERIOD_MS) {
+      await this.#readRecords(now);
+    }
+    this.#reading = false;
+  }
+
+  async #readRecords(now: number): Promise<void> {
+    const res = await this.#parts.store.readPrefix(DOMAIN_PREFIX);
+    if (!res.ok) return;
+    this.#recordsReadAt = now;
+    for (const entry of res.value) this.#takeRecord(entry);
+  }
+
+  #isReader(): boolean {
+    const ids = this.#parts.replica.cfg.gateways.map((g) => g.id);
+    const readers = rendezvousOrder("store-readers", ids);
+    return readers.slice(0, STORE_READERS).includes(this.#parts.selfId);
+  }
+
+  #watch(): void {
+    const closed = () => this.#unwatch();
+    const store = this.#parts.store;
+    this.#watches = [
+      store.watchPrefix(CONFIG_KEY, {
+        onEntry: (entry) => this.#takeConfig(entry),
+        onClosed: closed,
+      }),
+      store.watchPrefix(DOMAIN_PREFIX, {
+        onEntry: (entry) => this.#takeRecord(entry),
+        onClosed: closed,
+      }),
+    ];
+  }
+
+  #unwatch(): void {
+    const watches = this.#watches;
+    this.#watches = [];
+    for (const watch of watches) watch.cancel();
+    if (watches.length > 0) this.#recordsReadAt = -Infinity;
+  }
+
+  #takeConfig(entry: StoreEntry): void {
+    const cfg = parseConfiguration(entry.value);
+    if (cfg !== undefined) this.#parts.replica.offer(cfg);
+  }
+
+  #takeRecord(entry: StoreEntry): void {
+    const record = parseDomainRecord(entry.value);
+    if (record !== undefined) this.#parts.onRecord(record);
+  }
+}
--- /dev/null
+++ b/src/core/controller/controller.ts
@@ -0,0 +1,340 @@
+/**
+ * The controller: forms replica groups and keeps the list of gateways.
+ *
+ * @module
+ */
+import type { Timer, Timers } from "../../base/timers.ts";
+import { TIMED_OUT, withTimeout } from "../../base/timers.ts";
+import type {
+  EngineCommand,
+  EngineControl,
+  EngineStatus,
+} from "../../platform/engine_control.ts";
+import type { HostList } from "../../platform/host_list.ts";
+import type { KeyValueStore } from "../../platform/key_value_store.ts";
+import type { Configuration } from "../../world/configuration.ts";
+import type { Host } from "../../world/host.ts";
+import type { DomainRecord, ReplicaGroup } from "../../world/replica_group.ts";
+import {
+  emptyDomainRecord,
+  groupUpstreamId,
+} from "../../world/replica_group.ts";
+import { Administration } from "../configuration/administration.ts";
+import { parseDomainRecord } from "../configuration/parse.ts";
+import { DOMAIN_PREFIX, domainKey } from "../configuration/store_keys.ts";
+import type { DecisionLog } from "../gateway/decision_log.ts";
+import type { DomainPlan } from "../groups/group_planner.ts";
+import { planFleet } from "../groups/group_planner.ts";
+import type { HostView } from "../groups/host_view.ts";
+import type { PeerNetwork } from "../membership/messages.ts";
+import { ControllerLease } from "./controller_lease.ts";
+import { FleetMembership } from "./fleet_membership.ts";
+
+/** Time between looks at the fleet. */
+export const STEP_PERIOD_MS = 500;
+/** Longest wait for an engine's status. */
+const STATUS_TIMEOUT_MS = 400;
+/** A command is void this long after it was sent. */
+export const COMMAND_VALID_MS = 2_000;
+
+/** Outside systems and settings of a controller. */
+export interface ControllerParts {
+  readonly id: string;
+  readonly incarnation: string;
+  readonly timers: Timers;
+  readonly store: KeyValueStore;
+  readonly hostList: HostList;
+  readonly control: EngineControl;
+  readonly network: PeerNetwork;
+  readonly log: DecisionLog;
+}
+
+/** A status and when it was asked for. */
+interface SeenStatus {
+  readonly status: EngineStatus;
+  readonly at: number;
+}
+
+/** A domain's record as last read, with the revision to compare with. */
+interface StoredRecord {
+  readonly record: DomainRecord;
+  readonly modRevision: number;
+}
+
+/** Runs on each entry host; the one that holds the lease acts. */
+export class Controller {
+  readonly #parts: ControllerParts;
+  readonly #lease: ControllerLease;
+  readonly #administration: Administration;
+  readonly #membership: FleetMembership;
+  readonly #seen = new Map<string, SeenStatus>();
+  readonly #stateSince = new Map<string, number>();
+  #records = new Map<string, StoredRecord>();
+  #hosts: readonly Host[] = [];
+  #timer: Timer | undefined;
+  #stepping = false;
+  #membershipBusy = false;
+
+  constructor(parts: ControllerParts) {
+    this.#parts = parts;
+    const { timers, store, network, id, incarnation } = parts;
+    const holder = `${id}/${incarnation}`;
+    this.#lease = new ControllerLease(timers, store, holder);
+    this.#administration = new Administration({
+      timers,
+      store,
+      network,
+      selfId: id,
+      incarnation,
+    });
+    this.#membership = new FleetMembership(timers, store, {
+      administration: this.#administration,
+      holder: incarnation,
+    });
+  }
+
+  /** Accepts operators' changes. Works on every controller, active or not. */
+  get administration(): Administration {
+    return this.#administration;
+  }
+
+  /** Whether this controller holds the lease now. */
+  get active(): boolean {
+    return this.#lease.leadership !== undefined;
+  }
+
+  /** Records of all fabric domains as last read. */
+  get records(): DomainRecord[] {
+    return [...this.#records.values()].map((stored) => stored.record);
+  }
+
+  /** Hosts as last listed. */
+  get hosts(): readonly Host[] {
+    return this.#hosts;
+  }
+
+  /** Begins to work. */
+  start(): void {
+    const step = () => this.step();
+    this.#timer = this.#parts.timers.subscribe(STEP_PERIOD_MS, step);
+    this.#parts.timers.after(0, step);
+  }
+
+  /** Stops and gives the lease up. */
+  async shutdown(): Promise<void> {
+    this.halt();
+    await this.#lease.release();
+  }
+
+  /** Stops at once. */
+  halt(): void {
+    this.#timer?.cancel();
+  }
+
+  /** Looks once and acts if this controller is the active one. */
+  async step(): Promise<void> {
+    if (this.#stepping) return;
+    this.#stepping = true;
+    await this.#lease.maintain();
+    await this.#observe();
+    if (this.#lease.leadership !== undefined) await this.#act();
+    this.#stepping = false;
+  }
+
+  async #observe(): Promise<void> {
+    const [hosts, records] = await Promise.all([
+      this.#parts.hostList.list(),
+      this.#parts.store.readPrefix(DOMAIN_PREFIX),
+    ]);
+    if (hosts.ok) this.#hosts = hosts.value;
+    if (records.ok) this.#takeRecords(records.value);
+    if (!this.active) return;
+    const engines = this.#hosts.filter((host) => host.kind === "engine");
+    await Promise.all(engines.map((host) => this.#readStatus(host)));
+  }
+
+  #takeRecords(
+    entries: readonly {
+      readonly value: string;
+      readonly modRevision: number;
+    }[],
+  ): void {
+    for (const entry of entries) {
+      const record = parseDomainRecord(entry.value);
+      if (record === undefined) continue;
+      const known = this.#records.get(record.fabricDomain);
+      if (known !== undefined && known.modRevision > entry.modRevision) {
+        continue;
+      }
+      this.#records.set(record.fabricDomain, {
+        record,
+        modRevision: entry.modRevision,
+      });
+    }
+  }
+
+  async #readStatus(host: Host): Promise<void> {
+    const { timers, control } = this.#parts;
+    const at = timers.now();
+    const call = control.status(host.address);
+    const res = await withTimeout(timers, call, STATUS_TIMEOUT_MS);
+    if (res === TIMED_OUT || !res.ok || res.value.hostId !== host.id) return;
+    this.#seen.set(host.id, { status: res.value, at });
+  }
+
+  async #act(): Promise<void> {
+    const stored = await this.#administration.read();
+    if (!stored.ok) return;
+    const { cfg } = stored.value;
+    this.#updateMembership(cfg);
+    const leadership = this.#lease.leadership;
+    if (leadership === undefined) return;
+    // Engines may not check fencing numbers: commands of an earlier controller
+    // must have run out before this one reads back and plans.
+    const sinceMs = this.#parts.timers.now() - leadership.acquiredAt;
+    if (sinceMs < COMMAND_VALID_MS) return;
+    const plans = this.#plan(cfg, leadership.fence);
+    await Promise.all(plans.map((plan) => this.#write(plan)));
+    this.#sendCommands();
+  }
+
+  /** Runs beside the steps: a change of the list waits for gateways. */
+  async #updateMembership(cfg: Configuration): Promise<void> {
+    if (this.#membershipBusy) return;
+    this.#membershipBusy = true;
+    await this.#membership.step(cfg);
+    this.#membershipBusy = false;
+  }
+
+  #plan(cfg: Configuration, fence: number): DomainPlan[] {
+    const now = this.#parts.timers.now();
+    const records = new Map<string, DomainRecord>();
+    for (const [id, stored] of this.#records) records.set(id, stored.record);
+    for (const host of this.#hosts) {
+      if (host.kind !== "engine" || records.has(host.fabricDomain)) continue;
+      const { fabricDomain, availabilityZone } = host;
+      const record = emptyDomainRecord(fabricDomain, availabilityZone);
+      records.set(fabricDomain, record);
+    }
+    return planFleet({
+      cfg,
+      views: this.#views(now),
+      records,
+      ageMs: (group) => now - this.#since(group, now),
+      changedBy: this.#parts.incarnation,
+      fence,
+    });
+  }
+
+  #views(now: number): Map<string, HostView> {
+    const views = new Map<string, HostView>();
+    for (const host of this.#hosts) {
+      if (host.kind !== "engine") continue;
+      const seen = this.#seen.get(host.id);
+      views.set(host.id, {
+        host,
+        status: seen?.status,
+        silentMs: seen === undefined ? Infinity : now - seen.at,
+      });
+    }
+    return views;
+  }
+
+  /** Time at which this controller first saw the group in its state. */
+  #since(group: ReplicaGroup, now: number): number {
+    const key = `${groupUpstreamId(group)} ${group.state}`;
+    const since = this.#stateSince.get(key) ?? now;
+    this.#stateSince.set(key, since);
+    return since;
+  }
+
+  async #write(plan: DomainPlan): Promise<void> {
+    if (this.#lease.leadership === undefined) return;
+    const { record } = plan;
+    const known = this.#records.get(record.fabricDomain);
+    const res = await this.#parts.store.transact([{
+      key: domainKey(record.fabricDomain),
+      value: JSON.stringify(record),
+      expectRevision: known?.modRevision ?? 0,
+    }]);
+    if (!res.ok || !res.value.applied) return;
+    const modRevision = res.value.revision;
+    this.#records.set(record.fabricDomain, { record, modRevision });
+    for (const decision of plan.decisions) {
+      this.#parts.log.decided({
+        kind: "place",
+        upstream: decision.groupId,
+        reason: `${decision.state}: ${decision.reason}`,
+        revision: record.revision,
+      });
+    }
+  }
+
+  /** Tells each engine what its record says, until the engine confirms it. */
+  #sendCommands(): void {
+    for (const { record } of this.#records.values()) {
+      for (const group of record.groups) {
+        if (group.state === "loading") this.#commandLoad(group);
+        if (group.state === "releasing") this.#commandRelease(group);
+      }
+    }
+    this.#releaseStrays();
+  }
+
+  #commandLoad(group: ReplicaGroup): void {
+    for (const member of group.members) {
+      const status = this.#seen.get(member.hostId)?.status;
+      if (status === undefined || status.phase !== "idle") continue;
+      if (status.bootId !== member.bootId) continue;
+      this.#send(member.address, {
+        kind: "load",
+        groupId: group.id,
+        epoch: group.epoch,
+        model: group.model,
+        version: group.version,
+        members: group.members.map((m) => m.address),
+      });
+    }
+  }
+
+  #commandRelease(group: ReplicaGroup): void {
+    for (const member of group.members) {
+      const status = this.#seen.get(member.hostId)?.status;
+      if (status === undefined || status.groupId !== group.id) continue;
+      const { id: groupId, epoch } = group;
+      this.#send(member.address, { kind: "release", groupId, epoch });
+    }
+  }
+
+  /** Releases engines from groups that no record holds. */
+  #releaseStrays(): void {
+    const held = new Set<string>();
+    for (const { record } of this.#records.values()) {
+      for (const group of record.groups) {
+        for (const member of group.members) {
+          held.add(`${member.hostId} ${groupUpstreamId(group)}`);
+        }
+      }
+    }
+    for (const host of this.#hosts) {
+      const status = this.#seen.get(host.id)?.status;
+      if (status === undefined || status.phase === "idle") continue;
+      const { groupId, epoch } = status;
+      if (held.has(`${host.id} ${groupId}@${epoch}`)) continue;
+      this.#send(host.address, { kind: "release", groupId, epoch });
+    }
+  }
+
+  #send(address: string, command: EngineCommand): void {
+    const leadership = this.#lease.leadership;
+    if (leadership === undefined) return;
+    this.#parts.log.decided({
+      kind: "command",
+      upstream: `${command.groupId}@${command.epoch}`,
+      reason: `${command.kind} to ${address}`,
+    });
+    const { fence } = leadership;
+    const call = { command, fence, validForMs: COMMAND_VALID_MS };
+    this.#parts.control.send(address, call);
+  }
+}
--- /dev/null
+++ b/src/core/controller/fleet_membership.ts
@@ -0,0 +1,112 @@
+/**
+ * Keeps the configuration's list of gateways in step with their registrations.
+ *
+ * @module
+ */
+import { z } from "zod";
+import type { Timers } from "../../base/timers.ts";
+import type { KeyValueStore } from "../../platform/key_value_store.ts";
+import type {
+  Configuration,
+  GatewayMember,
+} from "../../world/configuration.ts";
+import { ConfigurationSchema } from "../../world/configuration.ts";
+import type { Administration } from "../configuration/administration.ts";
+import type { Action } from "../configuration/change.ts";
+import { GATEWAY_PREFIX } from "../configuration/store_keys.ts";
+
+/** How long a registration must be gone before its gateway is taken off. */
+const ABSENT_GRACE_MS = 4_000;
+/** Longest wait for a change of the list to be accepted. */
+const CHANGE_LIMIT_MS = 10_000;
+
+const RegistrationSchema = ConfigurationSchema.shape.gateways.element.extend({
+  state: z.enum(["live", "leaving"]),
+});
+type RegistrationValue = z.infer<typeof RegistrationSchema>;
+
+/** Adds and removes one gateway at a time, each change accepted before the next. */
+export class FleetMembership {
+  readonly #timers: Timers;
+  readonly #store: KeyValueStore;
+  readonly #administration: Administration;
+  readonly #holder: string;
+  readonly #absentSince = new Map<string, number>();
+  #count = 0;
+
+  constructor(
+    timers: Timers,
+    store: KeyValueStore,
+    options: { administration: Administration; holder: string },
+  ) {
+    this.#timers = timers;
+    this.#store = store;
+    this.#administration = options.administration;
+    this.#holder = options.holder;
+  }
+
+  /** Makes at most one change. */
+  async step(cfg: Configuration): Promise<void> {
+    const res = await this.#store.readPrefix(GATEWAY_PREFIX);
+    if (!res.ok) return this.#absentSince.clear();
+    const registered = new Map<string, RegistrationValue>();
+    for (const entry of res.value) {
+      const value = parseRegistration(entry.value);
+      if (value !== undefined) registered.set(value.id, value);
+    }
+    const action = this.#leaveAction(cfg, registered) ??
+      joinAction(cfg, registered);
+    if (action === undefined) return;
+    this.#count += 1;
+    await this.#administration.submit({
+      changeId: `${this.#holder}-${this.#count}`,
+      author: "controller",
+      action,
+    }, CHANGE_LIMIT_MS);
+  }
+
+  #leaveAction(
+    cfg: Configuration,
+    registered: ReadonlyMap<string, RegistrationValue>,
+  ): Action | undefined {
+    const now = this.#timers.now();
+    for (const member of cfg.gateways) {
+      const found = registered.get(member.id);
+      const same = found?.incarnation === member.incarnation;
+      if (same && found?.state === "live") {
+        this.#absentSince.delete(member.id);
+        continue;
+      }
+      const since = this.#absentSince.get(member.id) ?? now;
+      this.#absentSince.set(member.id, since);
+      const certain = found !== undefined;
+      if (certain || now - since >= ABSENT_GRACE_MS) {
+        const { id, incarnation } = member;
+        return { kind: "gateway_leave", id, incarnation };
+      }
+    }
+    return undefined;
+  }
+}
+
+function joinAction(
+  cfg: Configuration,
+  registered: ReadonlyMap<string, RegistrationValue>,
+): Action | undefined {
+  for (const { state, ...member } of registered.values()) {
+    const listed = cfg.gateways.some((g) => g.id === member.id);
+    if (state === "live" && !listed) {
+      return { kind: "gateway_join", member: member as GatewayMember };
+    }
+  }
+  return undefined;
+}
+
+function parseRegistration(text: string): RegistrationValue | undefined {
+  try {
+    const res = RegistrationSchema.safeParse(JSON.parse(text));
+    return res.success ? res.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/core/gateway/attempt_run.ts
@@ -0,0 +1,96 @@
+/**
+ * One attempt of a request on one upstream.
+ *
+ * @module
+ */
+import type { Timers } from "../../base/timers.ts";
+import type {
+  AnswerHead,
+  Attempt,
+  AttemptEnd,
+  AttemptListener,
+  AttemptRequest,
+  UpstreamClient,
+} from "../../platform/upstream_client.ts";
+import type { UpstreamEntry } from "../routing/upstream_entry.ts";
+
+/** Header by which an upstream says that it did not run the request. */
+export const NOT_RUN_HEADER = "x-not-run";
+
+/** Receives what attempts of one request do. */
+export interface AttemptOwner {
+  attemptHead(attempt: AttemptRun, head: AnswerHead): void;
+  attemptData(attempt: AttemptRun, chunk: Uint8Array): void;
+  attemptEnd(attempt: AttemptRun, end: AttemptEnd): void;
+}
+
+/**
+ * Ties an attempt to its upstream's counts. Whatever arrives after the attempt
+ * was closed is dropped, so a late answer can't reach any other request.
+ */
+export class AttemptRun implements AttemptListener {
+  readonly entry: UpstreamEntry;
+  readonly startedAt: number;
+  head: AnswerHead | undefined;
+  lastDataAt: number;
+  gotData = false;
+  readonly #timers: Timers;
+  readonly #owner: AttemptOwner;
+  #handle: Attempt | undefined;
+  #closed = false;
+
+  constructor(timers: Timers, entry: UpstreamEntry, owner: AttemptOwner) {
+    this.#timers = timers;
+    this.entry = entry;
+    this.#owner = owner;
+    this.startedAt = timers.now();
+    this.lastDataAt = this.startedAt;
+  }
+
+  /** Sends the request. */
+  start(client: UpstreamClient, req: AttemptRequest): void {
+    const handle = client.send(this.entry.upstream, req, this);
+    if (this.#closed) handle.cancel();
+    else this.#handle = handle;
+  }
+
+  /** Drops the attempt; nothing more is heard of it. */
+  close(): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#handle?.cancel();
+  }
+
+  /** Stops reading while the caller is slow. */
+  pause(): void {
+    this.#handle?.pause();
+  }
+
+  /** Reads again. */
+  resume(): void {
+    this.lastDataAt = this.#timers.now();
+    this.#handle?.resume();
+  }
+
+  onHead(head: AnswerHead): void {
+    if (this.#closed) return;
+    this.head = head;
+    this.lastDataAt = this.#timers.now();
+    this.#owner.attemptHead(this, head);
+  }
+
+  onData(chunk: Uint8Array): void {
+    if (this.#closed) return;
+    const now = this.#timers.now();
+    if (!this.gotData) this.entry.sampleFirstByte(now - this.startedAt);
+    this.gotData = true;
+    this.lastDataAt = now;
+    this.#owner.attemptData(this, chunk);
+  }
+
+  onEnd(end: AttemptEnd): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#owner.attemptEnd(this, end);
+  }
+}
--- /dev/null
+++ b/src/core/gateway/gateway.ts
@@ -0,0 +1,635 @@
+/**
+ * One entry host's gateway: every decision, no sockets.
+ *
+ * @module
+ */
+import { rendezvousOrder } from "../../base/hash.ts";
+import { invariant } from "../../base/outcome.ts";
+import type { Random } from "../../base/random.ts";
+import type { Timer, Timers } from "../../base/timers.ts";
+import type { EngineControl } from "../../platform/engine_control.ts";
+import type { HostList } from "../../platform/host_list.ts";
+import type { KeyValueStore } from "../../platform/key_value_store.ts";
+import type { UpstreamClient } from "../../platform/upstream_client.ts";
+import type {
+  Configuration,
+  GatewayMember,
+} from "../../world/configuration.ts";
+import {
+  CONFIG_STALE_MS,
+  ConfigReplica,
+} from "../configuration/config_replica.ts";
+import { StoreReader } from "../configuration/store_reader.ts";
+import { SlotHolder } from "../limits/slot_holder.ts";
+import type { ShareReply, ShareRequest } from "../limits/slot_owner.ts";
+import { SHARE_TTL_MS, SlotOwner } from "../limits/slot_owner.ts";
+import type {
+  Lifecycle,
+  PeerHandler,
+  PeerNetwork,
+  SyncMessage,
+} from "../membership/messages.ts";
+import { PeerSync, SYNC_PERIOD_MS } from "../membership/peer_sync.ts";
+import { Registration } from "../membership/registration.ts";
+import { OrderLedger } from "../orders/order_ledger.ts";
+import { RetryBudget } from "../retries/retry_budget.ts";
+import { Suspects } from "../retries/suspects.ts";
+import type { Router } from "../routing/router.ts";
+import type { UpstreamEntry } from "../routing/upstream_entry.ts";
+import type { Evidence } from "../routing/upstream_table.ts";
+import { UpstreamTable } from "../routing/upstream_table.ts";
+import type { AttemptRun } from "./attempt_run.ts";
+import type { Call, CallReply } from "./call.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import { Dispatcher } from "./dispatcher.ts";
+import { PROBE_PERIOD_MS, Prober } from "./prober.ts";
+import type { RunParts, RunResult } from "./request_run.ts";
+import { RequestRun } from "./request_run.ts";
+
+/** How long callers keep an address. */
+export const ADDRESS_TTL_MS = 5_000;
+/** Longest wait for requests in flight when a gateway stops. */
+export const DRAIN_LIMIT_MS = 120_000;
+/** Time between reads of the host list. */
+const HOSTS_PERIOD_MS = 1_000;
+/** Time between tries for waiting requests and looks at silent attempts. */
+const TICK_MS = 50;
+/** How long peers are given to learn of a suspect before it is sent again. */
+const BLAME_PUSH_MS = 250;
+/** A first byte this many times slower than usual means a cold upstream. */
+const COLD_JUMP_FACTOR = 6;
+/** Shortest first byte that counts as a jump. */
+const COLD_JUMP_MIN_MS = 1_500;
+/** Most suspects in one message. */
+const MAX_SHARED_SUSPECTS = 200;
+
+/** Outside systems and settings of a gateway. */
+export interface GatewayParts {
+  readonly self: GatewayMember;
+  readonly seeds: readonly GatewayMember[];
+  readonly timers: Timers;
+  readonly random: Random;
+  readonly store: KeyValueStore;
+  readonly hostList: HostList;
+  readonly control: EngineControl;
+  readonly client: UpstreamClient;
+  readonly network: PeerNetwork;
+  readonly router: Router;
+  readonly log: DecisionLog;
+  /** Receives the end of each request, for metrics. */
+  onResult(call: Call, result: RunResult): void;
+}
+
+/** One address that callers may use. */
+export interface AddressAnswer {
+  readonly addresses: readonly string[];
+  readonly ttlMs: number;
+}
+
+/** An earlier list of gateways and when it was replaced. */
+interface FormerOwners {
+  readonly ids: readonly string[];
+  readonly replacedAt: number;
+}
+
+/** Serves callers' requests and takes part in the fleet of gateways. */
+export class Gateway implements PeerHandler {
+  readonly #parts: GatewayParts;
+  readonly #replica: ConfigReplica;
+  readonly #table = new UpstreamTable();
+  readonly #holder = new SlotHolder();
+  readonly #owner = new SlotOwner();
+  readonly #suspects = new Suspects();
+  readonly #orders: OrderLedger;
+  readonly #dispatcher: Dispatcher;
+  readonly #sync: PeerSync;
+  readonly #reader: StoreReader;
+  readonly #prober: Prober;
+  readonly #registration: Registration;
+  readonly #runs = new Set<RequestRun>();
+  /** Requests of each customer that have not ended. */
+  readonly #inFlightOf = new Map<string, number>();
+  readonly #attemptsOn = new Map<string, Map<AttemptRun, RequestRun>>();
+  readonly #runParts: RunParts;
+  readonly #timers: Timer[] = [];
+  #former: FormerOwners[] = [];
+  #memberIds: readonly string[] = [];
+  #lifecycle: Lifecycle = "starting";
+
+  constructor(parts: GatewayParts) {
+    this.#parts = parts;
+    const { timers, store, self } = parts;
+    this.#replica = new ConfigReplica(self);
+    this.#orders = new OrderLedger(timers, store, {
+      gatewayId: self.id,
+      incarnation: self.incarnation,
+    });
+    this.#dispatcher = new Dispatcher({
+      timers,
+      table: this.#table,
+      router: parts.router,
+      holder: this.#holder,
+      availabilityZone: self.availabilityZone,
+      cfg: () => this.#replica.cfg,
+    });
+    this.#sync = new PeerSync({
+      timers,
+      network: parts.network,
+      replica: this.#replica,
+      selfId: self.id,
+      incarnation: self.incarnation,
+      seeds: parts.seeds,
+      localNews: () => this.#localNews(),
+      onNews: (msg) => this.#takeNews(msg),
+    });
+    this.#reader = new StoreReader({
+      timers,
+      store,
+      replica: this.#replica,
+      selfId: self.id,
+      onRecord: (record) => this.#offerRecords([record]),
+    });
+    this.#prober = new Prober({
+      timers,
+      control: parts.control,
+      table: this.#table,
+      selfId: self.id,
+      gatewayIds: () => this.#memberIds,
+      onEvidence: (evidence) => this.#takeEvidence(evidence, "own"),
+    });
+    this.#registration = new Registration(timers, store, self);
+    this.#runParts = this.#makeRunParts();
+    this.#replica.onChange((cfg) => this.#configChanged(cfg));
+  }
+
+  /** State in the life of the gateway. */
+  get lifecycle(): Lifecycle {
+    return this.#lifecycle;
+  }
+
+  /** The configuration in force here. */
+  get cfg(): Configuration {
+    return this.#replica.cfg;
+  }
+
+  /** How the configuration was last confirmed. */
+  get replica(): ConfigReplica {
+    return this.#replica;
+  }
+
+  /** Everything known of upstreams. */
+  get table(): UpstreamTable {
+    return this.#table;
+  }
+
+  /** Requests that have not ended. */
+  get inFlight(): number {
+    return this.#runs.size;
+  }
+
+  /** Requests waiting for an upstream. */
+  get waiting(): number {
+    return this.#dispatcher.waiting;
+  }
+
+  /** Tells whether new work is taken, and why not. */
+  get notReadyReason(): string | undefined {
+    if (this.#lifecycle === "draining" || this.#lifecycle === "stopped") {
+      return "The gateway is shutting down";
+    }
+    const now = this.#parts.timers.now();
+    if (!this.#replica.mayServe(now)) {
+      return "The configuration is not confirmed";
+    }
+    return undefined;
+  }
+
+  /** Requests waiting for a model or service. */
+  waitingFor(name: string): number {
+    return this.#dispatcher.waitingFor(name);
+  }
+
+  /** Begins to take part in the fleet. */
+  start(): void {
+    const { timers } = this.#parts;
+    this.#lifecycle = "serving";
+    this.#reader.start();
+    this.#registration.start();
+    this.#every(SYNC_PERIOD_MS, () => this.#exchange());
+    this.#every(HOSTS_PERIOD_MS, () => this.#readHosts());
+    this.#every(PROBE_PERIOD_MS, () => this.#prober.probeShare());
+    this.#every(TICK_MS, () => this.#tick());
+    timers.after(0, () => {
+      this.#readHosts();
+      this.#exchange();
+    });
+  }
+
+  /** Takes a request. Its reply is ended exactly once. */
+  handle(call: Call, reply: CallReply): RequestRun | undefined {
+    const reason = this.notReadyReason;
+    if (reason !== undefined) {
+      reply.fail({
+        kind: "not_run",
+        detail: reason,
+        notRun: true,
+        retryAfterMs: SYNC_PERIOD_MS,
+        log: [],
+      });
+      return undefined;
+    }
+    const { name, maxConcurrent } = call.customer;
+    const inFlight = this.#inFlightOf.get(name) ?? 0;
+    if (inFlight >= maxConcurrent) {
+      reply.fail({
+        kind: "too_many_requests",
+        detail: `The customer has ${inFlight} requests in flight`,
+        notRun: true,
+        retryAfterMs: SYNC_PERIOD_MS,
+        log: [],
+      });
+      return undefined;
+    }
+    this.#inFlightOf.set(name, inFlight + 1);
+    const run = new RequestRun(call, reply, this.#runParts);
+    this.#runs.add(run);
+    run.start();
+    return run;
+  }
+
+  /**
+   * Answers which gateways a caller should use: several, spread by caller,
+   * those of the caller's zone first, none that is leaving.
+   */
+  addresses(callerKey: string, zone: string | undefined): AddressAnswer {
+    const members = this.#replica.cfg.gateways.filter((member) =>
+      this.#offers(member)
+    );
+    const byId = new Map(members.map((member) => [member.id, member]));
+    const order = rendezvousOrder(callerKey, [...byId.keys()]);
+    const rank = (id: string) =>
+      byId.get(id)?.availabilityZone === zone ? 0 : 1;
+    order.sort((a, b) => rank(a) - rank(b));
+    return {
+      addresses: order.flatMap((id) => byId.get(id)?.callerAddress ?? []),
+      ttlMs: ADDRESS_TTL_MS,
+    };
+  }
+
+  /** Answers a peer's news with this gateway's. */
+  handleSync(msg: SyncMessage): SyncMessage {
+    return this.#sync.answer(msg);
+  }
+
+  /** Answers a peer that wants slots of a cold upstream owned here. */
+  handleShare(req: ShareRequest): ShareReply {
+    const now = this.#parts.timers.now();
+    const refused = { share: 0, warm: false };
+    if (this.#ownerId(req.upstreamId) !== this.#parts.self.id) return refused;
+    if (!this.#replica.mayServe(now)) return refused;
+    const openAt = this.#ownedFrom(req.upstreamId);
+    return this.#owner.request(req, now, openAt);
+  }
+
+  /**
+   * Stops without cutting a request: leaves the address answers, takes work
+   * while callers may still hold this address, then finishes what is in flight.
+   */
+  async shutdown(): Promise<void> {
+    if (this.#lifecycle === "draining" || this.#lifecycle === "stopped") return;
+    this.#setLifecycle("withdrawn");
+    this.#exchange();
+    await this.#wait(ADDRESS_TTL_MS + SYNC_PERIOD_MS);
+    this.#setLifecycle("draining");
+    const until = this.#parts.timers.now() + DRAIN_LIMIT_MS;
+    while (this.#busy && this.#parts.timers.now() < until) {
+      await this.#wait(TICK_MS);
+    }
+    await this.#registration.leave();
+    this.halt();
+  }
+
+  /** Stops at once, without finishing anything. */
+  halt(): void {
+    this.#lifecycle = "stopped";
+    this.#reader.stop();
+    this.#registration.halt();
+    for (const timer of this.#timers) timer.cancel();
+    this.#timers.length = 0;
+  }
+
+  get #busy(): boolean {
+    return this.#runs.size > 0 || this.#orders.unsettled > 0;
+  }
+
+  #makeRunParts(): RunParts {
+    const { timers, client, log } = this.#parts;
+    return {
+      timers,
+      client,
+      log,
+      cfg: () => this.#replica.cfg,
+      suspects: this.#suspects,
+      retryBudget: new RetryBudget(),
+      orders: this.#orders,
+      enqueue: (item) => this.#dispatcher.enqueue(item),
+      cancelQueued: (item) => this.#dispatcher.cancel(item),
+      attemptStarted: (run, attempt) => this.#attemptStarted(run, attempt),
+      attemptFinished: (run, attempt, whole) =>
+        this.#attemptFinished(run, attempt, whole),
+      upstreamBroken: (entry, detail) => this.#upstreamBroken(entry, detail),
+      upstreamUnreachable: (entry, detail) =>
+        this.#upstreamUnreachable(entry, detail),
+      upstreamStalled: (entry) => this.#prober.probeUpstream(entry),
+      suspectRunsOn: (entry, run) => this.#suspectRunsOn(entry, run),
+      finished: (run, result) => this.#runFinished(run, result),
+    };
+  }
+
+  #attemptStarted(run: RequestRun, attempt: AttemptRun): void {
+    const { entry } = attempt;
+    const id = entry.upstream.id;
+    entry.inFlight += 1;
+    entry.lastStartedAt = this.#parts.timers.now();
+    this.#holder.started(id);
+    this.#dispatcher.started(run.customer);
+    const attempts = this.#attemptsOn.get(id) ?? new Map();
+    attempts.set(attempt, run);
+    this.#attemptsOn.set(id, attempts);
+  }
+
+  #attemptFinished(run: RequestRun, attempt: AttemptRun, whole: boolean): void {
+    const { entry } = attempt;
+    const id = entry.upstream.id;
+    entry.inFlight -= 1;
+    invariant(entry.inFlight >= 0, "More attempts ended than started");
+    this.#attemptsOn.get(id)?.delete(attempt);
+    if (whole) this.#attemptWhole(run, attempt);
+    this.#holder.finished(id, whole);
+    this.#dispatcher.finished(run.customer, run.name);
+  }
+
+  #attemptWhole(run: RequestRun, attempt: AttemptRun): void {
+    attempt.entry.completed += 1;
+    attempt.entry.lastCompletedAt = this.#parts.timers.now();
+    this.#suspects.cleared(run.call.fingerprint);
+  }
+
+  #runFinished(run: RequestRun, result: RunResult): void {
+    this.#runs.delete(run);
+    const left = (this.#inFlightOf.get(run.customer) ?? 1) - 1;
+    if (left > 0) this.#inFlightOf.set(run.customer, left);
+    else this.#inFlightOf.delete(run.customer);
+    this.#parts.log.decided({
+      kind: "finish",
+      request: run.id,
+      reason: result.kind,
+    });
+    this.#parts.onResult(run.call, result);
+  }
+
+  /** Blames the requests in flight, tells peers, and closes the upstream. */
+  async #upstreamBroken(entry: UpstreamEntry, detail: string): Promise<void> {
+    const id = entry.upstream.id;
+    if (entry.upstream.kind === "group") {
+      const runs = [...(this.#attemptsOn.get(id)?.values() ?? [])];
+      const prints = runs.map((run) => run.call.fingerprint);
+      this.#suspects.crashed(id, prints, this.#parts.timers.now());
+    }
+    this.#upstreamUnreachable(entry, detail);
+    await Promise.race([this.#sync.exchange(), this.#wait(BLAME_PUSH_MS)]);
+  }
+
+  #upstreamUnreachable(entry: UpstreamEntry, detail: string): void {
+    const [hostId] = entry.upstream.hostIds;
+    const upstreamId = entry.upstream.id;
+    const kind = "unreachable" as const;
+    this.#takeEvidence({ upstreamId, hostId, kind, detail }, "own");
+    this.#prober.probeUpstream(entry);
+  }
+
+  #takeEvidence(evidence: Evidence, from: "own" | "peer"): void {
+    if (!this.#table.close(evidence)) return;
+    this.#parts.log.decided({
+      kind: "close_upstream",
+      upstream: evidence.upstreamId,
+      reason: `${evidence.kind}: ${evidence.detail} (${evidence.hostId})`,
+    });
+    const entry = this.#table.entries.get(evidence.upstreamId);
+    if (from === "peer") {
+      if (entry !== undefined) this.#prober.probeUpstream(entry);
+      return;
+    }
+    this.#sync.addEvidence(evidence);
+    this.#exchange();
+  }
+
+  #suspectRunsOn(entry: UpstreamEntry, run: RequestRun): boolean {
+    const attempts = this.#attemptsOn.get(entry.upstream.id);
+    for (const other of attempts?.values() ?? []) {
+      if (other === run) continue;
+      if (this.#suspects.strikes(other.call.fingerprint) > 0) return true;
+    }
+    return false;
+  }
+
+  #tick(): void {
+    const now = this.#parts.timers.now();
+    for (const run of this.#runs) run.tick(now);
+    this.#detectCold(now);
+    this.#askForShares(now);
+    this.#dispatcher.pump();
+  }
+
+  /** Finds upstreams whose first byte takes far longer than it used to. */
+  #detectCold(now: number): void {
+    for (const [id, attempts] of this.#attemptsOn) {
+      if (!this.#holder.warm.has(id)) continue;
+      const usual = this.#table.entries.get(id)?.firstByteMs;
+      if (usual === undefined) continue;
+      const limit = Math.max(COLD_JUMP_MIN_MS, usual * COLD_JUMP_FACTOR);
+      for (const attempt of attempts.keys()) {
+        const waits = !attempt.gotData && now - attempt.startedAt > limit;
+        if (!waits) continue;
+        this.#coolDown(id, now);
+        break;
+      }
+    }
+  }
+
+  #coolDown(upstreamId: string, now: number): void {
+    this.#holder.coolDown(upstreamId, now);
+    this.#owner.coolDown(upstreamId);
+    this.#parts.log.decided({
+      kind: "cool_down",
+      upstream: upstreamId,
+      reason: "The first byte takes far longer than usual",
+    });
+    this.#exchange();
+  }
+
+  #askForShares(now: number): void {
+    for (const id of this.#holder.toAsk(now)) this.#askForShare(id, now);
+  }
+
+  async #askForShare(upstreamId: string, now: number): Promise<void> {
+    const entry = this.#table.entries.get(upstreamId);
+    const owner = this.#ownerId(upstreamId);
+    if (entry === undefined || owner === undefined) return;
+    const req: ShareRequest = {
+      gatewayId: this.#parts.self.id,
+      upstreamId,
+      inUse: this.#holder.inUse(upstreamId),
+      wanted: this.#holder.wanted(upstreamId, now),
+      completed: this.#holder.completed(upstreamId),
+    };
+    if (owner === this.#parts.self.id) {
+      this.#holder.answered(upstreamId, this.handleShare(req), now);
+      return;
+    }
+    const member = this.#replica.cfg.gateways.find((g) => g.id === owner);
+    if (member === undefined) return;
+    this.#holder.asking(upstreamId);
+    const res = await this.#parts.network.requestShare(member, req);
+    const reply = res.ok ? res.value : undefined;
+    this.#holder.answered(upstreamId, reply, now);
+    this.#dispatcher.pump();
+  }
+
+  #ownerId(upstreamId: string): string | undefined {
+    return rendezvousOrder(upstreamId, this.#memberIds)[0];
+  }
+
+  /** Time from which no earlier owner's shares of the upstream are usable. */
+  #ownedFrom(upstreamId: string): number {
+    let from = -Infinity;
+    for (const former of this.#former) {
+      const [owner] = rendezvousOrder(upstreamId, former.ids);
+      if (owner === this.#parts.self.id) continue;
+      const usableUntil = former.replacedAt + CONFIG_STALE_MS + SHARE_TTL_MS;
+      from = Math.max(from, usableUntil);
+    }
+    return from;
+  }
+
+  #configChanged(cfg: Configuration): void {
+    const now = this.#parts.timers.now();
+    const ids = cfg.gateways.map((member) => member.id);
+    const keys = cfg.gateways.map((m) => `${m.id}/${m.incarnation}`);
+    const before = this.#memberKeys;
+    this.#memberKeys = keys.join(",");
+    if (this.#memberKeys !== before) {
+      const longest = CONFIG_STALE_MS + SHARE_TTL_MS;
+      this.#former = this.#former.filter((f) => now - f.replacedAt < longest);
+      this.#former.push({ ids: this.#memberIds, replacedAt: now });
+      this.#memberIds = ids;
+    }
+    this.#parts.log.decided({
+      kind: "configuration",
+      reason: "A newer revision is in force",
+      revision: cfg.revision,
+    });
+    if (this.#lifecycle !== "starting") this.#exchange();
+    this.#dispatcher.pump();
+  }
+  #memberKeys = "";
+
+  #takeNews(msg: SyncMessage): void {
+    const now = this.#parts.timers.now();
+    if (msg.cfg !== undefined) this.#replica.offer(msg.cfg);
+    this.#offerRecords(msg.records);
+    for (const evidence of msg.evidence) this.#takeEvidence(evidence, "peer");
+    for (const id of msg.cold) {
+      if (!this.#holder.warm.has(id)) continue;
+      this.#holder.coolDown(id, now);
+      this.#owner.coolDown(id);
+    }
+    const cold = new Set(msg.cold);
+    for (const id of msg.warm) {
+      if (!cold.has(id)) this.#holder.learnWarm(id, now);
+    }
+    for (const suspect of msg.suspects) this.#suspects.learn(suspect, now);
+    for (const shared of msg.reports) {
+      const entry = this.#table.entries.get(shared.upstreamId);
+      entry?.reported(shared.report, now - shared.ageMs);
+    }
+  }
+
+  #offerRecords(records: readonly SyncMessage["records"][number][]): void {
+    let news = false;
+    for (const record of records) {
+      news = this.#table.offerRecord(record) || news;
+    }
+    if (!news) return;
+    this.#forgetUpstreams();
+    this.#exchange();
+    this.#dispatcher.pump();
+  }
+
+  #forgetUpstreams(): void {
+    const ids = new Set(this.#table.entries.keys());
+    this.#holder.retain(ids);
+    this.#owner.retain(ids);
+    for (const [id, attempts] of this.#attemptsOn) {
+      if (!ids.has(id) && attempts.size === 0) this.#attemptsOn.delete(id);
+    }
+  }
+
+  #localNews() {
+    const now = this.#parts.timers.now();
+    const reports = [];
+    for (const entry of this.#table.entries.values()) {
+      const newest = entry.report;
+      if (newest === undefined || now - newest.at > SYNC_PERIOD_MS * 2) {
+        continue;
+      }
+      reports.push({
+        upstreamId: entry.upstream.id,
+        report: newest.load,
+        ageMs: now - newest.at,
+      });
+    }
+    return {
+      lifecycle: this.#lifecycle,
+      records: this.#table.records.values(),
+      warm: [...this.#holder.warm],
+      cold: this.#holder.cooledLately(now),
+      suspects: this.#suspects.all().slice(-MAX_SHARED_SUSPECTS),
+      reports,
+    };
+  }
+
+  async #readHosts(): Promise<void> {
+    const res = await this.#parts.hostList.list();
+    if (!res.ok || this.#lifecycle === "stopped") return;
+    this.#table.offerHosts(res.value);
+    this.#dispatcher.pump();
+  }
+
+  async #exchange(): Promise<void> {
+    if (this.#lifecycle === "stopped") return;
+    await this.#sync.exchange();
+  }
+
+  #offers(member: GatewayMember): boolean {
+    if (member.id === this.#parts.self.id) {
+      return this.#lifecycle === "serving";
+    }
+    return this.#sync.offersAddress(member.id);
+  }
+
+  #setLifecycle(lifecycle: Lifecycle): void {
+    this.#lifecycle = lifecycle;
+    this.#parts.log.decided({ kind: "lifecycle", reason: lifecycle });
+  }
+
+  #every(periodMs: number, callback: () => void): void {
+    this.#timers.push(this.#parts.timers.subscribe(periodMs, callback));
+  }
+
+  #wait(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#parts.timers.after(ms, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/src/core/gateway/request_run.ts
@@ -0,0 +1,604 @@
+/**
+ * The course of one request: admission, claim, attempts, answer.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { match } from "ts-pattern";
+import type { Timers } from "../../base/timers.ts";
+import { sleep } from "../../base/timers.ts";
+import type {
+  AnswerHead,
+  AttemptEnd,
+  UpstreamClient,
+} from "../../platform/upstream_client.ts";
+import type { Configuration, PlainService } from "../../world/configuration.ts";
+import type { OrderClaim, Orders } from "../orders/order_ledger.ts";
+import type { OrderRecord, OrderRef } from "../orders/order_record.ts";
+import type { RetryBudget } from "../retries/retry_budget.ts";
+import type { Suspects } from "../retries/suspects.ts";
+import type { RouteDecision } from "../routing/router.ts";
+import type { UpstreamEntry } from "../routing/upstream_entry.ts";
+import type { AttemptOwner } from "./attempt_run.ts";
+import { AttemptRun, NOT_RUN_HEADER } from "./attempt_run.ts";
+import type { Call, CallReply, Problem, ProblemKind } from "./call.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import type { DispatchItem, DropReason } from "./dispatcher.ts";
+import { EventFramer } from "./event_framer.ts";
+
+/** Longest wait for an upstream once a request has begun to run. */
+export const RESUME_WAIT_MS = 15_000;
+/** Silence in a stream after which it is resumed elsewhere. */
+export const STALL_MS = 1_500;
+/**
+ * How long a request that broke stays out of the fabric domain: the loss of a
+ * whole domain must not count as two crashes.
+ */
+const DOMAIN_AVOID_MS = 3_000;
+/** Share of the first-token target after which a hedge is sent. */
+const HEDGE_SHARE = 0.6;
+/** Shortest wait for a first byte before a hedge. */
+const MIN_HEDGE_MS = 300;
+/** Longest time for a whole answer that is not streamed. */
+const MAX_ANSWER_MS = 30_000;
+/** Largest answer that is held to be sent whole, in bytes. */
+const MAX_HELD_BYTES = 8 * 1_048_576;
+/** Most attempts of one request. */
+const MAX_ATTEMPTS = 6;
+/** First pause between looks at another's claim; doubles up to the maximum. */
+const LOOK_MIN_MS = 25;
+const LOOK_MAX_MS = 500;
+
+/** How a request ended, for metrics. */
+export interface RunResult {
+  readonly kind: "whole" | ProblemKind | "caller_gone";
+  readonly firstByteMs: number | undefined;
+  readonly totalMs: number;
+  readonly attempts: number;
+}
+
+/** What a request works with. */
+export interface RunParts {
+  readonly timers: Timers;
+  readonly client: UpstreamClient;
+  readonly cfg: () => Configuration;
+  readonly suspects: Suspects;
+  readonly retryBudget: RetryBudget;
+  readonly orders: Orders;
+  readonly log: DecisionLog;
+  enqueue(item: DispatchItem): void;
+  cancelQueued(item: DispatchItem): void;
+  attemptStarted(run: RequestRun, attempt: AttemptRun): void;
+  attemptFinished(run: RequestRun, attempt: AttemptRun, whole: boolean): void;
+  /** The upstream went away under the request; settles once peers know. */
+  upstreamBroken(entry: UpstreamEntry, detail: string): Promise<void>;
+  /** Whether another request with a strike runs on the upstream. */
+  suspectRunsOn(entry: UpstreamEntry, run: RequestRun): boolean;
+  /** No connection could be made. */
+  upstreamUnreachable(entry: UpstreamEntry, detail: string): void;
+  /** The upstream took too long. */
+  upstreamStalled(entry: UpstreamEntry): void;
+  finished(run: RequestRun, result: RunResult): void;
+}
+
+/** Runs one request to its one end. */
+export class RequestRun implements DispatchItem, AttemptOwner {
+  readonly call: Call;
+  readonly #reply: CallReply;
+  readonly #parts: RunParts;
+  readonly #arrivedAt: number;
+  readonly #service: PlainService | undefined;
+  readonly #attempts = new Set<AttemptRun>();
+  readonly #failedOn = new Set<string>();
+  /** Fabric domains in which the request broke, with the time. */
+  readonly #brokenDomains = new Map<string, number>();
+  readonly #trail: string[] = [];
+  #claim: OrderClaim | undefined;
+  #winner: AttemptRun | undefined;
+  #framer = new EventFramer();
+  #held: Uint8Array[] = [];
+  #heldBytes = 0;
+  #delivered = 0;
+  #sentHead = false;
+  #firstByteMs: number | undefined;
+  #attemptCount = 0;
+  #reachedUpstream = false;
+  #queued = false;
+  #hedged = false;
+  #paused = false;
+  #done = false;
+  #deadline: number;
+
+  constructor(call: Call, reply: CallReply, parts: RunParts) {
+    this.call = call;
+    this.#reply = reply;
+    this.#parts = parts;
+    this.#arrivedAt = parts.timers.now();
+    this.#deadline = this.#arrivedAt + call.serviceClass.firstTokenMs;
+    const target = call.target;
+    this.#service = target.kind === "service"
+      ? parts.cfg().services.find((svc) => svc.name === target.name)
+      : undefined;
+  }
+
+  get id(): string {
+    return this.call.id;
+  }
+
+  get name(): string {
+    return this.call.target.name;
+  }
+
+  get customer(): string {
+    return this.call.customer.name;
+  }
+
+  get priority(): number {
+    return this.call.serviceClass.priority;
+  }
+
+  get deadline(): number {
+    return this.#deadline;
+  }
+
+  get prefixKey(): string {
+    return this.call.prefixKey;
+  }
+
+  /** Whether the request may be sent again after it may have run. */
+  get repeatable(): boolean {
+    return this.call.target.kind === "model" ||
+      this.#service?.repeatable === true;
+  }
+
+  /** Whether the request has ended. */
+  get done(): boolean {
+    return this.#done;
+  }
+
+  /** Begins. */
+  start(): void {
+    if (this.#parts.suspects.isRefused(this.call.fingerprint)) {
+      return this.#failAsCrashing();
+    }
+    this.#parts.retryBudget.earn();
+    if (this.repeatable) return this.#enqueue();
+    if (this.call.idempotencyKey === undefined) {
+      return this.#fail("idempotency_key_required", {
+        detail: "Calls to this service need an Idempotency-Key header",
+        notRun: true,
+      });
+    }
+    this.#claimOrder(this.call.idempotencyKey);
+  }
+
+  /** Ends the request because its caller has gone. */
+  callerGone(): void {
+    if (this.#done) return;
+    // An order that has been sent runs to its end, so that it is recorded.
+    if (this.#claim !== undefined && this.#reachedUpstream) return;
+    if (this.#claim !== undefined) this.#parts.orders.notRun(this.#claim);
+    this.#finish("caller_gone");
+  }
+
+  /** Watches for silence. Called often. */
+  tick(now: number): void {
+    if (this.#done || this.#paused) return;
+    for (const attempt of [...this.#attempts]) this.#watch(attempt, now);
+  }
+
+  avoids(entry: UpstreamEntry): boolean {
+    if (this.#failedOn.has(entry.upstream.id)) return true;
+    const brokenAt = this.#brokenDomains.get(entry.upstream.fabricDomain);
+    const now = this.#parts.timers.now();
+    if (brokenAt !== undefined && now - brokenAt < DOMAIN_AVOID_MS) return true;
+    const suspected = this.#parts.suspects.strikes(this.call.fingerprint) > 0;
+    return suspected && this.#parts.suspectRunsOn(entry, this);
+  }
+
+  assigned(entry: UpstreamEntry, decision: RouteDecision): void {
+    this.#queued = false;
+    if (this.#parts.suspects.isRefused(this.call.fingerprint)) {
+      return this.#failAsCrashing();
+    }
+    this.#attemptCount += 1;
+    this.#parts.log.decided({
+      kind: this.#attemptCount === 1 ? "route" : "retry",
+      request: this.call.id,
+      upstream: entry.upstream.id,
+      reason: decision.reason,
+      from: decision.considered,
+      revision: this.#parts.cfg().revision,
+    });
+    const attempt = new AttemptRun(this.#parts.timers, entry, this);
+    this.#attempts.add(attempt);
+    this.#parts.attemptStarted(this, attempt);
+    attempt.start(this.#parts.client, {
+      attemptId: `${this.call.id}-${this.#attemptCount}`,
+      method: this.call.method,
+      path: this.call.path,
+      headers: this.call.headers,
+      body: this.call.body,
+      resumeAfter: this.call.resumeAfter + this.#delivered,
+      streaming: this.call.streaming,
+    });
+  }
+
+  dropped(reason: DropReason, retryAfterMs: number): void {
+    this.#queued = false;
+    if (this.#attempts.size > 0) return;
+    if (this.#claim !== undefined && !this.#reachedUpstream) {
+      this.#parts.orders.notRun(this.#claim);
+    }
+    if (!this.#reachedUpstream) {
+      const detail = `No upstream in time: ${reason}`;
+      return this.#fail("not_run", { detail, notRun: true, retryAfterMs });
+    }
+    const kind = this.#sentHead ? "stream_interrupted" : "upstream_failed";
+    this.#fail(kind, {
+      detail: "The answer could not be completed",
+      notRun: false,
+    });
+  }
+
+  attemptHead(attempt: AttemptRun, head: AnswerHead): void {
+    if (refusedAsNotRun(head, this.#service)) {
+      this.#closeAttempt(attempt, false);
+      this.#trail.push(`${attempt.entry.upstream.id}: refused as not run`);
+      this.#failedOn.add(attempt.entry.upstream.id);
+      this.#parts.upstreamStalled(attempt.entry);
+      return this.#tryAgain(true);
+    }
+    this.#reachedUpstream = true;
+    if (head.status >= 500 && this.repeatable) {
+      this.#closeAttempt(attempt, false);
+      this.#trail.push(`${attempt.entry.upstream.id}: status ${head.status}`);
+      this.#failedOn.add(attempt.entry.upstream.id);
+      this.#tryAgain(false);
+    }
+  }
+
+  attemptData(attempt: AttemptRun, chunk: Uint8Array): void {
+    if (this.#winner === undefined) this.#win(attempt);
+    if (attempt !== this.#winner) return;
+    const streams = this.call.streaming && attempt.head?.status === 200;
+    if (!streams) return this.#hold(attempt, chunk);
+    const framed = this.#framer.push(chunk);
+    if (framed === undefined) {
+      return this.attemptEnd(attempt, {
+        kind: "broken",
+        detail: "An event exceeds the bound",
+      });
+    }
+    if (framed.whole.length === 0) return;
+    this.#sendHead(attempt.head);
+    this.#delivered += framed.events;
+    const more = this.#reply.data(framed.whole);
+    if (framed.ended) return this.#completeStream(attempt);
+    if (!more) this.#awaitDrain(attempt);
+  }
+
+  attemptEnd(attempt: AttemptRun, end: AttemptEnd): void {
+    match(end)
+      .with({ kind: "ended" }, () => this.#attemptEnded(attempt))
+      .with({ kind: "not_sent" }, (e) => this.#notSent(attempt, e.detail))
+      .with({ kind: "broken" }, (e) => {
+        this.#broken(attempt, e.detail);
+      })
+      .with({ kind: "cancelled" }, () => this.#closeAttempt(attempt, false))
+      .exhaustive();
+  }
+
+  #enqueue(): void {
+    this.#queued = true;
+    this.#parts.enqueue(this);
+  }
+
+  async #claimOrder(idempotencyKey: string): Promise<void> {
+    const order = this.#orderRef(idempotencyKey);
+    while (!this.#done) {
+      const res = await this.#parts.orders.claim(order, this.#deadline);
+      if (this.#done) {
+        if (res.kind === "claimed") this.#parts.orders.notRun(res.claim);
+        return;
+      }
+      if (res.kind === "claimed") {
+        this.#claim = res.claim;
+        return this.#enqueue();
+      }
+      if (res.kind === "key_reused") {
+        return this.#fail("idempotency_key_reused", {
+          detail: "The Idempotency-Key was used with another request",
+          notRun: true,
+        });
+      }
+      if (res.kind === "unavailable") {
+        return this.#fail("not_run", {
+          detail: "The order could not be claimed in time",
+          notRun: true,
+          retryAfterMs: LOOK_MAX_MS * 2,
+        });
+      }
+      const settled = await this.#awaitOther(order, res.record);
+      if (settled) return;
+    }
+  }
+
+  #orderRef(idempotencyKey: string): OrderRef {
+    return {
+      customer: this.call.customer.name,
+      service: this.call.target.name,
+      idempotencyKey,
+      bodyHash: this.call.fingerprint,
+    };
+  }
+
+  /** Waits for another's claim. False when that claim turned out not to run. */
+  async #awaitOther(order: OrderRef, first: OrderRecord): Promise<boolean> {
+    const timeoutMs = this.#service?.timeoutMs ?? MAX_ANSWER_MS;
+    const until = this.#arrivedAt + timeoutMs;
+    let record: OrderRecord | undefined = first;
+    let pauseMs = LOOK_MIN_MS;
+    while (!this.#done) {
+      if (record?.state === "not_run") return false;
+      if (record?.state === "done") {
+        this.#replay(record);
+        return true;
+      }
+      const now = this.#parts.timers.now();
+      if (now >= until || (record && !this.#claimantLives(record))) break;
+      await sleep(this.#parts.timers, pauseMs);
+      pauseMs = Math.min(pauseMs * 2, LOOK_MAX_MS);
+      record = await this.#parts.orders.look(order);
+    }
+    this.#fail("outcome_unknown", {
+      detail: "The same order was sent before and its outcome is not known",
+      notRun: false,
+    });
+    return true;
+  }
+
+  #claimantLives(record: OrderRecord): boolean {
+    const members = this.#parts.cfg().gateways;
+    return members.length === 0 ||
+      members.some((g) => g.incarnation === record.incarnation);
+  }
+
+  #replay(record: OrderRecord): void {
+    if (this.#done) return;
+    this.#reply.head(record.status ?? 200, {
+      "content-type": record.contentType ?? "application/json",
+      "idempotency-replayed": "true",
+    });
+    if (record.body !== undefined) this.#reply.data(Buffer.from(record.body));
+    this.#reply.end();
+    this.#finish("whole");
+  }
+
+  #watch(attempt: AttemptRun, now: number): void {
+    const silentMs = now - attempt.lastDataAt;
+    if (this.#service !== undefined) {
+      if (silentMs > this.#service.timeoutMs) this.#stalled(attempt);
+      return;
+    }
+    if (!attempt.gotData) {
+      if (now - attempt.startedAt > MAX_ANSWER_MS) this.#stalled(attempt);
+      else if (this.call.streaming) this.#maybeHedge(attempt, now);
+      return;
+    }
+    if (this.call.streaming && silentMs > STALL_MS) this.#stalled(attempt);
+  }
+
+  /** Sends a second attempt when the first byte is late. */
+  #maybeHedge(attempt: AttemptRun, now: number): void {
+    if (this.#hedged || this.#queued || this.#attempts.size > 1) return;
+    if (this.#parts.suspects.strikes(this.call.fingerprint) > 0) return;
+    const target = this.call.serviceClass.firstTokenMs * HEDGE_SHARE;
+    if (now - attempt.startedAt < Math.max(MIN_HEDGE_MS, target)) return;
+    if (!this.#parts.retryBudget.spend()) return;
+    this.#hedged = true;
+    this.#failedOn.add(attempt.entry.upstream.id);
+    this.#trail.push(`${attempt.entry.upstream.id}: first byte late, hedged`);
+    this.#parts.upstreamStalled(attempt.entry);
+    this.#deadline = now + RESUME_WAIT_MS;
+    this.#enqueue();
+  }
+
+  /** The upstream is silent: goes on elsewhere where that is safe. */
+  #stalled(attempt: AttemptRun): void {
+    this.#parts.upstreamStalled(attempt.entry);
+    this.#trail.push(`${attempt.entry.upstream.id}: silent`);
+    this.#failedOn.add(attempt.entry.upstream.id);
+    this.#closeAttempt(attempt, false);
+    this.#reachedUpstream = true;
+    if (this.repeatable) this.#tryAgain(false);
+    else this.#failAsUnknown("The service did not answer in time");
+  }
+
+  #win(attempt: AttemptRun): void {
+    this.#winner = attempt;
+    for (const other of [...this.#attempts]) {
+      if (other !== attempt) this.#closeAttempt(other, false);
+    }
+    if (this.#queued) {
+      this.#queued = false;
+      this.#parts.cancelQueued(this);
+    }
+  }
+
+  #hold(attempt: AttemptRun, chunk: Uint8Array): void {
+    this.#heldBytes += chunk.length;
+    if (this.#heldBytes > MAX_HELD_BYTES) {
+      return this.attemptEnd(attempt, {
+        kind: "broken",
+        detail: "The answer exceeds the bound",
+      });
+    }
+    this.#held.push(chunk);
+  }
+
+  #attemptEnded(attempt: AttemptRun): void {
+    const head = attempt.head;
+    if (head === undefined) {
+      this.#broken(attempt, "No answer");
+      return;
+    }
+    if (this.call.streaming && head.status === 200) {
+      this.#broken(attempt, "The stream ended without its end marker");
+      return;
+    }
+    if (this.#winner === undefined) this.#win(attempt);
+    if (attempt !== this.#winner) return this.#closeAttempt(attempt, false);
+    if (head.status >= 500 && !this.repeatable) {
+      this.#closeAttempt(attempt, false);
+      return this.#failAsUnknown(`The service answered ${head.status}`);
+    }
+    this.#completeHeld(attempt, head);
+  }
+
+  #completeHeld(attempt: AttemptRun, head: AnswerHead): void {
+    const body = Buffer.concat(this.#held);
+    if (this.#claim !== undefined) {
+      this.#parts.orders.done(this.#claim, {
+        status: head.status,
+        contentType: head.headers["content-type"] ?? "application/json",
+        body: body.toString("utf8"),
+      });
+    }
+    this.#sendHead(head);
+    if (body.length > 0) this.#reply.data(body);
+    this.#reply.end();
+    this.#closeAttempt(attempt, true);
+    this.#finish("whole");
+  }
+
+  #completeStream(attempt: AttemptRun): void {
+    this.#reply.end();
+    this.#closeAttempt(attempt, true);
+    this.#finish("whole");
+  }
+
+  #notSent(attempt: AttemptRun, detail: string): void {
+    this.#parts.upstreamUnreachable(attempt.entry, detail);
+    this.#trail.push(`${attempt.entry.upstream.id}: not sent, ${detail}`);
+    this.#failedOn.add(attempt.entry.upstream.id);
+    this.#closeAttempt(attempt, false);
+    this.#tryAgain(true);
+  }
+
+  async #broken(attempt: AttemptRun, detail: string): Promise<void> {
+    const upstream = attempt.entry.upstream;
+    this.#reachedUpstream = true;
+    this.#trail.push(`${upstream.id}: broken, ${detail}`);
+    this.#failedOn.add(upstream.id);
+    if (upstream.kind === "group") {
+      const now = this.#parts.timers.now();
+      this.#brokenDomains.set(upstream.fabricDomain, now);
+    }
+    // The request still counts as in flight there while blame is laid.
+    const shared = this.#parts.upstreamBroken(attempt.entry, detail);
+    this.#closeAttempt(attempt, false);
+    await shared;
+    if (this.#done) return;
+    if (this.repeatable) this.#tryAgain(false);
+    else this.#failAsUnknown("The connection to the service broke");
+  }
+
+  /** Looks for another upstream. `free` retries sent nothing and cost nothing. */
+  #tryAgain(free: boolean): void {
+    if (this.#done || this.#queued || this.#attempts.size > 0) return;
+    if (this.#parts.suspects.isRefused(this.call.fingerprint)) {
+      return this.#failAsCrashing();
+    }
+    const allowed = this.#attemptCount < MAX_ATTEMPTS &&
+      (free || this.#sentHead || this.#parts.retryBudget.spend());
+    if (!allowed) return this.dropped("deadline", RESUME_WAIT_MS);
+    if (this.#reachedUpstream) {
+      this.#deadline = this.#parts.timers.now() + RESUME_WAIT_MS;
+    }
+    this.#enqueue();
+  }
+
+  #closeAttempt(attempt: AttemptRun, whole: boolean): void {
+    if (!this.#attempts.delete(attempt)) return;
+    attempt.close();
+    if (this.#winner === attempt && !whole) {
+      this.#winner = undefined;
+      this.#framer = new EventFramer();
+      this.#held = [];
+      this.#heldBytes = 0;
+    }
+    this.#parts.attemptFinished(this, attempt, whole);
+  }
+
+  #sendHead(head: AnswerHead | undefined): void {
+    if (this.#sentHead) return;
+    this.#sentHead = true;
+    this.#firstByteMs = this.#parts.timers.now() - this.#arrivedAt;
+    this.#reply.head(head?.status ?? 200, head?.headers ?? {});
+  }
+
+  #awaitDrain(attempt: AttemptRun): void {
+    this.#paused = true;
+    attempt.pause();
+    this.#reply.onDrain(() => {
+      this.#paused = false;
+      attempt.resume();
+    });
+  }
+
+  #failAsUnknown(detail: string): void {
+    this.#fail("outcome_unknown", { detail, notRun: false });
+  }
+
+  #failAsCrashing(): void {
+    if (this.#claim !== undefined && !this.#reachedUpstream) {
+      this.#parts.orders.notRun(this.#claim);
+    }
+    this.#fail("request_crashes_upstream", {
+      detail: "This request was running at two crashes and is refused",
+      notRun: false,
+    });
+  }
+
+  #fail(
+    kind: ProblemKind,
+    problem: Pick<Problem, "detail" | "notRun" | "retryAfterMs">,
+  ): void {
+    if (this.#done) return;
+    this.#reply.fail({ kind, ...problem, log: this.#trail });
+    this.#parts.log.decided({
+      kind: "refuse",
+      request: this.call.id,
+      reason: `${kind}: ${problem.detail}`,
+      revision: this.#parts.cfg().revision,
+    });
+    this.#finish(kind);
+  }
+
+  #finish(kind: RunResult["kind"]): void {
+    if (this.#done) return;
+    this.#done = true;
+    if (this.#queued) this.#parts.cancelQueued(this);
+    for (const attempt of [...this.#attempts]) {
+      this.#closeAttempt(attempt, false);
+    }
+    this.#parts.finished(this, {
+      kind,
+      firstByteMs: this.#firstByteMs,
+      totalMs: this.#parts.timers.now() - this.#arrivedAt,
+      attempts: this.#attemptCount,
+    });
+  }
+}
+
+/** Whether an answer says, as the contract allows, that nothing ran. */
+function refusedAsNotRun(
+  head: AnswerHead,
+  service: PlainService | undefined,
+): boolean {
+  if (service !== undefined) {
+    return service.notRunStatuses.includes(head.status);
+  }
+  return head.status === 503 && head.headers[NOT_RUN_HEADER] === "1";
+}
--- /dev/null
+++ b/src/core/groups/group_planner.ts
@@ -0,0 +1,441 @@
+/**
+ * Plans replica groups: pure functions from what is known to what should be.
+ *
+ * @module
+ */
+import type { Configuration, Model } from "../../world/configuration.ts";
+import { zoneTakesWork } from "../../world/configuration.ts";
+import type {
+  DomainRecord,
+  GroupState,
+  ReplicaGroup,
+} from "../../world/replica_group.ts";
+import type { HostView, HostViews } from "./host_view.ts";
+import {
+  HOST_SILENT_MS,
+  memberHealth,
+  memberReady,
+  memberReleased,
+} from "./host_view.ts";
+
+/** Longest load before a group is given up. */
+export const LOAD_LIMIT_MS = 180_000;
+/** Longest wait for requests in flight on a draining group. */
+export const DRAIN_GROUP_MS = 30_000;
+/** Shortest drain: time for every gateway to hear of it. */
+const MIN_DRAIN_MS = 1_000;
+/** Groups that may load at once, so that the weight store serves need first. */
+export const MAX_LOADING_GROUPS = 8;
+
+/** Everything a plan is made from. */
+export interface PlanInput {
+  readonly cfg: Configuration;
+  readonly views: HostViews;
+  readonly records: ReadonlyMap<string, DomainRecord>;
+  /** Time since each group, by `id@epoch`, got its state. */
+  readonly ageMs: (group: ReplicaGroup) => number;
+  readonly changedBy: string;
+  readonly fence: number;
+}
+
+/** One change of a group, with its reason. */
+export interface PlacementDecision {
+  readonly fabricDomain: string;
+  readonly groupId: string;
+  readonly state: GroupState | "gone";
+  readonly reason: string;
+}
+
+/** The next record of one domain. */
+export interface DomainPlan {
+  readonly record: DomainRecord;
+  readonly decisions: readonly PlacementDecision[];
+}
+
+/** A domain's record while a plan is made. */
+interface Draft {
+  readonly old: DomainRecord;
+  readonly groups: ReplicaGroup[];
+  readonly decisions: PlacementDecision[];
+  nextEpoch: number;
+}
+
+/**
+ * Plans every fabric domain. Only domains that change are returned.
+ *
+ * @example
+ * ```ts
+ * for (const plan of planFleet(input)) await write(plan.record);
+ * ```
+ */
+export function planFleet(input: PlanInput): DomainPlan[] {
+  const drafts = new Map<string, Draft>();
+  for (const [id, record] of input.records) {
+    drafts.set(id, maintain(record, input));
+  }
+  formGroups(drafts, input);
+  const plans: DomainPlan[] = [];
+  for (const draft of drafts.values()) {
+    if (draft.decisions.length === 0) continue;
+    plans.push({ record: finish(draft, input), decisions: draft.decisions });
+  }
+  return plans;
+}
+
+/** Moves existing groups along. */
+function maintain(record: DomainRecord, input: PlanInput): Draft {
+  const draft: Draft = {
+    old: record,
+    groups: [],
+    decisions: [],
+    nextEpoch: record.revision + 1,
+  };
+  for (const group of record.groups) {
+    const next = nextGroup(group, draft, input);
+    if (next !== undefined) draft.groups.push(next);
+  }
+  return draft;
+}
+
+/** The group's next form; undefined when nothing is left of it. */
+function nextGroup(
+  group: ReplicaGroup,
+  draft: Draft,
+  input: PlanInput,
+): ReplicaGroup | undefined {
+  if (group.state === "releasing") return releaseMembers(group, draft, input);
+  const missing = group.members.find((member) =>
+    memberHealth(member, input.views) === "missing"
+  );
+  if (missing !== undefined) {
+    return moved(
+      group,
+      "releasing",
+      `Host ${missing.hostId} is missing`,
+      draft,
+    );
+  }
+  if (group.state === "loading") return nextLoading(group, draft, input);
+  if (group.state === "open") return nextOpen(group, draft, input);
+  return nextDraining(group, draft, input);
+}
+
+function nextLoading(
+  group: ReplicaGroup,
+  draft: Draft,
+  input: PlanInput,
+): ReplicaGroup {
+  if (!isWanted(group, input)) {
+    return moved(group, "releasing", "The model is not declared", draft);
+  }
+  if (group.members.every((m) => memberReady(m, group, input.views))) {
+    return moved(group, "open", "Every member confirmed the epoch", draft);
+  }
+  if (input.ageMs(group) > LOAD_LIMIT_MS) {
+    return moved(group, "releasing", "The load took too long", draft);
+  }
+  return group;
+}
+
+function nextOpen(
+  group: ReplicaGroup,
+  draft: Draft,
+  input: PlanInput,
+): ReplicaGroup {
+  const stray = group.members.find((m) => !memberReady(m, group, input.views));
+  if (stray !== undefined) {
+    const reason = `Host ${stray.hostId} is not in the epoch`;
+    return moved(group, "releasing", reason, draft);
+  }
+  const leaving = group.members.find((member) =>
+    memberHealth(member, input.views) === "leaving"
+  );
+  if (leaving !== undefined) {
+    return moved(group, "draining", `Host ${leaving.hostId} is leaving`, draft);
+  }
+  if (!isWanted(group, input)) {
+    return moved(group, "draining", "The model is not declared", draft);
+  }
+  const model = modelOf(group, input.cfg);
+  const outdated = model !== undefined && model.version !== group.version;
+  if (outdated && mayReplace(group, input)) {
+    return moved(group, "draining", `Version ${model.version} is due`, draft);
+  }
+  return group;
+}
+
+function nextDraining(
+  group: ReplicaGroup,
+  draft: Draft,
+  input: PlanInput,
+): ReplicaGroup {
+  const age = input.ageMs(group);
+  const leader = input.views.get(group.members[0].hostId)?.status;
+  const idle = leader !== undefined && leader.running === 0;
+  if ((idle && age > MIN_DRAIN_MS) || age > DRAIN_GROUP_MS) {
+    return moved(group, "releasing", "The group is drained", draft);
+  }
+  return group;
+}
+
+/** Keeps only members whose engines have not confirmed that they left. */
+function releaseMembers(
+  group: ReplicaGroup,
+  draft: Draft,
+  input: PlanInput,
+): ReplicaGroup | undefined {
+  const members = group.members.filter((member) =>
+    !memberReleased(member, group, input.views)
+  );
+  if (members.length === group.members.length) return group;
+  const freed = group.members.length - members.length;
+  draft.decisions.push({
+    fabricDomain: draft.old.fabricDomain,
+    groupId: group.id,
+    state: members.length === 0 ? "gone" : "releasing",
+    reason: `${freed} hosts confirmed the release`,
+  });
+  return members.length === 0 ? undefined : { ...group, members };
+}
+
+function moved(
+  group: ReplicaGroup,
+  state: GroupState,
+  reason: string,
+  draft: Draft,
+): ReplicaGroup {
+  const fabricDomain = draft.old.fabricDomain;
+  draft.decisions.push({ fabricDomain, groupId: group.id, state, reason });
+  return { ...group, state };
+}
+
+function modelOf(group: ReplicaGroup, cfg: Configuration): Model | undefined {
+  return cfg.models.find((model) => model.name === group.model);
+}
+
+function isWanted(group: ReplicaGroup, input: PlanInput): boolean {
+  const model = modelOf(group, input.cfg);
+  return model !== undefined &&
+    model.hostsPerReplica === group.members.length;
+}
+
+/** A version is replaced one group at a time, while others serve. */
+function mayReplace(group: ReplicaGroup, input: PlanInput): boolean {
+  let open = 0;
+  for (const record of input.records.values()) {
+    for (const other of record.groups) {
+      if (other.model !== group.model) continue;
+      if (other.state === "open") open += 1;
+      else return false;
+    }
+  }
+  return open > 1;
+}
+
+/** Forms groups: minimum copies by rank first, then whatever still fits. */
+function formGroups(drafts: Map<string, Draft>, input: PlanInput): void {
+  const models = [...input.cfg.models].sort((a, b) =>
+    b.rank - a.rank || b.hostsPerReplica - a.hostsPerReplica
+  );
+  for (const model of models) {
+    while (liveCopies(model, drafts) < model.minReplicas) {
+      if (formOne(model, drafts, input, "Copies below the minimum")) continue;
+      makeRoom(model, drafts, input);
+      break;
+    }
+  }
+  for (const model of models) {
+    while (formOne(model, drafts, input, "Hosts would be idle")) {
+      // Each round forms one group until no domain has room.
+    }
+  }
+}
+
+function liveCopies(model: Model, drafts: Map<string, Draft>): number {
+  let count = 0;
+  for (const draft of drafts.values()) {
+    for (const group of draft.groups) {
+      const live = group.state === "open" || group.state === "loading";
+      if (group.model === model.name && live) count += 1;
+    }
+  }
+  return count;
+}
+
+function formOne(
+  model: Model,
+  drafts: Map<string, Draft>,
+  input: PlanInput,
+  reason: string,
+): boolean {
+  if (loadingGroups(drafts) >= MAX_LOADING_GROUPS) return false;
+  const choice = bestDomain(model, drafts, input);
+  if (choice === undefined) return false;
+  const { draft, free } = choice;
+  const epoch = draft.nextEpoch++;
+  const members = free.slice(0, model.hostsPerReplica).map((view) => ({
+    hostId: view.host.id,
+    bootId: view.status?.bootId ?? view.host.bootId,
+    address: view.host.address,
+  }));
+  const group: ReplicaGroup = {
+    id: `${draft.old.fabricDomain}.${model.name}.${epoch}`,
+    epoch,
+    model: model.name,
+    version: model.version,
+    members,
+    state: "loading",
+    changedBy: input.changedBy,
+  };
+  draft.groups.push(group);
+  draft.decisions.push({
+    fabricDomain: draft.old.fabricDomain,
+    groupId: group.id,
+    state: "loading",
+    reason,
+  });
+  return true;
+}
+
+function loadingGroups(drafts: Map<string, Draft>): number {
+  let count = 0;
+  for (const draft of drafts.values()) {
+    count += draft.groups.filter((g) => g.state === "loading").length;
+  }
+  return count;
+}
+
+/**
+ * The domain where a copy costs least: most members with the weights in memory,
+ * then the zone with the fewest copies, then the least left over.
+ */
+function bestDomain(
+  model: Model,
+  drafts: Map<string, Draft>,
+  input: PlanInput,
+): { readonly draft: Draft; readonly free: HostView[] } | undefined {
+  const copies = copiesByZone(model, drafts);
+  let best: { draft: Draft; free: HostView[] } | undefined;
+  let bestScore = -Infinity;
+  for (const draft of drafts.values()) {
+    if (!zoneTakesWork(input.cfg, draft.old.availabilityZone)) continue;
+    const free = freeHosts(draft, input);
+    if (free.length < model.hostsPerReplica) continue;
+    sortByWeights(free, model);
+    const held = free.slice(0, model.hostsPerReplica)
+      .filter((view) => hasWeights(view, model)).length;
+    const spread = copies.get(draft.old.availabilityZone) ?? 0;
+    const leftOver = (free.length - model.hostsPerReplica) %
+      Math.max(1, model.hostsPerReplica);
+    const score = held * 100 - spread * 10 - leftOver;
+    if (score > bestScore) [best, bestScore] = [{ draft, free }, score];
+  }
+  return best;
+}
+
+function copiesByZone(
+  model: Model,
+  drafts: Map<string, Draft>,
+): Map<string, number> {
+  const copies = new Map<string, number>();
+  for (const draft of drafts.values()) {
+    const zone = draft.old.availabilityZone;
+    const here = draft.groups.filter((g) =>
+      g.model === model.name && g.state !== "releasing"
+    ).length;
+    copies.set(zone, (copies.get(zone) ?? 0) + here);
+  }
+  return copies;
+}
+
+/** Hosts of a domain that can join a group now. */
+function freeHosts(draft: Draft, input: PlanInput): HostView[] {
+  const taken = new Set(
+    draft.groups.flatMap((g) => g.members.map((m) => m.hostId)),
+  );
+  const free: HostView[] = [];
+  for (const view of input.views.values()) {
+    const { host, status, silentMs } = view;
+    if (host.fabricDomain !== draft.old.fabricDomain) continue;
+    if (host.state === "leaving" || taken.has(host.id)) continue;
+    if (status === undefined || silentMs > HOST_SILENT_MS) continue;
+    if (status.phase === "idle") free.push(view);
+  }
+  return free;
+}
+
+function sortByWeights(free: HostView[], model: Model): void {
+  free.sort((a, b) =>
+    Number(hasWeights(b, model)) - Number(hasWeights(a, model)) ||
+    (a.host.id < b.host.id ? -1 : 1)
+  );
+}
+
+function hasWeights(view: HostView, model: Model): boolean {
+  const name = `${model.name}@${model.version}`;
+  return view.status?.weights.includes(name) ?? false;
+}
+
+/**
+ * Drains lower-ranked groups of one domain when that lets a model below its
+ * minimum have a copy there.
+ */
+function makeRoom(
+  model: Model,
+  drafts: Map<string, Draft>,
+  input: PlanInput,
+): void {
+  let best: { draft: Draft; victims: ReplicaGroup[] } | undefined;
+  for (const draft of drafts.values()) {
+    if (!zoneTakesWork(input.cfg, draft.old.availabilityZone)) continue;
+    const victims = victimsFor(model, draft, input);
+    if (victims === undefined) continue;
+    if (victims.length === 0) return; // Hosts are on their way out already.
+    const fewer = best === undefined || victims.length < best.victims.length;
+    if (fewer) best = { draft, victims };
+  }
+  if (best === undefined) return;
+  for (const victim of best.victims) {
+    const at = best.draft.groups.indexOf(victim);
+    const reason = `Model ${model.name} is below its minimum`;
+    best.draft.groups[at] = moved(victim, "draining", reason, best.draft);
+  }
+}
+
+/** Fewest lower-ranked groups whose hosts make a copy; undefined if none do. */
+function victimsFor(
+  model: Model,
+  draft: Draft,
+  input: PlanInput,
+): ReplicaGroup[] | undefined {
+  let hosts = freeHosts(draft, input).length;
+  const going = draft.groups.filter((g) =>
+    (g.state === "draining" || g.state === "releasing") &&
+    g.members.every((m) => memberHealth(m, input.views) === "present")
+  );
+  for (const group of going) hosts += group.members.length;
+  const victims: ReplicaGroup[] = [];
+  const lower = draft.groups
+    .filter((g) => g.state === "open" && rankOf(g, input.cfg) < model.rank)
+    .sort((a, b) => rankOf(a, input.cfg) - rankOf(b, input.cfg));
+  for (const group of lower) {
+    if (hosts >= model.hostsPerReplica) break;
+    victims.push(group);
+    hosts += group.members.length;
+  }
+  return hosts >= model.hostsPerReplica ? victims : undefined;
+}
+
+function rankOf(group: ReplicaGroup, cfg: Configuration): number {
+  return modelOf(group, cfg)?.rank ?? -1;
+}
+
+function finish(draft: Draft, input: PlanInput): DomainRecord {
+  return {
+    ...draft.old,
+    // Epochs are taken from revisions, so the revision passes all of them.
+    revision: Math.max(draft.old.revision + 1, draft.nextEpoch),
+    fence: input.fence,
+    groups: draft.groups,
+  };
+}
--- /dev/null
+++ b/src/core/groups/host_view.ts
@@ -0,0 +1,76 @@
+/**
+ * What the controller knows of hosts, joined from the host list and the engines.
+ *
+ * @module
+ */
+import type { EngineStatus } from "../../platform/engine_control.ts";
+import type { Host } from "../../world/host.ts";
+import type { GroupMember, ReplicaGroup } from "../../world/replica_group.ts";
+
+/** Silence after which a host counts as missing from its group. */
+export const HOST_SILENT_MS = 1_500;
+
+/** An engine host as the controller sees it. */
+export interface HostView {
+  readonly host: Host;
+  /** The newest status, if the engine ever answered. */
+  readonly status: EngineStatus | undefined;
+  /** Time since the engine last answered; infinite when it never did. */
+  readonly silentMs: number;
+}
+
+/** Whether a member still stands as it did when it joined. */
+export type MemberHealth = "present" | "leaving" | "missing";
+
+/** All engine hosts by id. */
+export type HostViews = ReadonlyMap<string, HostView>;
+
+/**
+ * Judges a member of a group by the newest evidence.
+ *
+ * @example
+ * ```ts
+ * if (memberHealth(member, views) === "missing") breakGroup(group);
+ * ```
+ */
+export function memberHealth(
+  member: GroupMember,
+  views: HostViews,
+): MemberHealth {
+  const view = views.get(member.hostId);
+  if (view === undefined) return "missing";
+  if (view.status !== undefined && view.status.bootId !== member.bootId) {
+    return "missing";
+  }
+  if (view.silentMs > HOST_SILENT_MS) return "missing";
+  return view.host.state === "leaving" ? "leaving" : "present";
+}
+
+/** Tells whether a member's engine serves in the group at its epoch. */
+export function memberReady(
+  member: GroupMember,
+  group: ReplicaGroup,
+  views: HostViews,
+): boolean {
+  const status = views.get(member.hostId)?.status;
+  return status !== undefined && status.bootId === member.bootId &&
+    status.epoch === group.epoch && status.groupId === group.id &&
+    status.phase === "ready";
+}
+
+/**
+ * Tells whether a member's engine has certainly left the group: it says so
+ * itself, or another program runs on the host now.
+ */
+export function memberReleased(
+  member: GroupMember,
+  group: ReplicaGroup,
+  views: HostViews,
+): boolean {
+  const view = views.get(member.hostId);
+  const status = view?.status;
+  if (view === undefined || status === undefined) return false;
+  if (status.bootId !== member.bootId) return true;
+  if (view.silentMs > HOST_SILENT_MS) return false;
+  return status.groupId !== group.id || status.epoch !== group.epoch;
+}
--- /dev/null
+++ b/src/core/membership/registration.ts
@@ -0,0 +1,85 @@
+/**
+ * A gateway's registration in the key-value service, held by a lease.
+ *
+ * @module
+ */
+import type { Timer, Timers } from "../../base/timers.ts";
+import type {
+  KeyValueStore,
+  StoreLease,
+} from "../../platform/key_value_store.ts";
+import type { GatewayMember } from "../../world/configuration.ts";
+import { gatewayKey } from "../configuration/store_keys.ts";
+
+/** Time without renewal after which a gateway counts as gone. */
+export const REGISTRATION_TTL_MS = 10_000;
+/** Time between renewals. */
+const RENEW_PERIOD_MS = 3_000;
+
+/** Keeps one gateway registered while it runs. */
+export class Registration {
+  readonly #timers: Timers;
+  readonly #store: KeyValueStore;
+  readonly #self: GatewayMember;
+  #lease: StoreLease | undefined;
+  #timer: Timer | undefined;
+  #busy = false;
+
+  constructor(timers: Timers, store: KeyValueStore, self: GatewayMember) {
+    this.#timers = timers;
+    this.#store = store;
+    this.#self = self;
+  }
+
+  /** Registers, and renews until {@linkcode Registration.halt}. */
+  start(): void {
+    const step = () => this.#step();
+    this.#timer = this.#timers.subscribe(RENEW_PERIOD_MS, step);
+    this.#step();
+  }
+
+  /** Stops renewing. */
+  halt(): void {
+    this.#timer?.cancel();
+  }
+
+  /** Marks the gateway as leaving so that it need not be waited for. */
+  async leave(): Promise<void> {
+    this.halt();
+    await this.#write("leaving");
+  }
+
+  async #step(): Promise<void> {
+    if (this.#busy) return;
+    this.#busy = true;
+    if (this.#lease === undefined || !(await this.#renew(this.#lease))) {
+      await this.#register();
+    }
+    this.#busy = false;
+  }
+
+  async #renew(lease: StoreLease): Promise<boolean> {
+    const res = await this.#store.renewLease(lease);
+    return !res.ok || res.value;
+  }
+
+  async #register(): Promise<void> {
+    const lease = await this.#store.grantLease(REGISTRATION_TTL_MS);
+    if (!lease.ok) return;
+    this.#lease = lease.value;
+    if (!(await this.#write("live"))) this.#lease = undefined;
+  }
+
+  /** Writes the registration, whatever was there before. */
+  async #write(state: "live" | "leaving"): Promise<boolean> {
+    const key = gatewayKey(this.#self.id);
+    const value = JSON.stringify({ ...this.#self, state });
+    const leaseId = this.#lease?.id;
+    const current = await this.#store.read(key);
+    if (!current.ok) return false;
+    const expectRevision = current.value.modRevision;
+    const put = { key, value, expectRevision, leaseId };
+    const res = await this.#store.transact([put]);
+    return res.ok && res.value.applied;
+  }
+}
--- /dev/null
+++ b/src/core/orders/order_ledger.ts
@@ -0,0 +1,230 @@
+/**
+ * Claims on orders: the proof, kept in the key-value service, that an order was
+ * taken by one attempt only.
+ *
+ * @module
+ */
+import type { Timers } from "../../base/timers.ts";
+import { sleep } from "../../base/timers.ts";
+import type { KeyValueStore } from "../../platform/key_value_store.ts";
+import type { OrderRecord, OrderRef } from "./order_record.ts";
+import {
+  MAX_RECORDED_BODY,
+  orderKey,
+  OrderRecordSchema,
+} from "./order_record.ts";
+import type { WriteResult } from "./write_batcher.ts";
+import { WriteBatcher } from "./write_batcher.ts";
+
+/** First pause between tries at the store; doubles up to the maximum. */
+const RETRY_MIN_MS = 50;
+const RETRY_MAX_MS = 2_000;
+
+/** A claim held by this gateway. */
+export interface OrderClaim {
+  readonly key: string;
+  readonly record: OrderRecord;
+  readonly revision: number;
+}
+
+/** Answer to a claim. */
+export type ClaimResult =
+  | { readonly kind: "claimed"; readonly claim: OrderClaim }
+  /** Someone else's claim, in whatever state it is. */
+  | { readonly kind: "duplicate"; readonly record: OrderRecord }
+  | { readonly kind: "key_reused" }
+  /** No claim was made in time; the order certainly did not run. */
+  | { readonly kind: "unavailable" };
+
+/** Answer of the upstream to an order. */
+export interface OrderAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+}
+
+/** The operations on orders that a request needs. */
+export interface Orders {
+  claim(order: OrderRef, deadline: number): Promise<ClaimResult>;
+  /** Records the answer; the claim never lapses without one. */
+  done(claim: OrderClaim, answer: OrderAnswer): void;
+  /** Gives a claim back: the order certainly did not run. */
+  notRun(claim: OrderClaim): void;
+  /** Reads what became of another's claim. */
+  look(order: OrderRef): Promise<OrderRecord | undefined>;
+  /** Writes that have not reached the store yet. */
+  readonly unsettled: number;
+}
+
+/** Identity of the gateway that claims. */
+export interface ClaimantId {
+  readonly gatewayId: string;
+  readonly incarnation: string;
+}
+
+/** {@linkcode Orders} on the key-value service. */
+export class OrderLedger implements Orders {
+  readonly #timers: Timers;
+  readonly #store: KeyValueStore;
+  readonly #batcher: WriteBatcher;
+  readonly #self: ClaimantId;
+  #attempts = 0;
+  #unsettled = 0;
+
+  constructor(timers: Timers, store: KeyValueStore, self: ClaimantId) {
+    this.#timers = timers;
+    this.#store = store;
+    this.#batcher = new WriteBatcher(timers, store);
+    this.#self = self;
+  }
+
+  get unsettled(): number {
+    return this.#unsettled;
+  }
+
+  async claim(order: OrderRef, deadline: number): Promise<ClaimResult> {
+    const key = orderKey(order);
+    const record = this.#newRecord(order);
+    let expectRevision = 0;
+    let tried = false;
+    let pauseMs = RETRY_MIN_MS;
+    while (this.#timers.now() < deadline) {
+      tried = true;
+      const res = await this.#write(key, record, expectRevision);
+      if (res.kind === "written") {
+        return this.#claimedInTime(key, record, res.revision, deadline);
+      }
+      if (res.kind === "failed") {
+        await sleep(this.#timers, pauseMs);
+        pauseMs = Math.min(pauseMs * 2, RETRY_MAX_MS);
+        continue;
+      }
+      const found = parseRecord(res.current.value);
+      if (res.current.modRevision === 0) {
+        expectRevision = 0;
+      } else if (found === undefined) {
+        break;
+      } else if (found.attemptId === record.attemptId) {
+        // An earlier write took effect though its answer was lost.
+        return this.#claimedInTime(
+          key,
+          record,
+          res.current.modRevision,
+          deadline,
+        );
+      } else if (found.bodyHash !== record.bodyHash) {
+        return { kind: "key_reused" };
+      } else if (found.state === "not_run") {
+        expectRevision = res.current.modRevision;
+      } else {
+        return { kind: "duplicate", record: found };
+      }
+    }
+    if (tried) this.#abandon(key, record);
+    return { kind: "unavailable" };
+  }
+
+  done(claim: OrderClaim, answer: OrderAnswer): void {
+    const short = answer.body.length <= MAX_RECORDED_BODY;
+    this.#settle(claim.key, claim.revision, {
+      ...claim.record,
+      state: "done",
+      status: answer.status,
+      contentType: answer.contentType,
+      body: short ? answer.body : undefined,
+    });
+  }
+
+  notRun(claim: OrderClaim): void {
+    this.#settle(claim.key, claim.revision, {
+      ...claim.record,
+      state: "not_run",
+    });
+  }
+
+  async look(order: OrderRef): Promise<OrderRecord | undefined> {
+    const res = await this.#store.read(orderKey(order));
+    return res.ok ? parseRecord(res.value.value) : undefined;
+  }
+
+  #newRecord(order: OrderRef): OrderRecord {
+    this.#attempts += 1;
+    return {
+      state: "claimed",
+      attemptId: `${this.#self.incarnation}-${this.#attempts}`,
+      gatewayId: this.#self.gatewayId,
+      incarnation: this.#self.incarnation,
+      bodyHash: order.bodyHash,
+    };
+  }
+
+  #write(
+    key: string,
+    record: OrderRecord,
+    expectRevision: number,
+  ): Promise<WriteResult> {
+    const value = JSON.stringify(record);
+    return this.#batcher.write({ key, value, expectRevision });
+  }
+
+  #claimedInTime(
+    key: string,
+    record: OrderRecord,
+    revision: number,
+    deadline: number,
+  ): ClaimResult {
+    const claim = { key, record, revision };
+    if (this.#timers.now() < deadline) return { kind: "claimed", claim };
+    this.notRun(claim);
+    return { kind: "unavailable" };
+  }
+
+  /**
+   * Blocks a claim that may still land: writes a `not_run` record in its place,
+   * or over it, until one of the two holds.
+   */
+  #abandon(key: string, record: OrderRecord): void {
+    this.#settle(key, 0, { ...record, state: "not_run" });
+  }
+
+  /** Writes a final record, trying until the store has it or another's holds. */
+  async #settle(
+    key: string,
+    expectRevision: number,
+    record: OrderRecord,
+  ): Promise<void> {
+    this.#unsettled += 1;
+    let expected = expectRevision;
+    let pauseMs = RETRY_MIN_MS;
+    while (true) {
+      const res = await this.#write(key, record, expected);
+      if (res.kind === "written") break;
+      if (res.kind === "mismatch") {
+        const found = parseRecord(res.current.value);
+        const own = found?.attemptId === record.attemptId;
+        if (own && found.state === record.state) break;
+        // Another's `not_run` is written over: a late claim of this attempt
+        // could still match its revision.
+        const blocks = record.state === "not_run" && found?.state === "not_run";
+        const absent = res.current.modRevision === 0;
+        if (!own && !blocks && !absent) break;
+        expected = res.current.modRevision;
+        continue;
+      }
+      await sleep(this.#timers, pauseMs);
+      pauseMs = Math.min(pauseMs * 2, RETRY_MAX_MS);
+    }
+    this.#unsettled -= 1;
+  }
+}
+
+/** Reads a record; undefined when there is none or it is not one. */
+function parseRecord(value: string): OrderRecord | undefined {
+  if (value === "") return undefined;
+  try {
+    const res = OrderRecordSchema.safeParse(JSON.parse(value));
+    return res.success ? res.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/core/retries/suspects.ts
@@ -0,0 +1,88 @@
+/**
+ * Requests that were running when an upstream crashed.
+ *
+ * @module
+ */
+
+/** Crashes with the same request in flight after which it is refused. */
+export const MAX_STRIKES = 2;
+/** How long a strike is remembered. */
+export const STRIKE_TTL_MS = 600_000;
+
+/** A request and the crashes it was in flight at. */
+export interface Suspect {
+  readonly fingerprint: string;
+  /** Upstreams that crashed with the request in flight. */
+  readonly crashed: readonly string[];
+}
+
+interface Record {
+  readonly crashed: Set<string>;
+  lastAt: number;
+}
+
+/**
+ * Remembers which requests were in flight at crashes, here and at peers. A
+ * request in flight at two crashes is refused from then on; one with a strike
+ * runs only where no other suspect runs.
+ */
+export class Suspects {
+  readonly #records = new Map<string, Record>();
+
+  /** Notes requests in flight when an upstream crashed. Returns the news. */
+  crashed(
+    upstreamId: string,
+    fingerprints: readonly string[],
+    now: number,
+  ): Suspect[] {
+    return fingerprints.map((fingerprint) => {
+      this.learn({ fingerprint, crashed: [upstreamId] }, now);
+      return this.#suspect(fingerprint);
+    });
+  }
+
+  /** Merges what a peer knows. Returns whether it was news. */
+  learn(suspect: Suspect, now: number): boolean {
+    let record = this.#records.get(suspect.fingerprint);
+    if (record === undefined) {
+      record = { crashed: new Set(), lastAt: now };
+      this.#records.set(suspect.fingerprint, record);
+    }
+    const before = record.crashed.size;
+    for (const id of suspect.crashed) record.crashed.add(id);
+    if (record.crashed.size > before) record.lastAt = now;
+    return record.crashed.size > before;
+  }
+
+  /** Tells whether a request must not run any more. */
+  isRefused(fingerprint: string): boolean {
+    return this.strikes(fingerprint) >= MAX_STRIKES;
+  }
+
+  /** Crashes at which the request was in flight. */
+  strikes(fingerprint: string): number {
+    return this.#records.get(fingerprint)?.crashed.size ?? 0;
+  }
+
+  /** Clears a request that has run to its end. */
+  cleared(fingerprint: string): void {
+    if (!this.isRefused(fingerprint)) this.#records.delete(fingerprint);
+  }
+
+  /** Everything known, for peers. */
+  all(): Suspect[] {
+    return [...this.#records.keys()].map((id) => this.#suspect(id));
+  }
+
+  /** Drops strikes older than {@linkcode STRIKE_TTL_MS}. */
+  expire(now: number): void {
+    for (const [id, record] of this.#records) {
+      if (now - record.lastAt > STRIKE_TTL_MS) this.#records.delete(id);
+    }
+  }
+
+  #suspect(fingerprint: string): Suspect {
+    const record = this.#records.get(fingerprint);
+    return { fingerprint, crashed: [...(record?.crashed ?? [])] };
+  }
+}
--- /dev/null
+++ b/src/core/routing/affinity_router.ts
@@ -0,0 +1,144 @@
+/**
+ * Two choices over prefix affinity, by load, with stragglers held back.
+ *
+ * @module
+ */
+import { rendezvousOrder } from "../../base/hash.ts";
+import type { Random } from "../../base/random.ts";
+import type { RouteDecision, RouteQuery, Router } from "./router.ts";
+import type { UpstreamEntry } from "./upstream_entry.ts";
+
+/** A straggler's first byte takes this many times its peers' median. */
+const STRAGGLER_FACTOR = 3;
+/** Fewest upstreams among which a straggler can be told. */
+const MIN_PEERS = 3;
+/** Largest share of upstreams held back as stragglers. */
+const MAX_STRAGGLER_SHARE = 0.25;
+/** A straggler gets one request per this time to show that it has recovered. */
+const PROBATION_MS = 2_000;
+/** Load per capacity that another zone must save to be preferred. */
+const CROSS_ZONE_PENALTY = 0.15;
+/** Load per capacity that a warm prefix cache is worth. */
+const AFFINITY_BONUS = 0.25;
+/** Upstreams that may hold the prefix in their cache. */
+const AFFINITY_CHOICES = 2;
+
+/**
+ * Considers the two upstreams that rendezvous hashing gives the prompt's prefix
+ * and two random ones, and takes the least loaded of them. Few choices keep
+ * gateways with the same lagging reports from all picking the same upstream.
+ */
+export class AffinityRouter implements Router {
+  readonly #random: Random;
+
+  constructor(random: Random) {
+    this.#random = random;
+  }
+
+  choose(
+    open: readonly UpstreamEntry[],
+    query: RouteQuery,
+    now: number,
+  ): RouteDecision {
+    if (open.length === 0) return none("no_upstream", open);
+    const { steady, stragglers } = splitStragglers(open);
+    const due = stragglers.find((entry) =>
+      now - entry.lastStartedAt > PROBATION_MS && roomFor(entry, query, now)
+    );
+    if (due !== undefined) return chosen(due, "probation", [due]);
+    const roomy = steady.filter((entry) => roomFor(entry, query, now));
+    if (roomy.length === 0) return none("no_room", open);
+    return this.#leastLoaded(roomy, query, now);
+  }
+
+  #leastLoaded(
+    roomy: readonly UpstreamEntry[],
+    query: RouteQuery,
+    now: number,
+  ): RouteDecision {
+    const preferred = preferredIds(roomy, query.prefixKey);
+    const choices = new Set(
+      roomy.filter((entry) => preferred.has(entry.upstream.id)),
+    );
+    choices.add(this.#random.pick(roomy));
+    choices.add(this.#random.pick(roomy));
+    let best: UpstreamEntry | undefined;
+    let bestCost = Infinity;
+    for (const entry of choices) {
+      const cost = costOf(entry, query, preferred, now);
+      if (cost < bestCost) [best, bestCost] = [entry, cost];
+    }
+    if (best === undefined) return none("no_room", roomy);
+    const affine = preferred.has(best.upstream.id);
+    return chosen(best, affine ? "affinity" : "least_loaded", [...choices]);
+  }
+}
+
+function preferredIds(
+  entries: readonly UpstreamEntry[],
+  prefixKey: string,
+): Set<string> {
+  const ids = entries.map((entry) => entry.upstream.id);
+  return new Set(rendezvousOrder(prefixKey, ids).slice(0, AFFINITY_CHOICES));
+}
+
+function roomFor(
+  entry: UpstreamEntry,
+  query: RouteQuery,
+  now: number,
+): boolean {
+  return entry.load(now) < entry.capacity && query.hasRoom(entry);
+}
+
+function costOf(
+  entry: UpstreamEntry,
+  query: RouteQuery,
+  preferred: ReadonlySet<string>,
+  now: number,
+): number {
+  let cost = entry.load(now) / entry.capacity;
+  if (entry.upstream.availabilityZone !== query.availabilityZone) {
+    cost += CROSS_ZONE_PENALTY;
+  }
+  if (preferred.has(entry.upstream.id)) cost -= AFFINITY_BONUS;
+  return cost;
+}
+
+/** Separates upstreams far slower than their peers, never more than a share. */
+function splitStragglers(entries: readonly UpstreamEntry[]): {
+  readonly steady: readonly UpstreamEntry[];
+  readonly stragglers: readonly UpstreamEntry[];
+} {
+  const times = entries.flatMap((e) => e.firstByteMs ?? []).sort((a, b) =>
+    a - b
+  );
+  if (times.length < MIN_PEERS) return { steady: entries, stragglers: [] };
+  const median = times[Math.floor(times.length / 2)];
+  const slow = entries
+    .filter((e) => (e.firstByteMs ?? 0) > STRAGGLER_FACTOR * median)
+    .sort((a, b) => (b.firstByteMs ?? 0) - (a.firstByteMs ?? 0))
+    .slice(0, Math.floor(entries.length * MAX_STRAGGLER_SHARE));
+  return {
+    steady: entries.filter((e) => !slow.includes(e)),
+    stragglers: slow,
+  };
+}
+
+function chosen(
+  entry: UpstreamEntry,
+  reason: RouteDecision["reason"],
+  considered: readonly UpstreamEntry[],
+): RouteDecision {
+  return { entry, reason, considered: considered.map((e) => e.upstream.id) };
+}
+
+function none(
+  reason: RouteDecision["reason"],
+  considered: readonly UpstreamEntry[],
+): RouteDecision {
+  return {
+    entry: undefined,
+    reason,
+    considered: considered.map((e) => e.upstream.id),
+  };
+}
--- /dev/null
+++ b/src/core/routing/upstream_table.ts
@@ -0,0 +1,194 @@
+/**
+ * All upstreams that one gateway knows, made from domain records and the host list.
+ *
+ * @module
+ */
+import type { Configuration } from "../../world/configuration.ts";
+import { zoneTakesWork } from "../../world/configuration.ts";
+import type { Host } from "../../world/host.ts";
+import type { DomainRecord, ReplicaGroup } from "../../world/replica_group.ts";
+import { groupUpstreamId } from "../../world/replica_group.ts";
+import type { ClosedReason } from "./upstream_entry.ts";
+import { UpstreamEntry } from "./upstream_entry.ts";
+
+/** Evidence that an upstream is gone or out of reach. */
+export interface Evidence {
+  readonly upstreamId: string;
+  readonly hostId: string;
+  /** `lost` ends the epoch for good; `unreachable` holds until a probe succeeds. */
+  readonly kind: "lost" | "unreachable";
+  readonly detail: string;
+}
+
+/** Why none, or which, of the upstreams of a name can be used. */
+export interface Candidates {
+  readonly open: readonly UpstreamEntry[];
+  /** Number of upstreams that are closed, by reason. */
+  readonly closed: ReadonlyMap<ClosedReason, number>;
+}
+
+/** Knowledge of all upstreams, keyed by upstream id. */
+export class UpstreamTable {
+  readonly #entries = new Map<string, UpstreamEntry>();
+  readonly #byName = new Map<string, Set<UpstreamEntry>>();
+  readonly #records = new Map<string, DomainRecord>();
+  #hosts = new Map<string, Host>();
+
+  /** Newest record of each fabric domain. */
+  get records(): ReadonlyMap<string, DomainRecord> {
+    return this.#records;
+  }
+
+  /** Upstreams by id. */
+  get entries(): ReadonlyMap<string, UpstreamEntry> {
+    return this.#entries;
+  }
+
+  /** Hosts as last listed. */
+  get hosts(): ReadonlyMap<string, Host> {
+    return this.#hosts;
+  }
+
+  /** Takes a domain record if it is newer; an older one never replaces it. */
+  offerRecord(record: DomainRecord): boolean {
+    const known = this.#records.get(record.fabricDomain);
+    if (known !== undefined && known.revision >= record.revision) return false;
+    this.#records.set(record.fabricDomain, record);
+    this.#rebuildGroups(known, record);
+    return true;
+  }
+
+  /** Takes the host list as it was just read. */
+  offerHosts(hosts: readonly Host[]): void {
+    this.#hosts = new Map(hosts.map((host) => [host.id, host]));
+    this.#rebuildServices(hosts);
+    for (const entry of this.#entries.values()) this.#applyHosts(entry);
+  }
+
+  /** Splits the upstreams of a model or service into open and closed ones. */
+  candidates(name: string, cfg: Configuration): Candidates {
+    const open: UpstreamEntry[] = [];
+    const closed = new Map<ClosedReason, number>();
+    for (const entry of this.#byName.get(name) ?? []) {
+      const zone = zoneTakesWork(cfg, entry.upstream.availabilityZone);
+      const reason = entry.closedReason(zone);
+      if (reason === undefined) open.push(entry);
+      else closed.set(reason, (closed.get(reason) ?? 0) + 1);
+    }
+    return { open, closed };
+  }
+
+  /** Closes an upstream on evidence. Returns whether it was news. */
+  close(evidence: Evidence): boolean {
+    const entry = this.#entries.get(evidence.upstreamId);
+    if (entry === undefined || entry.lostReason !== undefined) return false;
+    if (evidence.kind === "lost") {
+      entry.lostReason = evidence.detail;
+      return true;
+    }
+    if (entry.unreachable.has(evidence.hostId)) return false;
+    entry.unreachable.add(evidence.hostId);
+    return true;
+  }
+
+  /** Notes that a member host answered as expected. */
+  reached(upstreamId: string, hostId: string): void {
+    this.#entries.get(upstreamId)?.unreachable.delete(hostId);
+  }
+
+  /** Upstreams that a host is part of. */
+  upstreamsOnHost(hostId: string): UpstreamEntry[] {
+    return [...this.#entries.values()].filter((entry) =>
+      entry.upstream.hostIds.includes(hostId)
+    );
+  }
+
+  #rebuildGroups(old: DomainRecord | undefined, record: DomainRecord): void {
+    const kept = new Set(record.groups.map(groupUpstreamId));
+    for (const group of old?.groups ?? []) {
+      if (!kept.has(groupUpstreamId(group))) this.#drop(groupUpstreamId(group));
+    }
+    for (const group of record.groups) this.#offerGroup(record, group);
+  }
+
+  #offerGroup(record: DomainRecord, group: ReplicaGroup): void {
+    const id = groupUpstreamId(group);
+    let entry = this.#entries.get(id);
+    if (entry === undefined) {
+      entry = new UpstreamEntry({
+        id,
+        kind: "group",
+        serves: group.model,
+        version: group.version,
+        address: group.members[0].address,
+        availabilityZone: record.availabilityZone,
+        fabricDomain: record.fabricDomain,
+        hostIds: group.members.map((member) => member.hostId),
+        epoch: group.epoch,
+      }, new Map(group.members.map((m) => [m.hostId, m.bootId])));
+      this.#add(entry);
+    }
+    entry.listed = group.state === "open";
+    this.#applyHosts(entry);
+  }
+
+  #rebuildServices(hosts: readonly Host[]): void {
+    const kept = new Set<string>();
+    for (const host of hosts) {
+      if (host.kind !== "service" || host.service === undefined) continue;
+      const id = `${host.id}@${host.bootId}`;
+      kept.add(id);
+      if (!this.#entries.has(id)) this.#add(serviceEntry(id, host));
+    }
+    for (const entry of [...this.#entries.values()]) {
+      const gone = entry.upstream.kind === "service" &&
+        !kept.has(entry.upstream.id);
+      if (gone) this.#drop(entry.upstream.id);
+    }
+  }
+
+  /** Marks an entry by what the host list says of its hosts. */
+  #applyHosts(entry: UpstreamEntry): void {
+    entry.leaving = false;
+    for (const [hostId, bootId] of entry.memberBoots) {
+      const host = this.#hosts.get(hostId);
+      if (host === undefined) continue;
+      if (host.state === "leaving") entry.leaving = true;
+      const rebooted = host.bootId !== bootId && entry.lostReason === undefined;
+      // The list lags: a boot older than the record's is not evidence.
+      if (rebooted && entry.upstream.kind === "service") {
+        entry.lostReason = `Host ${hostId} has another boot`;
+      }
+    }
+  }
+
+  #add(entry: UpstreamEntry): void {
+    this.#entries.set(entry.upstream.id, entry);
+    const name = entry.upstream.serves;
+    const list = this.#byName.get(name) ?? new Set();
+    list.add(entry);
+    this.#byName.set(name, list);
+  }
+
+  #drop(id: string): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) return;
+    entry.listed = false;
+    this.#entries.delete(id);
+    this.#byName.get(entry.upstream.serves)?.delete(entry);
+  }
+}
+
+function serviceEntry(id: string, host: Host): UpstreamEntry {
+  return new UpstreamEntry({
+    id,
+    kind: "service",
+    serves: host.service ?? "",
+    version: "",
+    address: host.address,
+    availabilityZone: host.availabilityZone,
+    fabricDomain: host.fabricDomain,
+    hostIds: [host.id],
+    epoch: 0,
+  }, new Map([[host.id, host.bootId]]));
+}
--- /dev/null
+++ b/src/ctl/admin_client.ts
@@ -0,0 +1,56 @@
+/**
+ * Client of the administration API.
+ *
+ * @module
+ */
+import { request } from "undici";
+
+/** Where the API is and who asks. */
+export interface AdminClientOptions {
+  /** IP number and port of any controller. */
+  readonly address: string;
+  readonly token: string;
+}
+
+/** An answer of the API. */
+export interface AdminAnswer {
+  readonly status: number;
+  readonly body: Record<string, unknown>;
+}
+
+/** Calls one controller. */
+export class AdminClient {
+  readonly #options: AdminClientOptions;
+
+  constructor(options: AdminClientOptions) {
+    this.#options = options;
+  }
+
+  /** Reads a resource below `/admin/v1/`. */
+  get(resource: string): Promise<AdminAnswer> {
+    return this.#call("GET", resource, undefined);
+  }
+
+  /** Submits a change and waits until it is in force everywhere. */
+  submit(change: Record<string, unknown>): Promise<AdminAnswer> {
+    return this.#call("POST", "changes", change);
+  }
+
+  async #call(
+    method: "GET" | "POST",
+    resource: string,
+    body: Record<string, unknown> | undefined,
+  ): Promise<AdminAnswer> {
+    const url = `http://${this.#options.address}/admin/v1/${resource}`;
+    const res = await request(url, {
+      method,
+      headers: {
+        authorization: `Bearer ${this.#options.token}`,
+        "content-type": "application/json",
+      },
+      body: body === undefined ? undefined : JSON.stringify(body),
+    });
+    const answer = await res.body.json();
+    return { status: res.statusCode, body: answer as Record<string, unknown> };
+  }
+}
--- /dev/null
+++ b/src/ctl/commands.ts
@@ -0,0 +1,201 @@
+/**
+ * The commands of `oleanderctl`.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import { match } from "ts-pattern";
+import { z } from "zod";
+import { sha256 } from "../base/hash.ts";
+import type { AdminAnswer } from "./admin_client.ts";
+import { AdminClient } from "./admin_client.ts";
+
+/** Exit codes: done, refused by the API, wrong input, no answer. */
+export const EXIT_CODES = {
+  done: 0,
+  refused: 1,
+  usage: 2,
+  noAnswer: 3,
+} as const;
+
+/** Options that all commands share. */
+export interface CtlOptions {
+  readonly address: string;
+  readonly token: string;
+  readonly team: string;
+  readonly baseRevision?: number;
+  readonly changeId?: string;
+  readonly json?: boolean;
+}
+
+/** One call of the command line. */
+export interface CtlCommand {
+  readonly name: string;
+  readonly words: readonly string[];
+  readonly options: CtlOptions;
+}
+
+type Action = Record<string, unknown>;
+
+const Declarations = z.strictObject({
+  classes: z.array(z.looseObject({ name: z.string() })).default([]),
+  models: z.array(z.looseObject({ name: z.string() })).default([]),
+  services: z.array(z.looseObject({ name: z.string() })).default([]),
+  customers: z.array(z.looseObject({ name: z.string() })).default([]),
+});
+
+/**
+ * Runs a command and returns the exit code.
+ *
+ * @example
+ * ```ts
+ * process.exitCode = await runCtlCommand({ name: "config", words: [], options });
+ * ```
+ */
+export async function runCtlCommand(command: CtlCommand): Promise<number> {
+  const { options, words } = command;
+  const client = new AdminClient(options);
+  try {
+    return await match(command.name)
+      .with("config", () => show(client, "configuration", options))
+      .with("fleet", () => show(client, "fleet", options))
+      .with("decisions", () => show(client, "decisions", options))
+      .with("groups", () => showGroups(client, options))
+      .with("zone-out", () => change(client, setZone(words[0], "out"), options))
+      .with("zone-in", () => change(client, setZone(words[0], "in"), options))
+      .with("remove", () => change(client, remove(words, options), options))
+      .with("apply", () => applyFile(client, words[0], options))
+      .with("hash-key", () => hashKey())
+      .otherwise((name) => usage(`No command "${name}"`));
+  } catch (err) {
+    const detail = err instanceof Error ? err.message : String(err);
+    process.stderr.write(`${options.address}: ${detail}\n`);
+    return EXIT_CODES.noAnswer;
+  }
+}
+
+function setZone(zone: string, state: "in" | "out"): Action {
+  return { kind: "set_zone", zone, state };
+}
+
+function remove(words: readonly string[], options: CtlOptions): Action {
+  const [what, name] = words;
+  return { kind: "remove", what, name, team: options.team };
+}
+
+async function show(
+  client: AdminClient,
+  resource: string,
+  options: CtlOptions,
+): Promise<number> {
+  const answer = await client.get(resource);
+  if (answer.status >= 400) return printRefusal(answer, options);
+  const indent = options.json ? 0 : 2;
+  process.stdout.write(`${JSON.stringify(answer.body, null, indent)}\n`);
+  return EXIT_CODES.done;
+}
+
+async function showGroups(
+  client: AdminClient,
+  options: CtlOptions,
+): Promise<number> {
+  const answer = await client.get("fleet");
+  if (answer.status >= 400) return printRefusal(answer, options);
+  const domains = answer.body.domains as Array<{
+    availabilityZone: string;
+    groups: Array<
+      { id: string; epoch: number; state: string; members: unknown[] }
+    >;
+  }>;
+  const groups = domains.flatMap((domain) =>
+    domain.groups.map((g) => ({ zone: domain.availabilityZone, ...g }))
+  );
+  if (options.json) {
+    process.stdout.write(`${JSON.stringify(groups)}\n`);
+    return EXIT_CODES.done;
+  }
+  for (const { zone, id, epoch, state, members } of groups) {
+    const line = `${zone}\t${id}@${epoch}\t${state}\t${members.length} hosts`;
+    process.stdout.write(`${line}\n`);
+  }
+  return EXIT_CODES.done;
+}
+
+async function change(
+  client: AdminClient,
+  action: Action,
+  options: CtlOptions,
+): Promise<number> {
+  const base = options.baseRevision;
+  const answer = await client.submit({
+    changeId: options.changeId ?? randomUUID(),
+    ...(base === undefined ? {} : { baseRevision: Number(base) }),
+    action,
+  });
+  if (answer.status >= 400) return printRefusal(answer, options);
+  const { revision, action: done, changeId } = answer.body;
+  process.stdout.write(
+    options.json
+      ? `${JSON.stringify(answer.body)}\n`
+      : `In force everywhere: ${done}, revision ${revision}, change ${changeId}\n`,
+  );
+  return EXIT_CODES.done;
+}
+
+/** Applies declarations in an order in which each finds what it refers to. */
+async function applyFile(
+  client: AdminClient,
+  file: string,
+  options: CtlOptions,
+): Promise<number> {
+  const parsed = readDeclarations(file);
+  if (typeof parsed === "string") return usage(`${file}: ${parsed}`);
+  const actions: Action[] = [
+    ...parsed.classes.map((value) => ({ kind: "set_class", value })),
+    ...parsed.models.map((value) => ({ kind: "set_model", value })),
+    ...parsed.services.map((value) => ({ kind: "set_service", value })),
+    ...parsed.customers.map((value) => ({ kind: "set_customer", value })),
+  ];
+  for (const action of actions) {
+    const code = await change(client, action, options);
+    if (code !== EXIT_CODES.done) return code;
+  }
+  return EXIT_CODES.done;
+}
+
+function readDeclarations(file: string): z.infer<typeof Declarations> | string {
+  let json: unknown;
+  try {
+    json = JSON.parse(readFileSync(file, "utf8"));
+  } catch (err) {
+    return (err as Error).message;
+  }
+  const res = Declarations.safeParse(json);
+  if (res.success) return res.data;
+  const [issue] = res.error.issues;
+  return `${issue.path.join(".")}: ${issue.message}`;
+}
+
+function hashKey(): number {
+  const key = readFileSync(0, "utf8").trim();
+  if (key === "") return usage("No key on standard input");
+  process.stdout.write(`${sha256(key)}\n`);
+  return EXIT_CODES.done;
+}
+
+function printRefusal(answer: AdminAnswer, options: CtlOptions): number {
+  const { outcome, detail } = answer.body;
+  process.stderr.write(
+    options.json
+      ? `${JSON.stringify(answer.body)}\n`
+      : `${outcome}: ${detail}\n`,
+  );
+  return EXIT_CODES.refused;
+}
+
+function usage(message: string): number {
+  process.stderr.write(`oleanderctl: ${message}\n`);
+  return EXIT_CODES.usage;
+}
--- /dev/null
+++ b/src/gateway/call_reader.ts
@@ -0,0 +1,198 @@
+/**
+ * Reads callers' HTTP requests into calls.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
+import { z } from "zod";
+import { sha256 } from "../base/hash.ts";
+import type { Outcome } from "../base/outcome.ts";
+import { failure, success } from "../base/outcome.ts";
+import type { Call, CallTarget } from "../core/gateway/call.ts";
+import type { Configuration, Customer } from "../world/configuration.ts";
+import type { EdgeProblemKind } from "./problem_details.ts";
+
+/** Longest prefix of a prompt that decides cache affinity, in characters. */
+const PREFIX_CHARS = 512;
+/** Longest idempotency key. */
+const MAX_KEY_CHARS = 255;
+
+/** Why a request is not a call. */
+export interface ReadError {
+  readonly kind: EdgeProblemKind | "unknown_target";
+  readonly detail: string;
+}
+
+const ChatBody = z.looseObject({
+  model: z.string().min(1),
+  stream: z.boolean().optional(),
+  messages: z.array(z.looseObject({})).optional(),
+  prompt: z.unknown().optional(),
+});
+
+/**
+ * Reads a body up to a bound.
+ *
+ * @example
+ * ```ts
+ * const body = await readBody(req, 4 * 1_048_576);
+ * ```
+ */
+export async function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Outcome<Buffer, ReadError>> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of req) {
+      size += chunk.length;
+      if (size > maxBytes) {
+        const detail = `The body exceeds ${maxBytes} bytes`;
+        return failure({ kind: "body_too_large", detail });
+      }
+      chunks.push(chunk);
+    }
+  } catch {
+    return failure({ kind: "malformed_request", detail: "The body was cut" });
+  }
+  return success(Buffer.concat(chunks));
+}
+
+/** Finds the customer that a key belongs to. */
+export function authenticate(
+  req: IncomingMessage,
+  cfg: Configuration,
+): Outcome<Customer, ReadError> {
+  const [, key] = /^Bearer (\S+)$/.exec(req.headers.authorization ?? "") ?? [];
+  if (key === undefined) {
+    const detail = "An Authorization header with a bearer key is needed";
+    return failure({ kind: "not_authenticated", detail });
+  }
+  const digest = sha256(key);
+  const customer = cfg.customers.find((c) => c.keyHashes.includes(digest));
+  if (customer !== undefined) return success(customer);
+  return failure({ kind: "not_authenticated", detail: "The key is not known" });
+}
+
+/** What a call is made of. */
+export interface CallSource {
+  readonly id: string;
+  readonly req: IncomingMessage;
+  readonly path: string;
+  readonly customer: Customer;
+  readonly body: Buffer;
+  readonly cfg: Configuration;
+}
+
+/** Reads a chat or completion request. */
+export function readModelCall(source: CallSource): Outcome<Call, ReadError> {
+  let json: unknown;
+  try {
+    json = JSON.parse(source.body.toString("utf8"));
+  } catch {
+    return failure({
+      kind: "malformed_request",
+      detail: "The body is not JSON",
+    });
+  }
+  const parsed = ChatBody.safeParse(json);
+  if (!parsed.success) {
+    const [issue] = parsed.error.issues;
+    const detail = `${issue.path.join(".") || "body"}: ${issue.message}`;
+    return failure({ kind: "malformed_request", detail });
+  }
+  const { model, stream, messages, prompt } = parsed.data;
+  const known = source.cfg.models.some((m) => m.name === model);
+  if (!known) {
+    const detail = `Model "${model}" is not declared`;
+    return failure({ kind: "unknown_target", detail });
+  }
+  const prefix = JSON.stringify(messages ?? prompt ?? "").slice(
+    0,
+    PREFIX_CHARS,
+  );
+  return makeCall(source, {
+    target: { kind: "model", name: model },
+    streaming: stream === true,
+    prefixKey: `${source.customer.name} ${prefix}`,
+  });
+}
+
+/** Reads a call of a plain service. */
+export function readServiceCall(
+  source: CallSource,
+  name: string,
+): Outcome<Call, ReadError> {
+  const known = source.cfg.services.some((svc) => svc.name === name);
+  if (!known) {
+    const detail = `Service "${name}" is not declared`;
+    return failure({ kind: "unknown_target", detail });
+  }
+  return makeCall(source, {
+    target: { kind: "service", name },
+    streaming: false,
+    prefixKey: source.customer.name,
+  });
+}
+
+function makeCall(
+  source: CallSource,
+  rest: { target: CallTarget; streaming: boolean; prefixKey: string },
+): Outcome<Call, ReadError> {
+  const { req, customer, cfg } = source;
+  const className = headerOf(req, "x-service-class") ?? customer.defaultClass;
+  const serviceClass = cfg.classes.find((c) => c.name === className);
+  if (serviceClass === undefined) {
+    const detail = `Class "${className}" is not declared`;
+    return failure({ kind: "malformed_request", detail });
+  }
+  const idempotencyKey = headerOf(req, "idempotency-key");
+  if (idempotencyKey !== undefined && idempotencyKey.length > MAX_KEY_CHARS) {
+    const detail = `Idempotency-Key exceeds ${MAX_KEY_CHARS} characters`;
+    return failure({ kind: "malformed_request", detail });
+  }
+  const resumeAfter = Number(headerOf(req, "last-event-id") ?? "0");
+  if (!Number.isSafeInteger(resumeAfter) || resumeAfter < 0) {
+    const detail = "Last-Event-ID is not a number of events";
+    return failure({ kind: "malformed_request", detail });
+  }
+  const method = req.method ?? "POST";
+  const print = `${customer.name}\n${method} ${source.path}\n`;
+  const fingerprint = sha256(Buffer.concat([Buffer.from(print), source.body]));
+  return success({
+    id: source.id,
+    customer,
+    serviceClass,
+    ...rest,
+    method,
+    path: source.path,
+    headers: upstreamHeaders(req, fingerprint, idempotencyKey),
+    body: source.body,
+    fingerprint,
+    idempotencyKey,
+    resumeAfter,
+  });
+}
+
+/** Headers for the upstream; a customer's key stays here. */
+function upstreamHeaders(
+  req: IncomingMessage,
+  fingerprint: string,
+  idempotencyKey: string | undefined,
+): Record<string, string> {
+  const headers: Record<string, string> = {
+    // The same request gets the same seed, so that another copy of the model
+    // continues the same answer.
+    "x-request-seed": fingerprint,
+    "content-type": headerOf(req, "content-type") ?? "application/json",
+  };
+  if (idempotencyKey !== undefined) headers["idempotency-key"] = idempotencyKey;
+  return headers;
+}
+
+function headerOf(req: IncomingMessage, name: string): string | undefined {
+  const value = req.headers[name];
+  return typeof value === "string" && value !== "" ? value : undefined;
+}
--- /dev/null
+++ b/src/logging/logger.ts
@@ -0,0 +1,65 @@
+/**
+ * Structured logs: JSON for machines, or lines for people.
+ *
+ * @module
+ */
+import process from "node:process";
+import type { ConsolaInstance, LogObject } from "consola";
+import { createConsola, LogLevels } from "consola";
+import type { Decision, DecisionLog } from "../core/gateway/decision_log.ts";
+
+/** How logs look and how much is written. */
+export interface LoggerOptions {
+  readonly format: "json" | "pretty";
+  readonly level: "error" | "warn" | "info" | "debug";
+  /** Name of the process in each line. */
+  readonly process: string;
+}
+
+/**
+ * Makes a logger on standard error.
+ *
+ * @example
+ * ```ts
+ * const log = createLogger({ format: "json", level: "info", process: "gw-1" });
+ * ```
+ */
+export function createLogger(options: LoggerOptions): ConsolaInstance {
+  const level = LogLevels[options.level];
+  if (options.format === "pretty") {
+    return createConsola({ level }).withTag(options.process);
+  }
+  const reporter = {
+    log(entry: LogObject) {
+      process.stderr.write(`${toJsonLine(entry, options.process)}\n`);
+    },
+  };
+  return createConsola({ level, reporters: [reporter] });
+}
+
+function toJsonLine(entry: LogObject, name: string): string {
+  const [first, ...rest] = entry.args;
+  const fields =
+    typeof first === "object" && first !== null && !(first instanceof Error)
+      ? first
+      : { message: [first, ...rest].map(String).join(" ") };
+  return JSON.stringify({
+    time: entry.date.toISOString(),
+    level: entry.type,
+    process: name,
+    ...fields,
+  });
+}
+
+/** Writes one line for each decision. */
+export class ConsolaDecisionLog implements DecisionLog {
+  readonly #log: ConsolaInstance;
+
+  constructor(log: ConsolaInstance) {
+    this.#log = log;
+  }
+
+  decided(decision: Decision): void {
+    this.#log.info({ decision: decision.kind, ...decision, kind: undefined });
+  }
+}
--- /dev/null
+++ b/src/peer/peer_client.ts
@@ -0,0 +1,97 @@
+/**
+ * Calls to peers by Connect.
+ *
+ * @module
+ */
+import { Agent } from "node:http";
+import type { Client, Interceptor } from "@connectrpc/connect";
+import { Code, ConnectError, createClient } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import type { Outcome } from "../base/outcome.ts";
+import { failure, success } from "../base/outcome.ts";
+import type { ShareReply, ShareRequest } from "../core/limits/slot_owner.ts";
+import type {
+  PeerError,
+  PeerNetwork,
+  SyncMessage,
+} from "../core/membership/messages.ts";
+import type { GatewayMember } from "../world/configuration.ts";
+import { fromWire, toWire } from "./convert.ts";
+import { PeerService } from "./gen/peer_pb.ts";
+import { PROTOCOL_HEADER, PROTOCOL_VERSION } from "./protocol.ts";
+
+const CALL_TIMEOUT_MS = 800;
+
+/** {@linkcode PeerNetwork} over HTTP/1.1 connections that are kept. */
+export class PeerClient implements PeerNetwork {
+  readonly #clients = new Map<string, Client<typeof PeerService>>();
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 4 });
+  readonly #authenticate: Interceptor;
+
+  constructor(peerKey: string) {
+    this.#authenticate = (next) => (req) => {
+      req.header.set("authorization", `Bearer ${peerKey}`);
+      req.header.set(PROTOCOL_HEADER, String(PROTOCOL_VERSION));
+      return next(req);
+    };
+  }
+
+  async sync(
+    peer: GatewayMember,
+    msg: SyncMessage,
+  ): Promise<Outcome<SyncMessage, PeerError>> {
+    try {
+      const client = this.#client(peer.peerAddress);
+      const res = await client.sync({ news: toWire(msg) });
+      const news = fromWire(res.news);
+      if (news !== undefined) return success(news);
+      return failure({ kind: "peer_rejected", detail: "Malformed answer" });
+    } catch (err) {
+      return failure(toPeerError(err));
+    }
+  }
+
+  async requestShare(
+    peer: GatewayMember,
+    req: ShareRequest,
+  ): Promise<Outcome<ShareReply, PeerError>> {
+    try {
+      const { share, warm } = await this.#client(peer.peerAddress)
+        .requestShare({ ...req });
+      return success({ share, warm });
+    } catch (err) {
+      return failure(toPeerError(err));
+    }
+  }
+
+  /** Ends all connections. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  #client(address: string): Client<typeof PeerService> {
+    let client = this.#clients.get(address);
+    if (client === undefined) {
+      client = createClient(
+        PeerService,
+        createConnectTransport({
+          baseUrl: `http://${address}`,
+          httpVersion: "1.1",
+          useBinaryFormat: true,
+          defaultTimeoutMs: CALL_TIMEOUT_MS,
+          interceptors: [this.#authenticate],
+          nodeOptions: { agent: this.#agent },
+        }),
+      );
+      this.#clients.set(address, client);
+    }
+    return client;
+  }
+}
+
+function toPeerError(err: unknown): PeerError {
+  const detail = err instanceof Error ? err.message : String(err);
+  const rejected = err instanceof ConnectError &&
+    (err.code === Code.Unauthenticated || err.code === Code.InvalidArgument);
+  return { kind: rejected ? "peer_rejected" : "peer_unreachable", detail };
+}
--- /dev/null
+++ b/src/platform/upstream_client.ts
@@ -0,0 +1,63 @@
+/**
+ * Sending requests to upstreams, as the product sees it.
+ *
+ * @module
+ */
+import type { Upstream } from "../world/upstream.ts";
+
+/** One attempt at a request on one upstream. */
+export interface AttemptRequest {
+  /** Unique per attempt: answers are matched by the attempt's own connection and id. */
+  readonly attemptId: string;
+  readonly method: string;
+  /** Path on the upstream. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  /** Events to skip: those that earlier attempts have delivered. */
+  readonly resumeAfter: number;
+  /** Whether the answer is an event stream with an end marker. */
+  readonly streaming: boolean;
+}
+
+/** Head of an answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  /** The transport delivered the whole body. */
+  | { readonly kind: "ended" }
+  /** No byte of the request reached the upstream. */
+  | { readonly kind: "not_sent"; readonly detail: string }
+  /** The upstream went away, or broke the protocol, after the request was sent. */
+  | { readonly kind: "broken"; readonly detail: string }
+  /** The product cancelled the attempt. */
+  | { readonly kind: "cancelled" };
+
+/** Receives the answer of one attempt. */
+export interface AttemptListener {
+  onHead(head: AnswerHead): void;
+  onData(chunk: Uint8Array): void;
+  /** Called once, last. */
+  onEnd(end: AttemptEnd): void;
+}
+
+/** A running attempt. */
+export interface Attempt {
+  cancel(): void;
+  /** Stops reading until {@linkcode Attempt.resume}. */
+  pause(): void;
+  resume(): void;
+}
+
+/** Sends attempts to engines and plain services. */
+export interface UpstreamClient {
+  send(
+    upstream: Upstream,
+    req: AttemptRequest,
+    listener: AttemptListener,
+  ): Attempt;
+}
--- /dev/null
+++ b/src/settings/controller_settings.ts
@@ -0,0 +1,34 @@
+/**
+ * Settings of the controller.
+ *
+ * @module
+ */
+import { z } from "zod";
+import {
+  LogSettingsSchema,
+  PeerSettingsSchema,
+  PlatformSettingsSchema,
+} from "./gateway_settings.ts";
+import { IpPort, Name } from "./settings_file.ts";
+
+/** One `[token.NAME]` section. */
+export const TokenSettingsSchema = z.strictObject({
+  role: z.enum(["viewer", "team", "operator"]),
+  /** The team whose objects a `team` token may change. */
+  team: Name.optional(),
+  hash: z.string().regex(/^[0-9a-f]{64}$/, "the SHA-256 digest of the token"),
+});
+
+/** `controller.ini`. */
+export const ControllerSettingsSchema = z.strictObject({
+  controller: z.strictObject({ id: Name, admin_address: IpPort }),
+  platform: PlatformSettingsSchema,
+  peers: PeerSettingsSchema,
+  token: z.record(Name, TokenSettingsSchema),
+  log: LogSettingsSchema.default({ format: "json", level: "info" }),
+});
+
+/** `controller.ini`, checked. */
+export type ControllerSettings = z.infer<typeof ControllerSettingsSchema>;
+/** One token, checked. */
+export type TokenSettings = z.infer<typeof TokenSettingsSchema>;
--- /dev/null
+++ b/src/standins/fleet.ts
@@ -0,0 +1,64 @@
+/**
+ * Layout of a deployment's hosts, at the sizes of the two firms or smaller.
+ *
+ * @module
+ */
+import type { Host } from "../world/host.ts";
+
+/** Shape of a fleet. */
+export interface FleetShape {
+  readonly zones: readonly string[];
+  readonly domainsPerZone: number;
+  readonly hostsPerDomain: number;
+  /** Hosts that don't fill a domain; one more in each of the first domains. */
+  readonly extraHosts: number;
+  readonly acceleratorsPerHost: number;
+  /** Name of the plain service; one instance in each zone. */
+  readonly service: string;
+}
+
+/** A host without what changes with its boot. */
+export type FleetHost = Omit<Host, "bootId" | "state">;
+
+/**
+ * Lays out the hosts of a fleet.
+ *
+ * @example
+ * ```ts
+ * const hosts = layOutFleet(shape, (i) => `127.0.0.1:${8100 + i}`);
+ * ```
+ */
+export function layOutFleet(
+  shape: FleetShape,
+  addressOf: (index: number) => string,
+): FleetHost[] {
+  const hosts: FleetHost[] = [];
+  let domains = 0;
+  for (const zone of shape.zones) {
+    for (let d = 1; d <= shape.domainsPerZone; d++) {
+      const extra = domains++ < shape.extraHosts ? 1 : 0;
+      for (let h = 1; h <= shape.hostsPerDomain + extra; h++) {
+        hosts.push({
+          id: `${zone}-${d}-${h}`,
+          kind: "engine",
+          address: addressOf(hosts.length),
+          availabilityZone: zone,
+          fabricDomain: `${zone}-${d}`,
+          accelerators: shape.acceleratorsPerHost,
+        });
+      }
+    }
+  }
+  for (const zone of shape.zones) {
+    hosts.push({
+      id: `${zone}-${shape.service}`,
+      kind: "service",
+      address: addressOf(hosts.length),
+      availabilityZone: zone,
+      fabricDomain: "",
+      accelerators: 0,
+      service: shape.service,
+    });
+  }
+  return hosts;
+}
--- /dev/null
+++ b/src/standins/server/standins.ts
@@ -0,0 +1,156 @@
+/**
+ * All stand-ins in one process: platform, engines, services, and their faults.
+ *
+ * @module
+ */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import { listen } from "../../adapters/listen.ts";
+import type { Timers } from "../../base/timers.ts";
+import type { Host } from "../../world/host.ts";
+import type { FleetHost } from "../fleet.ts";
+import type { EngineProfile } from "../sim/engine_sim.ts";
+import { EngineSim } from "../sim/engine_sim.ts";
+import type { Journal } from "../sim/journal.ts";
+import { MemoryKeyValue } from "../sim/memory_key_value.ts";
+import { ServiceSim } from "../sim/service_sim.ts";
+import { WeightStoreSim } from "../sim/weight_store.ts";
+import { EngineServer } from "./engine_server.ts";
+import { readJson, sendJson } from "./http_helpers.ts";
+import { ServiceServer } from "./service_server.ts";
+import { StoreServer } from "./store_server.ts";
+
+/** Loads that the weight store serves at once. */
+const WEIGHT_STORE_PARALLEL = 12;
+
+/** What the stand-ins are made of. */
+export interface StandinsOptions {
+  readonly timers: Timers;
+  readonly journal: Journal;
+  readonly storeAddress: string;
+  readonly platformAddress: string;
+  readonly hosts: readonly FleetHost[];
+  readonly profile: EngineProfile;
+}
+
+type Sim = EngineSim | ServiceSim;
+
+/** Runs and breaks the outside world. */
+export class Standins {
+  readonly store: StoreServer;
+  readonly engines = new Map<string, EngineSim>();
+  readonly services = new Map<string, ServiceSim>();
+  readonly #options: StandinsOptions;
+  readonly #platform: Server;
+  readonly #servers: Server[] = [];
+  readonly #leaving = new Set<string>();
+
+  constructor(options: StandinsOptions) {
+    this.#options = options;
+    const { timers } = options;
+    this.store = new StoreServer(timers, new MemoryKeyValue(timers));
+    this.#platform = createServer((req, res) => {
+      this.#handlePlatform(req, res);
+    });
+    this.#makeHosts();
+  }
+
+  /** Opens all ports. */
+  async start(): Promise<void> {
+    await listen(this.store.server, this.#options.storeAddress);
+    await listen(this.#platform, this.#options.platformAddress);
+    const hosts = this.#options.hosts;
+    await Promise.all(
+      this.#servers.map((server, i) => listen(server, hosts[i].address)),
+    );
+  }
+
+  /** Closes all ports. */
+  shutdown(): Promise<void> {
+    for (
+      const server of [this.store.server, this.#platform, ...this.#servers]
+    ) {
+      server.close();
+      server.closeAllConnections();
+    }
+    return Promise.resolve();
+  }
+
+  /** Changes the state of one host. False when there is no such host. */
+  setHost(
+    id: string,
+    action: "die" | "restart" | "pause" | "resume" | "leave" | "stay",
+  ): boolean {
+    const sim = this.#sim(id);
+    if (sim === undefined) return false;
+    if (action === "die") sim.die();
+    if (action === "restart") sim.restart();
+    if (action === "pause") sim.paused = true;
+    if (action === "resume") sim.paused = false;
+    if (action === "leave") this.#setLeaving(sim, true);
+    if (action === "stay") this.#setLeaving(sim, false);
+    return true;
+  }
+
+  #setLeaving(sim: Sim, leaving: boolean): void {
+    sim.leavingSince = leaving ? this.#options.timers.now() : Infinity;
+    if (leaving) this.#leaving.add(sim.hostId);
+    else this.#leaving.delete(sim.hostId);
+  }
+
+  #sim(id: string): Sim | undefined {
+    return this.engines.get(id) ?? this.services.get(id);
+  }
+
+  #makeHosts(): void {
+    const { timers, journal, hosts, profile } = this.#options;
+    const byAddress = new Map<string, EngineSim>();
+    const weights = new WeightStoreSim(timers, WEIGHT_STORE_PARALLEL);
+    const engineAt = (address: string) => byAddress.get(address);
+    const env = { timers, weights, journal, engineAt };
+    for (const host of hosts) {
+      const at = { hostId: host.id, ...host };
+      if (host.kind === "engine") {
+        const engine = new EngineSim(env, at, profile);
+        this.engines.set(host.id, engine);
+        byAddress.set(host.address, engine);
+        this.#servers.push(new EngineServer(engine).server);
+      } else {
+        const service = new ServiceSim(timers, journal, at);
+        this.services.set(host.id, service);
+        const name = host.service ?? "";
+        this.#servers.push(new ServiceServer(service, name).server);
+      }
+    }
+  }
+
+  #listHosts(): Host[] {
+    return this.#options.hosts.flatMap((host) => {
+      const sim = this.#sim(host.id);
+      if (sim === undefined || !sim.alive) return [];
+      const state = this.#leaving.has(host.id) ? "leaving" : "live";
+      return [{ ...host, bootId: sim.bootId, state }];
+    });
+  }
+
+  async #handlePlatform(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    if (req.url === "/v1/hosts") {
+      return sendJson(res, 200, { hosts: this.#listHosts() });
+    }
+    if (req.method !== "POST") return sendJson(res, 404, { error: "No path" });
+    const body = await readJson(req);
+    if (req.url === "/faults/store") {
+      Object.assign(this.store.faults, body);
+      if (this.store.faults.down) this.store.cutConnections();
+      return sendJson(res, 200, this.store.faults);
+    }
+    if (req.url === "/faults/host") {
+      const done = this.setHost(String(body.id), body.action as never);
+      return sendJson(res, done ? 200 : 404, { done });
+    }
+    sendJson(res, 404, { error: "No such path" });
+  }
+}
--- /dev/null
+++ b/src/standins/sim/memory_key_value.ts
@@ -0,0 +1,133 @@
+/**
+ * In-memory key-value state with revisions, transactions, leases and watches.
+ *
+ * @module
+ */
+import type { Timer, Timers } from "../../base/timers.ts";
+import type {
+  StoreEntry,
+  StorePut,
+  TransactionResult,
+} from "../../platform/key_value_store.ts";
+
+interface Item {
+  value: string;
+  modRevision: number;
+  leaseId: string | undefined;
+}
+
+interface Lease {
+  readonly ttlMs: number;
+  timer: Timer;
+}
+
+/** Receives each write below a prefix. */
+export interface MemoryWatch {
+  readonly prefix: string;
+  onEntry(entry: StoreEntry): void;
+}
+
+/** The state behind every stand-in of the key-value service. */
+export class MemoryKeyValue {
+  readonly #timers: Timers;
+  readonly #items = new Map<string, Item>();
+  readonly #leases = new Map<string, Lease>();
+  readonly #watches = new Set<MemoryWatch>();
+  #revision = 0;
+  #leaseCount = 0;
+
+  constructor(timers: Timers) {
+    this.#timers = timers;
+  }
+
+  /** Revision of the last write. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Number of running watches. */
+  get watches(): number {
+    return this.#watches.size;
+  }
+
+  /** Reads a key; an absent one has revision 0. */
+  read(key: string): StoreEntry {
+    const item = this.#items.get(key);
+    return {
+      key,
+      value: item?.value ?? "",
+      modRevision: item?.modRevision ?? 0,
+    };
+  }
+
+  /** Reads all keys with a prefix, in order. */
+  readPrefix(prefix: string): StoreEntry[] {
+    const keys = [...this.#items.keys()].filter((k) => k.startsWith(prefix));
+    return keys.sort().map((key) => this.read(key));
+  }
+
+  /** Applies all writes, or none. */
+  transact(puts: readonly StorePut[]): TransactionResult {
+    const current = puts.map((put) => this.read(put.key));
+    const matches = puts.every((put, i) =>
+      current[i].modRevision === put.expectRevision
+    );
+    if (!matches) return { applied: false, current };
+    this.#revision += 1;
+    for (const put of puts) this.#put(put);
+    return { applied: true, revision: this.#revision };
+  }
+
+  /** Grants a lease. */
+  grantLease(ttlMs: number): string {
+    const id = String(++this.#leaseCount);
+    this.#leases.set(id, { ttlMs, timer: this.#expiry(id, ttlMs) });
+    return id;
+  }
+
+  /** Renews a lease; false when it has lapsed. */
+  renewLease(id: string): boolean {
+    const lease = this.#leases.get(id);
+    if (lease === undefined) return false;
+    lease.timer.cancel();
+    lease.timer = this.#expiry(id, lease.ttlMs);
+    return true;
+  }
+
+  /** Adds a watch. */
+  watch(watch: MemoryWatch): void {
+    this.#watches.add(watch);
+  }
+
+  /** Removes a watch. */
+  unwatch(watch: MemoryWatch): void {
+    this.#watches.delete(watch);
+  }
+
+  #put(put: StorePut): void {
+    this.#items.set(put.key, {
+      value: put.value,
+      modRevision: this.#revision,
+      leaseId: put.leaseId,
+    });
+    this.#notify(put.key);
+  }
+
+  #notify(key: string): void {
+    for (const watch of this.#watches) {
+      if (key.startsWith(watch.prefix)) watch.onEntry(this.read(key));
+    }
+  }
+
+  #expiry(id: string, ttlMs: number): Timer {
+    return this.#timers.after(ttlMs, () => {
+      this.#leases.delete(id);
+      for (const [key, item] of this.#items) {
+        if (item.leaseId !== id) continue;
+        this.#items.delete(key);
+        this.#revision += 1;
+        this.#notify(key);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/tools/run_tests.ts
@@ -0,0 +1,113 @@
+/**
+ * Runs all cucumber scenarios and prints the counts as the last line.
+ *
+ * Scenarios tagged `@known-red` run and are listed, but don't decide the exit
+ * code; KNOWN-RED.txt tells about each of them.
+ *
+ * @module
+ */
+import process from "node:process";
+import type { Envelope } from "@cucumber/messages";
+import {
+  loadConfiguration,
+  loadSupport,
+  runCucumber,
+} from "@cucumber/cucumber/api";
+
+/** What became of one scenario. */
+interface ScenarioResult {
+  readonly name: string;
+  readonly knownRed: boolean;
+  failed: boolean;
+  message: string;
+}
+
+/** Collects results from cucumber's messages. */
+class Results {
+  readonly scenarios = new Map<string, ScenarioResult>();
+  readonly #pickles = new Map<string, { name: string; tags: string[] }>();
+  readonly #testCases = new Map<string, string>();
+  readonly #started = new Map<string, string>();
+
+  take(envelope: Envelope): void {
+    const { pickle, testCase, testCaseStarted, testStepFinished } = envelope;
+    if (pickle !== undefined) {
+      const tags = pickle.tags.map((tag) => tag.name);
+      this.#pickles.set(pickle.id, { name: pickle.name, tags });
+    }
+    if (testCase !== undefined) {
+      this.#testCases.set(testCase.id, testCase.pickleId);
+    }
+    if (testCaseStarted !== undefined) this.#start(testCaseStarted);
+    if (testStepFinished !== undefined) this.#finishStep(testStepFinished);
+  }
+
+  #start(started: { id: string; testCaseId: string }): void {
+    const pickleId = this.#testCases.get(started.testCaseId) ?? "";
+    const pickle = this.#pickles.get(pickleId);
+    if (pickle === undefined) return;
+    this.#started.set(started.id, pickleId);
+    this.scenarios.set(pickleId, {
+      name: pickle.name,
+      knownRed: pickle.tags.includes("@known-red"),
+      failed: false,
+      message: "",
+    });
+  }
+
+  #finishStep(
+    step: NonNullable<Envelope["testStepFinished"]>,
+  ): void {
+    const { status, message } = step.testStepResult;
+    if (status === "PASSED") return;
+    const pickleId = this.#started.get(step.testCaseStartedId) ?? "";
+    const scenario = this.scenarios.get(pickleId);
+    if (scenario === undefined) return;
+    scenario.failed = true;
+    if (scenario.message === "") scenario.message = message ?? status;
+  }
+}
+
+async function main(): Promise<void> {
+  const [tags = ""] = process.argv.slice(2);
+  const { runConfiguration } = await loadConfiguration({
+    provided: {
+      paths: ["features/**/*.feature"],
+      import: ["dist/features/**/*.js"],
+      format: [],
+      tags,
+    },
+  });
+  const support = await loadSupport(runConfiguration);
+  const results = new Results();
+  const { success } = await runCucumber(
+    { ...runConfiguration, support },
+    {},
+    (envelope) => results.take(envelope),
+  );
+  report(results, success);
+}
+
+function report(results: Results, success: boolean): void {
+  const all = [...results.scenarios.values()];
+  const decisive = all.filter((scenario) => !scenario.knownRed);
+  const failed = decisive.filter((scenario) => scenario.failed);
+  for (const scenario of all) {
+    const mark = scenario.failed ? "FAILED" : "ok";
+    const red = scenario.knownRed ? " (known red)" : "";
+    process.stdout.write(`${mark}${red}: ${scenario.name}\n`);
+    if (scenario.failed) process.stdout.write(`${indent(scenario.message)}\n`);
+  }
+  const passed = decisive.length - failed.length;
+  const unexplained = !success && all.every((scenario) => !scenario.failed);
+  if (unexplained) process.stdout.write("The run failed outside a scenario\n");
+  process.stdout.write(`${passed} passed, ${failed.length} failed\n`);
+  const ok = failed.length === 0 && passed > 0 && !unexplained;
+  process.exit(ok ? 0 : 1);
+}
+
+function indent(text: string): string {
+  return text.split("\n").slice(0, 12).map((line) => `    ${line}`).join("\n");
+}
+
+await main();
