--- /dev/null
+++ b/src/bench/checker.ts
@@ -0,0 +1,283 @@
+/**
+ * Counts breaches of the ten promises from what engines, services, the store
+ * and callers really saw.
+ *
+ * @module
+ */
+import { parseDomainRecord } from "../core/configuration/parse.ts";
+import { DOMAIN_PREFIX } from "../core/configuration/store_keys.ts";
+import type { JournalEvent } from "../standins/sim/journal.ts";
+import type { DomainRecord } from "../world/replica_group.ts";
+import type { Callers, Sending } from "./callers.ts";
+import { expectedText, isWhole } from "./callers.ts";
+import type { Cluster, OperatorChange } from "./cluster.ts";
+
+/** Longest time in which a missing host is found out. */
+export const DETECTION_BOUND_MS = 2_000;
+/** "A few seconds": zones out, leaving upstreams, configuration in force. */
+export const IN_FORCE_BOUND_MS = 5_000;
+const SAMPLE_MS = 100;
+
+/** The brief's promises, in its order. */
+export type PromiseNumber = 1 | 2 | 3 | 4 | 5 | 6 | 7 | 8 | 9 | 10;
+
+/** One breach, with what was seen. */
+export interface Breach {
+  readonly promise: PromiseNumber;
+  readonly at: number;
+  readonly detail: string;
+}
+
+/** When a zone was taken out and when it came back. */
+interface ZoneOutage {
+  readonly zone: string;
+  readonly from: number;
+  readonly to: number;
+}
+
+/** Watches a cluster while it runs and judges it afterwards. */
+export class Checker {
+  readonly breaches: Breach[] = [];
+  readonly #cluster: Cluster;
+  readonly #revisions = new Map<string, number>();
+  readonly #shutdowns: Array<{ incarnation: string; at: number }> = [];
+
+  constructor(cluster: Cluster) {
+    this.#cluster = cluster;
+    cluster.timers.subscribe(SAMPLE_MS, () => this.#sample());
+    cluster.store.state.watch({
+      prefix: DOMAIN_PREFIX,
+      onEntry: (entry) => this.#checkRecord(entry.value),
+    });
+  }
+
+  /** Notes that a gateway's graceful shutdown has ended. */
+  shutdownEnded(incarnation: string): void {
+    const at = this.#cluster.timers.now();
+    this.#shutdowns.push({ incarnation, at });
+  }
+
+  /** Judges everything that was recorded. */
+  finish(callers: Callers): void {
+    for (const event of this.#cluster.journal) this.#checkEvent(event);
+    const ran = this.#attemptsByCall();
+    for (const sending of callers.sendings) this.#checkSending(sending, ran);
+    this.#checkOrders();
+  }
+
+  /** Number of breaches of each promise. */
+  counts(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (let promise = 1; promise <= 10; promise++) counts[promise] = 0;
+    for (const breach of this.breaches) counts[breach.promise] += 1;
+    return counts;
+  }
+
+  #breach(promise: PromiseNumber, at: number, detail: string): void {
+    this.breaches.push({ promise, at, detail });
+  }
+
+  #checkEvent(event: JournalEvent): void {
+    const { at } = event;
+    if (event.kind === "stolen") {
+      this.#breach(
+        2,
+        at,
+        `${event.hostId} loaded ${event.groupId} while in another`,
+      );
+    }
+    if (event.kind === "request_completed" && !event.whole) {
+      this.#breach(1, at, `${event.hostId} answered with a host missing`);
+    }
+    if (event.kind === "order_run") {
+      this.#checkPlace(event, at);
+    }
+    if (event.kind !== "request_started") return;
+    this.#checkPlace(event, at);
+    if (event.brokenForMs > DETECTION_BOUND_MS) {
+      this.#breach(
+        1,
+        at,
+        `${event.groupId} got work ${event.brokenForMs} ms after it broke`,
+      );
+    }
+    if (event.justStarted && event.running > event.bears) {
+      this.#breach(
+        3,
+        at,
+        `${event.groupId} ran ${event.running}, bears ${event.bears}`,
+      );
+    }
+  }
+
+  /** New work in a zone that is out, or at an upstream that is leaving. */
+  #checkPlace(
+    event: { hostId: string; availabilityZone: string; leavingForMs: number },
+    at: number,
+  ): void {
+    const outage = this.#zoneOutages().find((o) =>
+      o.zone === event.availabilityZone && at > o.from + IN_FORCE_BOUND_MS &&
+      at < o.to
+    );
+    if (outage !== undefined) {
+      this.#breach(
+        4,
+        at,
+        `${event.hostId} got work ${at - outage.from} ms after its zone left`,
+      );
+    }
+    if (event.leavingForMs > IN_FORCE_BOUND_MS) {
+      this.#breach(
+        8,
+        at,
+        `${event.hostId} got work ${event.leavingForMs} ms after it was leaving`,
+      );
+    }
+  }
+
+  #zoneOutages(): ZoneOutage[] {
+    this.#outages ??= findOutages(this.#cluster);
+    return this.#outages;
+  }
+  #outages: ZoneOutage[] | undefined;
+
+  #attemptsByCall(): Map<string, JournalEvent[]> {
+    const ran = new Map<string, JournalEvent[]>();
+    for (const event of this.#cluster.journal) {
+      if (event.kind !== "request_started" && event.kind !== "order_run") {
+        continue;
+      }
+      const callId = event.attemptId.replace(/-\d+$/, "");
+      const list = ran.get(callId) ?? [];
+      list.push(event);
+      ran.set(callId, list);
+    }
+    return ran;
+  }
+
+  #checkSending(
+    sending: Sending,
+    ran: ReadonlyMap<string, readonly JournalEvent[]>,
+  ): void {
+    const { callId, sentAt, problem, endedAt } = sending;
+    if (endedAt === undefined) {
+      return this.#breach(5, sentAt, `${callId} was never answered`);
+    }
+    const answered = problem === undefined && !sending.cut;
+    if (answered && !isWhole(sending, this.#cluster)) {
+      const expected = expectedText(sending, this.#cluster).length;
+      this.#breach(
+        5,
+        endedAt,
+        `${callId} got ${sending.text.length} of ${expected} characters or others`,
+      );
+    }
+    if (problem?.notRun && ran.has(callId)) {
+      this.#breach(6, endedAt, `${callId} was refused as not run but ran`);
+    }
+    const shutdown = this.#shutdowns.find((s) =>
+      s.incarnation === sending.incarnation
+    );
+    if (sending.cut && shutdown !== undefined && sentAt < shutdown.at) {
+      this.#breach(9, shutdown.at, `${callId} was cut by a shutdown`);
+    }
+  }
+
+  #checkOrders(): void {
+    const runs = new Map<string, number>();
+    for (const event of this.#cluster.journal) {
+      if (event.kind !== "order_run") continue;
+      const count = (runs.get(event.idempotencyKey) ?? 0) + 1;
+      runs.set(event.idempotencyKey, count);
+      if (count > 1) {
+        this.#breach(7, event.at, `${event.idempotencyKey} ran ${count} times`);
+      }
+    }
+  }
+
+  /** Every gateway that takes work has every change accepted long enough ago. */
+  #sample(): void {
+    const now = this.#cluster.timers.now();
+    let due = 0;
+    for (const change of this.#cluster.changes) {
+      if (change.acceptedAt === undefined || change.revision === undefined) {
+        continue;
+      }
+      if (now - change.acceptedAt > IN_FORCE_BOUND_MS) {
+        due = Math.max(due, change.revision);
+      }
+    }
+    for (const { member, node, gateway } of this.#cluster.gateways) {
+      if (node.state !== "up") continue;
+      const { revision } = gateway.cfg;
+      const before = this.#revisions.get(member.incarnation) ?? 0;
+      this.#revisions.set(member.incarnation, revision);
+      if (revision < before) {
+        this.#breach(
+          10,
+          now,
+          `${member.id} went from ${before} back to ${revision}`,
+        );
+      }
+      const serves = gateway.notReadyReason === undefined;
+      if (serves && revision < due) {
+        this.#breach(
+          10,
+          now,
+          `${member.id} takes work on ${revision}, ${due} is accepted`,
+        );
+      }
+    }
+  }
+
+  #checkRecord(value: string): void {
+    const record = parseDomainRecord(value);
+    if (record === undefined) return;
+    const host = firstSharedHost(record);
+    if (host === undefined) return;
+    this.#breach(2, this.#cluster.timers.now(), `${host} is in two groups`);
+  }
+}
+
+function firstSharedHost(record: DomainRecord): string | undefined {
+  const seen = new Set<string>();
+  for (const group of record.groups) {
+    for (const { hostId } of group.members) {
+      if (seen.has(hostId)) return hostId;
+      seen.add(hostId);
+    }
+  }
+  return undefined;
+}
+
+/**
+ * Times from a zone's being out, as accepted, to its being asked back. Changes
+ * that race are ordered by their revisions, not by when they were submitted.
+ */
+function findOutages(cluster: Cluster): ZoneOutage[] {
+  const outages: ZoneOutage[] = [];
+  for (const change of cluster.changes) {
+    const { action, acceptedAt, revision = 0 } = change;
+    if (action.kind !== "set_zone" || acceptedAt === undefined) continue;
+    const next = nextChangeOfZone(cluster, action.zone, revision);
+    if (action.state === "out") {
+      const to = next?.submittedAt ?? Infinity;
+      outages.push({ zone: action.zone, from: acceptedAt, to });
+    }
+  }
+  return outages;
+}
+
+/** The earliest later change that brings the zone back. */
+function nextChangeOfZone(
+  cluster: Cluster,
+  zone: string,
+  after: number,
+): OperatorChange | undefined {
+  return cluster.changes
+    .filter(({ action, revision = 0 }) =>
+      action.kind === "set_zone" && action.zone === zone &&
+      action.state === "in" && revision > after
+    )
+    .sort((a, b) => (a.revision ?? 0) - (b.revision ?? 0))[0];
+}
--- /dev/null
+++ b/src/bench/cluster.ts
@@ -0,0 +1,415 @@
+/**
+ * A deployment in virtual time: processes, simulated systems, faults.
+ *
+ * @module
+ */
+import type { Outcome } from "../base/outcome.ts";
+import { Random } from "../base/random.ts";
+import type {
+  Accepted,
+  AdministrationError,
+} from "../core/configuration/administration.ts";
+import { Administration } from "../core/configuration/administration.ts";
+import type { Action } from "../core/configuration/change.ts";
+import { applyChange } from "../core/configuration/change.ts";
+import { CONFIG_KEY } from "../core/configuration/store_keys.ts";
+import { Controller } from "../core/controller/controller.ts";
+import type { Decision } from "../core/gateway/decision_log.ts";
+import type { EntryGateway } from "../core/gateway/entry_gateway.ts";
+import { Gateway } from "../core/gateway/gateway.ts";
+import { AffinityRouter } from "../core/routing/affinity_router.ts";
+import { NaiveController } from "../naive/naive_controller.ts";
+import { NaiveGateway } from "../naive/naive_gateway.ts";
+import type { FleetHost } from "../standins/fleet.ts";
+import { layOutFleet } from "../standins/fleet.ts";
+import { EngineSim } from "../standins/sim/engine_sim.ts";
+import type { JournalEvent } from "../standins/sim/journal.ts";
+import { MemoryKeyValue } from "../standins/sim/memory_key_value.ts";
+import { ServiceSim } from "../standins/sim/service_sim.ts";
+import { WeightStoreSim } from "../standins/sim/weight_store.ts";
+import type { GatewayMember } from "../world/configuration.ts";
+import { EMPTY_CONFIGURATION } from "../world/configuration.ts";
+import type { Host } from "../world/host.ts";
+import type { Deployment } from "./deployment.ts";
+import { declarations } from "./deployment.ts";
+import {
+  FakeEngineControl,
+  FakeHostList,
+  FakePeerNetwork,
+  FakeStore,
+  FakeUpstreamClient,
+  StoreService,
+} from "./fakes.ts";
+import { VirtualNetwork, VirtualNode } from "./virtual_network.ts";
+import { VirtualTimers } from "./virtual_timers.ts";
+
+/** Time until the host list shows a change. */
+export const HOST_LIST_LAG_MS = 2_000;
+/** Time between engines' load reports. */
+const REPORT_PERIOD_MS = 500;
+const WEIGHT_STORE_PARALLEL = 12;
+const CONTROLLERS = 2;
+const CHANGE_LIMIT_MS = 20_000;
+
+/** Which implementation runs. */
+export type Variant = "product" | "naive";
+
+/** A gateway with its process. */
+export interface GatewaySlot {
+  readonly member: GatewayMember;
+  readonly node: VirtualNode;
+  readonly gateway: EntryGateway;
+}
+
+/** A controller with its process. */
+export interface ControllerSlot {
+  readonly node: VirtualNode;
+  readonly controller: Controller | NaiveController;
+}
+
+/** An operator's change, as it went. */
+export interface OperatorChange {
+  readonly action: Action;
+  readonly submittedAt: number;
+  acceptedAt: number | undefined;
+  revision: number | undefined;
+  refused: string | undefined;
+}
+
+/** Everything that runs, and the hands that break it. */
+export class Cluster {
+  readonly timers = new VirtualTimers();
+  readonly random: Random;
+  readonly network: VirtualNetwork;
+  readonly store: StoreService;
+  readonly engines = new Map<string, EngineSim>();
+  readonly services = new Map<string, ServiceSim>();
+  readonly hosts: readonly FleetHost[];
+  readonly journal: JournalEvent[] = [];
+  readonly decisions: Decision[] = [];
+  readonly gateways: GatewaySlot[] = [];
+  readonly controllers: ControllerSlot[] = [];
+  readonly changes: OperatorChange[] = [];
+  readonly deployment: Deployment;
+  readonly variant: Variant;
+  readonly #byAddress = {
+    engines: new Map<string, EngineSim>(),
+    services: new Map<string, ServiceSim>(),
+  };
+  readonly #listed = new Map<string, Host>();
+  readonly #operator: VirtualNode;
+  readonly #seats: Array<Omit<GatewayMember, "incarnation">> = [];
+  #incarnations = 0;
+  #changeCount = 0;
+
+  constructor(deployment: Deployment, variant: Variant, seed: number) {
+    this.deployment = deployment;
+    this.variant = variant;
+    this.random = new Random(seed);
+    this.network = new VirtualNetwork(this.timers, new Random(seed + 1));
+    const state = new MemoryKeyValue(this.timers);
+    this.store = new StoreService(this.timers, state);
+    this.#operator = new VirtualNode("operator", this.timers);
+    this.hosts = layOutFleet(deployment.fleet, (i) => `host-${i}`);
+    this.#makeHosts();
+    for (let i = 1; i <= deployment.gateways; i++) {
+      this.#seats.push(this.#seat(i));
+    }
+    for (const seat of this.#seats) this.startGateway(seat.id);
+    for (let i = 1; i <= CONTROLLERS; i++) this.#startController(i);
+  }
+
+  /** Declares classes, models, services and customers, and lets groups form. */
+  async settle(): Promise<void> {
+    await this.timers.run(this.variant === "product" ? 8_000 : 500);
+    for (const action of declarations(this.deployment)) {
+      this.change(action, "settle");
+      await this.timers.run(200);
+    }
+    await this.timers.run(40_000);
+  }
+
+  /**
+   * Submits an operator's change; its record tells how it went. A careful
+   * operator names the revision looked at, so that a race is found out.
+   */
+  change(
+    action: Action,
+    author = "operator",
+    careful = false,
+  ): OperatorChange {
+    const baseRevision = careful ? this.#newestRevision() : undefined;
+    const record: OperatorChange = {
+      action,
+      submittedAt: this.timers.now(),
+      acceptedAt: undefined,
+      revision: undefined,
+      refused: undefined,
+    };
+    this.changes.push(record);
+    this.#submit(action, author, baseRevision).then((res) => {
+      if (res.ok) {
+        record.acceptedAt = this.timers.now();
+        record.revision = res.value.cfg.revision;
+      } else {
+        record.refused = res.err.kind;
+      }
+    });
+    return record;
+  }
+
+  /** Takes a zone out or brings it back. */
+  setZone(zone: string, state: "in" | "out"): OperatorChange {
+    return this.change({ kind: "set_zone", zone, state });
+  }
+
+  /** The host goes dark at once: nothing answers, nothing is refused. */
+  hostDies(id: string): void {
+    const sim = this.#sim(id);
+    this.network.cut(sim.address, "*");
+    sim.die();
+    this.timers.after(HOST_LIST_LAG_MS, () => {
+      if (!sim.alive) this.#listed.delete(id);
+    });
+  }
+
+  /** A dead host comes back with another boot. */
+  hostReturns(id: string): void {
+    const sim = this.#sim(id);
+    this.network.heal(sim.address, "*");
+    sim.restart();
+    this.timers.after(HOST_LIST_LAG_MS, () => this.#list(id));
+  }
+
+  /** The host list begins to show the host as leaving. */
+  hostLeaves(id: string): void {
+    const sim = this.#sim(id);
+    this.timers.after(HOST_LIST_LAG_MS, () => {
+      const host = this.#listed.get(id);
+      if (host === undefined) return;
+      this.#listed.set(id, { ...host, state: "leaving" });
+      sim.leavingSince = this.timers.now();
+    });
+  }
+
+  /** Starts a gateway in its place, as another process. */
+  startGateway(id: string): GatewaySlot {
+    const seat = this.#seats.find((s) => s.id === id);
+    if (seat === undefined) throw new Error(`No gateway ${id}`);
+    const incarnation = `${id}-i${++this.#incarnations}`;
+    const member: GatewayMember = { ...seat, incarnation };
+    const node = new VirtualNode(id, this.timers);
+    const gateway = this.variant === "product"
+      ? this.#productGateway(member, node)
+      : this.#naiveGateway(node);
+    const slot = { member, node, gateway };
+    const at = this.gateways.findIndex((g) => g.member.id === id);
+    if (at >= 0) this.gateways[at] = slot;
+    else this.gateways.push(slot);
+    gateway.start();
+    return slot;
+  }
+
+  /** The gateway's process ends at once. */
+  killGateway(id: string): void {
+    this.gateway(id).node.kill();
+  }
+
+  /** Finds a gateway. */
+  gateway(id: string): GatewaySlot {
+    const slot = this.gateways.find((g) => g.member.id === id);
+    if (slot === undefined) throw new Error(`No gateway ${id}`);
+    return slot;
+  }
+
+  /** The controller that acts now; the first one if none does. */
+  activeController(): ControllerSlot {
+    return this.controllers.find(({ controller }) =>
+      controller instanceof Controller && controller.active
+    ) ?? this.controllers[0];
+  }
+
+  /** Engines that lead a group of the model which serves whole. */
+  wholeGroups(model: string): EngineSim[] {
+    return [...this.engines.values()].filter((engine) => {
+      const group = engine.membership;
+      if (group?.model !== model || group.members[0] !== engine.address) {
+        return false;
+      }
+      return group.members.every((address) => {
+        const member = this.#byAddress.engines.get(address);
+        return member?.alive === true && member.phase === "ready" &&
+          member.membership?.epoch === group.epoch && !member.paused;
+      });
+    });
+  }
+
+  #newestRevision(): number {
+    return Math.max(...this.gateways.map((g) => g.gateway.cfg.revision));
+  }
+
+  #sim(id: string): EngineSim | ServiceSim {
+    const sim = this.engines.get(id) ?? this.services.get(id);
+    if (sim === undefined) throw new Error(`No host ${id}`);
+    return sim;
+  }
+
+  #seat(index: number): Omit<GatewayMember, "incarnation"> {
+    const id = `gw-${index}`;
+    const { zones } = this.deployment.fleet;
+    return {
+      id,
+      peerAddress: id,
+      callerAddress: id,
+      availabilityZone: zones[(index - 1) % zones.length],
+    };
+  }
+
+  #makeHosts(): void {
+    const { timers } = this;
+    const journal = { record: (event: JournalEvent) => this.#record(event) };
+    const weights = new WeightStoreSim(timers, WEIGHT_STORE_PARALLEL);
+    const engineAt = (address: string) => this.#byAddress.engines.get(address);
+    const env = { timers, weights, journal, engineAt };
+    for (const host of this.hosts) {
+      const at = { hostId: host.id, ...host };
+      if (host.kind === "engine") {
+        const engine = new EngineSim(env, at, this.deployment.profile);
+        this.engines.set(host.id, engine);
+        this.#byAddress.engines.set(host.address, engine);
+      } else {
+        const service = new ServiceSim(timers, journal, at);
+        this.services.set(host.id, service);
+        this.#byAddress.services.set(host.address, service);
+      }
+      this.#list(host.id);
+    }
+    timers.subscribe(REPORT_PERIOD_MS, () => {
+      for (const engine of this.engines.values()) engine.publishReport();
+    });
+  }
+
+  #record(event: JournalEvent): void {
+    this.journal.push(event);
+    // A crashed program starts again by itself; the list shows its new boot.
+    if (event.kind !== "crashed") return;
+    const lag = this.deployment.profile.restartMs + HOST_LIST_LAG_MS;
+    this.timers.after(lag, () => this.#list(event.hostId));
+  }
+
+  #list(id: string): void {
+    const host = this.hosts.find((h) => h.id === id);
+    const sim = this.#sim(id);
+    if (host === undefined || !sim.alive) return;
+    this.#listed.set(id, { ...host, bootId: sim.bootId, state: "live" });
+  }
+
+  #parts(node: VirtualNode) {
+    const { network } = this;
+    const peers = (address: string) => {
+      const slot = this.gateways.find((g) => g.member.peerAddress === address);
+      return slot && { node: slot.node, handler: slot.gateway };
+    };
+    return {
+      timers: node,
+      store: new FakeStore(node, network, this.store),
+      hostList: new FakeHostList(
+        node,
+        network,
+        () => [...this.#listed.values()],
+      ),
+      control: new FakeEngineControl(node, network, this.#byAddress),
+      client: new FakeUpstreamClient(node, network, this.#byAddress),
+      network: new FakePeerNetwork(node, network, peers),
+      log: { decided: (decision: Decision) => this.#decided(decision) },
+    };
+  }
+
+  #decided(decision: Decision): void {
+    const kept = [
+      "place",
+      "close_upstream",
+      "cool_down",
+      "command",
+      "lifecycle",
+    ];
+    if (kept.includes(decision.kind)) this.decisions.push(decision);
+  }
+
+  #productGateway(self: GatewayMember, node: VirtualNode): Gateway {
+    const seed = ++this.#incarnations * 7919;
+    const seeds = this.#seats.map((seat) => ({
+      ...seat,
+      id: `seed ${seat.id}`,
+      incarnation: "",
+    }));
+    return new Gateway({
+      ...this.#parts(node),
+      self,
+      seeds: seeds.filter((seat) => seat.peerAddress !== self.peerAddress),
+      random: new Random(seed),
+      router: new AffinityRouter(new Random(seed + 1)),
+      onResult: () => {},
+    });
+  }
+
+  #naiveGateway(node: VirtualNode): NaiveGateway {
+    const members = this.#seats.map((seat) => ({ ...seat, incarnation: "" }));
+    return new NaiveGateway({ ...this.#parts(node), members });
+  }
+
+  #startController(index: number): void {
+    const id = `ctl-${index}`;
+    const node = new VirtualNode(id, this.timers);
+    if (this.variant === "naive") {
+      if (index > 1) return;
+      const controller = new NaiveController(this.#parts(node));
+      this.controllers.push({ node, controller });
+      controller.start();
+      return;
+    }
+    const incarnation = `${id}-i${++this.#incarnations}`;
+    const controller = new Controller({
+      ...this.#parts(node),
+      id,
+      incarnation,
+    });
+    this.controllers.push({ node, controller });
+    controller.start();
+  }
+
+  async #submit(
+    action: Action,
+    author: string,
+    baseRevision: number | undefined,
+  ): Promise<Outcome<Accepted, AdministrationError>> {
+    const changeId = `${author}-${++this.#changeCount}`;
+    const change = { changeId, author, action, baseRevision };
+    const { store, timers, network } = this.#parts(this.#operator);
+    const administration = new Administration({
+      timers,
+      store,
+      network,
+      selfId: "operator",
+      incarnation: "operator-i1",
+    });
+    if (this.variant === "product") {
+      return await administration.submit(change, CHANGE_LIMIT_MS);
+    }
+    // The baseline calls a change accepted once the store has it.
+    const current = await store.read(CONFIG_KEY);
+    const detail = "The store did not answer";
+    const unavailable = { kind: "store_unavailable", detail } as const;
+    if (!current.ok) return { ok: false, err: unavailable };
+    const { value, modRevision } = current.value;
+    const cfg = value === "" ? EMPTY_CONFIGURATION : JSON.parse(value);
+    const next = applyChange(cfg, { changeId, author, action });
+    if (!next.ok) return next;
+    const text = JSON.stringify(next.value);
+    const put = { key: CONFIG_KEY, value: text, expectRevision: modRevision };
+    const res = await store.transact([put]);
+    if (!res.ok) return { ok: false, err: unavailable };
+    const [applied] = next.value.changes.slice(-1);
+    return { ok: true, value: { change: applied, cfg: next.value } };
+  }
+}
--- /dev/null
+++ b/src/bench/fakes.ts
@@ -0,0 +1,454 @@
+/**
+ * Fakes at the product's interfaces, over virtual links to simulated systems.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { Outcome } from "../base/outcome.ts";
+import { failure, success } from "../base/outcome.ts";
+import type { Timers } from "../base/timers.ts";
+import type { ShareReply, ShareRequest } from "../core/limits/slot_owner.ts";
+import type {
+  PeerError,
+  PeerHandler,
+  PeerNetwork,
+  SyncMessage,
+} from "../core/membership/messages.ts";
+import type {
+  EngineControl,
+  EngineError,
+  EngineStatus,
+  FencedCommand,
+} from "../platform/engine_control.ts";
+import type { HostList, HostListError } from "../platform/host_list.ts";
+import type {
+  KeyValueStore,
+  StoreEntry,
+  StoreError,
+  StoreLease,
+  StorePut,
+  StoreWatch,
+  TransactionResult,
+  WatchListener,
+} from "../platform/key_value_store.ts";
+import type {
+  Attempt,
+  AttemptEnd,
+  AttemptListener,
+  AttemptRequest,
+  UpstreamClient,
+} from "../platform/upstream_client.ts";
+import type { EngineSim } from "../standins/sim/engine_sim.ts";
+import type { MemoryKeyValue } from "../standins/sim/memory_key_value.ts";
+import type { ServiceSim } from "../standins/sim/service_sim.ts";
+import type { Configuration, GatewayMember } from "../world/configuration.ts";
+import type { Host } from "../world/host.ts";
+import type { Upstream } from "../world/upstream.ts";
+import type {
+  NoAnswer,
+  VirtualNetwork,
+  VirtualNode,
+} from "./virtual_network.ts";
+
+/** Link name of the key-value service. */
+export const STORE_LINK = "store";
+/** Link name of the host list. */
+export const HOSTS_LINK = "host-list";
+const STORE_TIMEOUT_MS = 2_000;
+const PEER_TIMEOUT_MS = 800;
+const CONTROL_TIMEOUT_MS = 1_000;
+const CONNECT_TIMEOUT_MS = 1_000;
+/** How late a write lands whose answer was lost. */
+const LATE_WRITE_MS = 2_600;
+/** Text that makes a request crash its engine. */
+export const POISON = "crash-the-engine";
+
+/** Faults and call counts of the key-value service. */
+export class StoreService {
+  readonly state: MemoryKeyValue;
+  down = false;
+  /** Writes that take effect but whose answer is lost. */
+  loseAnswers = 0;
+  /** Writes that take effect late, after their caller has given up. */
+  landLate = 0;
+  peakReads = 0;
+  peakWrites = 0;
+  readonly #timers: Timers;
+  #second = -1;
+  #reads = 0;
+  #writes = 0;
+
+  constructor(timers: Timers, state: MemoryKeyValue) {
+    this.#timers = timers;
+    this.state = state;
+  }
+
+  /** Counts a call; a waiting watch counts as one read. */
+  count(kind: "read" | "write"): void {
+    const second = Math.floor(this.#timers.now() / 1000);
+    if (second !== this.#second) {
+      [this.#second, this.#reads, this.#writes] = [second, 0, 0];
+    }
+    if (kind === "read") this.#reads += 1;
+    else this.#writes += 1;
+    const reads = this.#reads + this.state.watches;
+    this.peakReads = Math.max(this.peakReads, reads);
+    this.peakWrites = Math.max(this.peakWrites, this.#writes);
+  }
+}
+
+/** One process's client of the key-value service. */
+export class FakeStore implements KeyValueStore {
+  readonly #node: VirtualNode;
+  readonly #network: VirtualNetwork;
+  readonly #service: StoreService;
+
+  constructor(
+    node: VirtualNode,
+    network: VirtualNetwork,
+    service: StoreService,
+  ) {
+    this.#node = node;
+    this.#network = network;
+    this.#service = service;
+  }
+
+  read(key: string): Promise<Outcome<StoreEntry, StoreError>> {
+    return this.#call("read", (state) => state.read(key));
+  }
+
+  readPrefix(
+    prefix: string,
+  ): Promise<Outcome<readonly StoreEntry[], StoreError>> {
+    return this.#call("read", (state) => state.readPrefix(prefix));
+  }
+
+  transact(
+    puts: readonly StorePut[],
+  ): Promise<Outcome<TransactionResult, StoreError>> {
+    return this.#call("write", (state) => state.transact(puts), true);
+  }
+
+  grantLease(ttlMs: number): Promise<Outcome<StoreLease, StoreError>> {
+    return this.#call("write", (state) => {
+      return { id: state.grantLease(ttlMs), ttlMs };
+    });
+  }
+
+  renewLease(lease: StoreLease): Promise<Outcome<boolean, StoreError>> {
+    return this.#call("write", (state) => state.renewLease(lease.id));
+  }
+
+  watchPrefix(prefix: string, listener: WatchListener): StoreWatch {
+    const from = this.#node.name;
+    let open = true;
+    const watch = {
+      prefix,
+      onEntry: (entry: StoreEntry) => {
+        if (this.#service.down) return close();
+        this.#network.send(STORE_LINK, from, () => {
+          this.#node.deliver(() => open && listener.onEntry(entry));
+        });
+      },
+    };
+    const close = () => {
+      this.#service.state.unwatch(watch);
+      if (!open) return;
+      open = false;
+      this.#node.after(1_000, () => listener.onClosed());
+    };
+    this.#network.send(from, STORE_LINK, () => {
+      if (open) this.#service.state.watch(watch);
+    });
+    return {
+      cancel: () => {
+        open = false;
+        this.#service.state.unwatch(watch);
+      },
+    };
+  }
+
+  async #call<T>(
+    kind: "read" | "write",
+    act: (state: MemoryKeyValue) => T,
+    faulty = false,
+  ): Promise<Outcome<T, StoreError>> {
+    const res = await this.#network.call<T>({
+      from: this.#node,
+      to: STORE_LINK,
+      timeoutMs: STORE_TIMEOUT_MS,
+      serve: (answer, refuse) => {
+        if (this.#service.down) return refuse();
+        this.#service.count(kind);
+        if (faulty && this.#losesThis(act)) return;
+        answer(act(this.#service.state));
+      },
+    });
+    if (typeof res === "object") return success(res.value);
+    return failure(storeError(res, kind));
+  }
+
+  #losesThis<T>(act: (state: MemoryKeyValue) => T): boolean {
+    const service = this.#service;
+    if (service.landLate > 0) {
+      service.landLate -= 1;
+      this.#node.after(LATE_WRITE_MS, () => act(service.state));
+      return true;
+    }
+    if (service.loseAnswers <= 0) return false;
+    service.loseAnswers -= 1;
+    act(service.state);
+    return true;
+  }
+}
+
+function storeError(res: NoAnswer, kind: "read" | "write"): StoreError {
+  const ambiguous = res === "lost" && kind === "write";
+  return { kind: ambiguous ? "ambiguous" : "unavailable", detail: res };
+}
+
+/** The host list, which shows changes late. */
+export class FakeHostList implements HostList {
+  readonly #node: VirtualNode;
+  readonly #network: VirtualNetwork;
+  readonly #list: () => readonly Host[];
+
+  constructor(
+    node: VirtualNode,
+    network: VirtualNetwork,
+    list: () => readonly Host[],
+  ) {
+    this.#node = node;
+    this.#network = network;
+    this.#list = list;
+  }
+
+  async list(): Promise<Outcome<readonly Host[], HostListError>> {
+    const res = await this.#network.call<readonly Host[]>({
+      from: this.#node,
+      to: HOSTS_LINK,
+      timeoutMs: STORE_TIMEOUT_MS,
+      serve: (answer) => answer(this.#list()),
+    });
+    if (typeof res === "object") return success(res.value);
+    return failure({ kind: "host_list_unavailable", detail: res });
+  }
+}
+
+/** Every simulated engine and service, by address. */
+export interface SimDirectory {
+  readonly engines: ReadonlyMap<string, EngineSim>;
+  readonly services: ReadonlyMap<string, ServiceSim>;
+}
+
+/** Commands and status over virtual links. */
+export class FakeEngineControl implements EngineControl {
+  readonly #node: VirtualNode;
+  readonly #network: VirtualNetwork;
+  readonly #sims: SimDirectory;
+
+  constructor(node: VirtualNode, network: VirtualNetwork, sims: SimDirectory) {
+    this.#node = node;
+    this.#network = network;
+    this.#sims = sims;
+  }
+
+  status(address: string): Promise<Outcome<EngineStatus, EngineError>> {
+    return this.#call(address, (sim) => success(sim.status()));
+  }
+
+  send(
+    address: string,
+    command: FencedCommand,
+  ): Promise<Outcome<true, EngineError>> {
+    return this.#call<true>(address, (sim) => {
+      if ("command" in sim) return sim.command(command);
+      return failure({ kind: "rejected", detail: "Not an engine" });
+    });
+  }
+
+  async #call<T>(
+    address: string,
+    act: (sim: EngineSim | ServiceSim) => Outcome<T, EngineError>,
+  ): Promise<Outcome<T, EngineError>> {
+    const sim = this.#sims.engines.get(address) ??
+      this.#sims.services.get(address);
+    const res = await this.#network.call<Outcome<T, EngineError>>({
+      from: this.#node,
+      to: address,
+      timeoutMs: CONTROL_TIMEOUT_MS,
+      serve: (answer, refuse) => {
+        if (sim === undefined || !sim.alive) return refuse();
+        if (!sim.paused) answer(act(sim));
+      },
+    });
+    if (typeof res === "object") return res.value;
+    return failure({ kind: "unreachable", detail: res });
+  }
+}
+
+/** Requests over virtual links. */
+export class FakeUpstreamClient implements UpstreamClient {
+  readonly #node: VirtualNode;
+  readonly #network: VirtualNetwork;
+  readonly #sims: SimDirectory;
+
+  constructor(node: VirtualNode, network: VirtualNetwork, sims: SimDirectory) {
+    this.#node = node;
+    this.#network = network;
+    this.#sims = sims;
+  }
+
+  send(
+    upstream: Upstream,
+    req: AttemptRequest,
+    listener: AttemptListener,
+  ): Attempt {
+    const { address } = upstream;
+    const from = this.#node;
+    let started = false;
+    let ended = false;
+    let cancelRun = () => {};
+    // One connection: what is sent first arrives first.
+    const wayMs = this.#network.delayMs();
+    const back = (callback: () => void) =>
+      this.#network.send(address, from.name, () => {
+        from.deliver(() => {
+          if (!ended) callback();
+        });
+      }, wayMs);
+    const end = (result: AttemptEnd) =>
+      back(() => {
+        ended = true;
+        listener.onEnd(result);
+      });
+    this.#network.send(from.name, address, () => {
+      if (ended) return;
+      started = true;
+      cancelRun = this.#serve(upstream, req, {
+        head: (status, headers) =>
+          back(() => listener.onHead({ status, headers })),
+        data: (chunk) => back(() => listener.onData(chunk)),
+        end,
+      });
+    });
+    from.after(CONNECT_TIMEOUT_MS, () => {
+      if (started || ended) return;
+      ended = true;
+      listener.onEnd({ kind: "not_sent", detail: "Connect timed out" });
+    });
+    const cancel = () => {
+      ended = true;
+      this.#network.send(from.name, address, () => cancelRun());
+    };
+    return { cancel, pause: () => {}, resume: () => {} };
+  }
+
+  #serve(
+    upstream: Upstream,
+    req: AttemptRequest,
+    reply: {
+      head(status: number, headers: Record<string, string>): void;
+      data(chunk: Uint8Array): void;
+      end(result: AttemptEnd): void;
+    },
+  ): () => void {
+    const engine = this.#sims.engines.get(upstream.address);
+    const service = this.#sims.services.get(upstream.address);
+    const sim = engine ?? service;
+    if (sim === undefined || !sim.alive) {
+      reply.end({ kind: "not_sent", detail: "Connection refused" });
+      return () => {};
+    }
+    const broken = () => reply.end({ kind: "broken", detail: "Reset" });
+    const fingerprint = req.headers["x-request-seed"];
+    const { attemptId, resumeAfter } = req;
+    if (service !== undefined) {
+      const key = req.headers["idempotency-key"] ?? "";
+      const call = { service: upstream.serves, idempotencyKey: key };
+      const run = service.call({ ...call, fingerprint, attemptId }, {
+        answer: (status, body) => {
+          reply.head(status, { "content-type": "application/json" });
+          reply.data(Buffer.from(body));
+          reply.end({ kind: "ended" });
+        },
+        broken,
+      });
+      return () => run.cancel();
+    }
+    if (engine === undefined || !engine.serves(upstream.epoch)) {
+      reply.head(503, { "x-not-run": "1" });
+      reply.end({ kind: "ended" });
+      return () => {};
+    }
+    const poisonous = Buffer.from(req.body).includes(POISON);
+    reply.head(200, { "content-type": "text/event-stream" });
+    const request = { fingerprint, attemptId, resumeAfter, poisonous };
+    const run = engine.generate(request, {
+      data: reply.data,
+      end: () => reply.end({ kind: "ended" }),
+      broken,
+    });
+    return () => run.cancel();
+  }
+}
+
+/** A peer that answers calls, with the process it runs in. */
+export interface FakePeer {
+  readonly node: VirtualNode;
+  readonly handler: PeerHandler;
+}
+
+/** Calls between gateways and controllers over virtual links. */
+export class FakePeerNetwork implements PeerNetwork {
+  readonly #node: VirtualNode;
+  readonly #network: VirtualNetwork;
+  readonly #peers: (address: string) => FakePeer | undefined;
+
+  constructor(
+    node: VirtualNode,
+    network: VirtualNetwork,
+    peers: (address: string) => FakePeer | undefined,
+  ) {
+    this.#node = node;
+    this.#network = network;
+    this.#peers = peers;
+  }
+
+  sync(
+    peer: GatewayMember,
+    msg: SyncMessage,
+  ): Promise<Outcome<SyncMessage, PeerError>> {
+    return this.#call(peer, (handler) => handler.handleSync(msg));
+  }
+
+  requestShare(
+    peer: GatewayMember,
+    req: ShareRequest,
+  ): Promise<Outcome<ShareReply, PeerError>> {
+    return this.#call(peer, (handler) => handler.handleShare(req));
+  }
+
+  async #call<T>(
+    member: GatewayMember,
+    act: (handler: PeerHandler) => T,
+  ): Promise<Outcome<T, PeerError>> {
+    const res = await this.#network.call<T>({
+      from: this.#node,
+      to: member.id.replace(/^seed /, ""),
+      timeoutMs: PEER_TIMEOUT_MS,
+      serve: (answer, refuse) => {
+        const peer = this.#peers(member.peerAddress);
+        if (peer === undefined || peer.node.state === "dead") return refuse();
+        peer.node.deliver(() => answer(act(peer.handler)));
+      },
+    });
+    if (typeof res === "object") return success(res.value);
+    return failure({ kind: "peer_unreachable", detail: res });
+  }
+}
+
+/** The gateways of a configuration, for callers and checks. */
+export function gatewayIds(cfg: Configuration): string[] {
+  return cfg.gateways.map((member) => member.id);
+}
--- /dev/null
+++ b/src/bench/virtual_network.ts
@@ -0,0 +1,161 @@
+/**
+ * Processes that can be paused or killed, and the links between them.
+ *
+ * @module
+ */
+import type { Random } from "../base/random.ts";
+import type { Timer, Timers } from "../base/timers.ts";
+
+/** A process: its callbacks wait while it is paused and vanish when it dies. */
+export class VirtualNode implements Timers {
+  readonly name: string;
+  readonly #timers: Timers;
+  readonly #held: Array<() => void> = [];
+  #state: "up" | "paused" | "dead" = "up";
+
+  constructor(name: string, timers: Timers) {
+    this.name = name;
+    this.#timers = timers;
+  }
+
+  /** Whether the process runs. */
+  get state(): "up" | "paused" | "dead" {
+    return this.#state;
+  }
+
+  now(): number {
+    return this.#timers.now();
+  }
+
+  after(delayMs: number, callback: () => void): Timer {
+    let cancelled = false;
+    const timer = this.#timers.after(delayMs, () => {
+      this.deliver(() => {
+        if (!cancelled) callback();
+      });
+    });
+    return {
+      cancel: () => {
+        cancelled = true;
+        timer.cancel();
+      },
+    };
+  }
+
+  subscribe(periodMs: number, callback: () => void): Timer {
+    let timer: Timer;
+    const arm = () => {
+      timer = this.after(periodMs, () => {
+        arm();
+        callback();
+      });
+    };
+    arm();
+    return { cancel: () => timer.cancel() };
+  }
+
+  /** Runs a callback in the process. */
+  deliver(callback: () => void): void {
+    if (this.#state === "up") callback();
+    else if (this.#state === "paused") this.#held.push(callback);
+  }
+
+  /** Stops the process; what arrives waits. */
+  pause(): void {
+    if (this.#state === "up") this.#state = "paused";
+  }
+
+  /** Goes on where the process stood. */
+  resume(): void {
+    if (this.#state !== "paused") return;
+    this.#state = "up";
+    for (const callback of this.#held.splice(0)) this.deliver(callback);
+  }
+
+  /** Ends the process. */
+  kill(): void {
+    this.#state = "dead";
+    this.#held.length = 0;
+  }
+}
+
+/** What became of a call that brought no answer. */
+export type NoAnswer = "refused" | "lost";
+
+/** One call over a link. */
+export interface LinkCall<T> {
+  readonly from: VirtualNode;
+  readonly to: string;
+  readonly timeoutMs: number;
+  /** Runs at the other end; answers when it likes, or never. */
+  readonly serve: (answer: (value: T) => void, refuse: () => void) => void;
+}
+
+/** Delays between processes, and cuts. */
+export class VirtualNetwork {
+  readonly #timers: Timers;
+  readonly #random: Random;
+  readonly #cuts = new Set<string>();
+
+  constructor(timers: Timers, random: Random) {
+    this.#timers = timers;
+    this.#random = random;
+  }
+
+  /** Stops everything between two names; `*` stands for all others. */
+  cut(a: string, b: string): void {
+    this.#cuts.add(`${a}|${b}`);
+  }
+
+  /** Ends a cut. */
+  heal(a: string, b: string): void {
+    this.#cuts.delete(`${a}|${b}`);
+  }
+
+  /** Whether nothing gets through. */
+  isCut(a: string, b: string): boolean {
+    const cuts = this.#cuts;
+    if (cuts.size === 0) return false;
+    return cuts.has(`${a}|${b}`) || cuts.has(`${b}|${a}`) ||
+      cuts.has(`${a}|*`) || cuts.has(`${b}|*`);
+  }
+
+  /** One way's delay, in milliseconds. */
+  delayMs(): number {
+    return 0.5 + this.#random.float();
+  }
+
+  /** Calls back after one way's delay unless the link is cut by then. */
+  send(
+    a: string,
+    b: string,
+    callback: () => void,
+    delayMs = this.delayMs(),
+  ): void {
+    this.#timers.after(delayMs, () => {
+      if (!this.isCut(a, b)) callback();
+    });
+  }
+
+  /** Makes a call and settles with its answer, or with why there is none. */
+  call<T>(call: LinkCall<T>): Promise<{ value: T } | NoAnswer> {
+    const { from, to } = call;
+    return new Promise((resolve) => {
+      let settled = false;
+      const settle = (result: { value: T } | NoAnswer) => {
+        if (settled) return;
+        settled = true;
+        timer.cancel();
+        from.deliver(() => resolve(result));
+      };
+      const timer = this.#timers.after(call.timeoutMs, () => settle("lost"));
+      const back = (result: { value: T } | NoAnswer) =>
+        this.send(to, from.name, () => settle(result));
+      this.send(
+        from.name,
+        to,
+        () => call.serve((value) => back({ value }), () => back("refused")),
+      );
+    });
+  }
+}
--- a/src/core/gateway/gateway.ts
+++ b/src/core/gateway/gateway.ts
@@ -25,7 +25,6 @@
 import { SHARE_TTL_MS, SlotOwner } from "../limits/slot_owner.ts";
 import type {
   Lifecycle,
-  PeerHandler,
   PeerNetwork,
   SyncMessage,
 } from "../membership/messages.ts";
@@ -42,6 +41,7 @@
 import type { Call, CallReply } from "./call.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import { Dispatcher } from "./dispatcher.ts";
+import type { AddressAnswer, EntryGateway } from "./entry_gateway.ts";
 import { PROBE_PERIOD_MS, Prober } from "./prober.ts";
 import type { RunParts, RunResult } from "./request_run.ts";
 import { RequestRun } from "./request_run.ts";
@@ -57,9 +57,9 @@
 /** How long peers are given to learn of a suspect before it is sent again. */
 const BLAME_PUSH_MS = 250;
 /** A first byte this many times slower than usual means a cold upstream. */
-const COLD_JUMP_FACTOR = 6;
+const COLD_JUMP_FACTOR = 2.5;
 /** Shortest first byte that counts as a jump. */
-const COLD_JUMP_MIN_MS = 1_500;
+const COLD_JUMP_MIN_MS = 400;
 /** Most suspects in one message. */
 const MAX_SHARED_SUSPECTS = 200;
 
@@ -80,12 +80,6 @@
   onResult(call: Call, result: RunResult): void;
 }
 
-/** One address that callers may use. */
-export interface AddressAnswer {
-  readonly addresses: readonly string[];
-  readonly ttlMs: number;
-}
-
 /** An earlier list of gateways and when it was replaced. */
 interface FormerOwners {
   readonly ids: readonly string[];
@@ -93,7 +87,7 @@
 }
 
 /** Serves callers' requests and takes part in the fleet of gateways. */
-export class Gateway implements PeerHandler {
+export class Gateway implements EntryGateway {
   readonly #parts: GatewayParts;
   readonly #replica: ConfigReplica;
   readonly #table = new UpstreamTable();
--- a/src/core/orders/order_ledger.ts
+++ b/src/core/orders/order_ledger.ts
@@ -86,15 +86,15 @@
     const key = orderKey(order);
     const record = this.#newRecord(order);
     let expectRevision = 0;
-    let tried = false;
+    let mayHaveLanded = false;
     let pauseMs = RETRY_MIN_MS;
     while (this.#timers.now() < deadline) {
-      tried = true;
       const res = await this.#write(key, record, expectRevision);
       if (res.kind === "written") {
         return this.#claimedInTime(key, record, res.revision, deadline);
       }
       if (res.kind === "failed") {
+        if (res.err.kind === "ambiguous") mayHaveLanded = true;
         await sleep(this.#timers, pauseMs);
         pauseMs = Math.min(pauseMs * 2, RETRY_MAX_MS);
         continue;
@@ -120,7 +120,7 @@
         return { kind: "duplicate", record: found };
       }
     }
-    if (tried) this.#abandon(key, record);
+    if (mayHaveLanded) this.#abandon(key, record);
     return { kind: "unavailable" };
   }
 
--- a/src/core/orders/write_batcher.ts
+++ b/src/core/orders/write_batcher.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Timers } from "../../base/timers.ts";
+import { TIMED_OUT, withTimeout } from "../../base/timers.ts";
 import type {
   KeyValueStore,
   StoreEntry,
@@ -13,6 +14,10 @@
 
 /** How long writes gather before they go out together. */
 export const BATCH_WINDOW_MS = 5;
+/** Shortest time between transactions: bounds the calls of one gateway. */
+export const MIN_FLUSH_GAP_MS = 30;
+/** A transaction without an answer for this long may be sent again. */
+const ANSWER_TIMEOUT_MS = 400;
 /** Most writes in one transaction. */
 export const MAX_BATCH = 64;
 
@@ -37,6 +42,7 @@
   readonly #store: KeyValueStore;
   #pending: Pending[] = [];
   #scheduled = false;
+  #flushedAt = -Infinity;
 
   constructor(timers: Timers, store: KeyValueStore) {
     this.#timers = timers;
@@ -54,22 +60,29 @@
   #schedule(): void {
     if (this.#scheduled) return;
     this.#scheduled = true;
-    this.#timers.after(BATCH_WINDOW_MS, () => {
+    const gapMs = this.#flushedAt + MIN_FLUSH_GAP_MS - this.#timers.now();
+    this.#timers.after(Math.max(BATCH_WINDOW_MS, gapMs), () => {
       this.#scheduled = false;
       this.#flush();
     });
   }
 
   #flush(): void {
-    while (this.#pending.length > 0) {
-      const { batch, rest } = takeBatch(this.#pending);
-      this.#pending = rest;
-      this.#send(batch);
-    }
+    const { batch, rest } = takeBatch(this.#pending);
+    this.#pending = rest;
+    this.#flushedAt = this.#timers.now();
+    this.#send(batch);
+    if (rest.length > 0) this.#schedule();
   }
 
   async #send(batch: readonly Pending[]): Promise<void> {
-    const res = await this.#store.transact(batch.map((item) => item.put));
+    const call = this.#store.transact(batch.map((item) => item.put));
+    const res = await withTimeout(this.#timers, call, ANSWER_TIMEOUT_MS);
+    if (res === TIMED_OUT) {
+      const err = { kind: "ambiguous", detail: "No answer in time" } as const;
+      for (const item of batch) item.settle({ kind: "failed", err });
+      return;
+    }
     if (!res.ok) {
       for (const item of batch) item.settle({ kind: "failed", err: res.err });
       return;
--- a/src/core/routing/affinity_router.ts
+++ b/src/core/routing/affinity_router.ts
@@ -15,7 +15,7 @@
 /** Largest share of upstreams held back as stragglers. */
 const MAX_STRAGGLER_SHARE = 0.25;
 /** A straggler gets one request per this time to show that it has recovered. */
-const PROBATION_MS = 2_000;
+const PROBATION_MS = 10_000;
 /** Load per capacity that another zone must save to be preferred. */
 const CROSS_ZONE_PENALTY = 0.15;
 /** Load per capacity that a warm prefix cache is worth. */
--- /dev/null
+++ b/src/naive/naive_controller.ts
@@ -0,0 +1,160 @@
+/**
+ * Baseline controller: groups from the host list alone, kept in memory.
+ *
+ * @module
+ */
+import type { Timers } from "../base/timers.ts";
+import { CONFIG_KEY } from "../core/configuration/store_keys.ts";
+import { parseConfiguration } from "../core/configuration/parse.ts";
+import type { EngineControl } from "../platform/engine_control.ts";
+import type { HostList } from "../platform/host_list.ts";
+import type { KeyValueStore } from "../platform/key_value_store.ts";
+import type { Configuration } from "../world/configuration.ts";
+import type { Host } from "../world/host.ts";
+import type { ReplicaGroup } from "../world/replica_group.ts";
+
+/** Key of the published groups. */
+export const NAIVE_GROUPS_KEY = "naive/groups";
+const STEP_PERIOD_MS = 2_000;
+const COMMAND_VALID_MS = 2_000;
+
+/** A group with where it stands. */
+export interface NaiveGroup extends ReplicaGroup {
+  readonly availabilityZone: string;
+  readonly fabricDomain: string;
+}
+
+/** What the baseline controller works with. */
+export interface NaiveControllerParts {
+  readonly timers: Timers;
+  readonly store: KeyValueStore;
+  readonly hostList: HostList;
+  readonly control: EngineControl;
+}
+
+/** Trusts the host list and its own memory. */
+export class NaiveController {
+  readonly #parts: NaiveControllerParts;
+  #groups: NaiveGroup[] = [];
+  #epoch = 0;
+  #stepping = false;
+
+  constructor(parts: NaiveControllerParts) {
+    this.#parts = parts;
+  }
+
+  /** Begins to work. */
+  start(): void {
+    this.#parts.timers.subscribe(STEP_PERIOD_MS, () => this.#step());
+  }
+
+  async #step(): Promise<void> {
+    if (this.#stepping) return;
+    this.#stepping = true;
+    const [hosts, stored] = await Promise.all([
+      this.#parts.hostList.list(),
+      this.#parts.store.read(CONFIG_KEY),
+    ]);
+    const cfg = stored.ok ? parseConfiguration(stored.value.value) : undefined;
+    if (hosts.ok && cfg !== undefined) await this.#act(hosts.value, cfg);
+    this.#stepping = false;
+  }
+
+  async #act(hosts: readonly Host[], cfg: Configuration): Promise<void> {
+    const live = new Map(
+      hosts.filter((h) => h.kind === "engine" && h.state === "live")
+        .map((h) => [h.id, h]),
+    );
+    this.#groups = this.#groups.filter((group) =>
+      group.members.every((m) => live.get(m.hostId)?.bootId === m.bootId)
+    );
+    const taken = new Set(
+      this.#groups.flatMap((g) => g.members.map((m) => m.hostId)),
+    );
+    const free = [...live.values()].filter((h) =>
+      !taken.has(h.id) && cfg.zones[h.availabilityZone] !== "out"
+    );
+    this.#form(free, cfg);
+    await this.#openReady();
+    await this.#publish();
+  }
+
+  #form(free: Host[], cfg: Configuration): void {
+    const models = [...cfg.models].sort((a, b) => b.rank - a.rank);
+    const byDomain = new Map<string, Host[]>();
+    for (const host of free) {
+      const list = byDomain.get(host.fabricDomain) ?? [];
+      list.push(host);
+      byDomain.set(host.fabricDomain, list);
+    }
+    for (const model of models) {
+      for (const list of byDomain.values()) {
+        while (list.length >= model.hostsPerReplica) {
+          const copies = this.#groups.filter((g) => g.model === model.name);
+          const last = model === models[models.length - 1];
+          if (copies.length >= model.minReplicas && !last) break;
+          this.#load(model, list.splice(0, model.hostsPerReplica));
+        }
+      }
+    }
+  }
+
+  #load(
+    model: Configuration["models"][number],
+    hosts: readonly Host[],
+  ): void {
+    const epoch = ++this.#epoch;
+    const id = `${model.name}-${epoch}`;
+    this.#groups.push({
+      id,
+      epoch,
+      model: model.name,
+      version: model.version,
+      members: hosts.map((h) => ({
+        hostId: h.id,
+        bootId: h.bootId,
+        address: h.address,
+      })),
+      state: "loading",
+      changedBy: "naive",
+      availabilityZone: hosts[0].availabilityZone,
+      fabricDomain: hosts[0].fabricDomain,
+    });
+    const members = hosts.map((h) => h.address);
+    for (const host of hosts) {
+      this.#parts.control.send(host.address, {
+        command: {
+          kind: "load",
+          groupId: id,
+          epoch,
+          model: model.name,
+          version: model.version,
+          members,
+        },
+        fence: epoch,
+        validForMs: COMMAND_VALID_MS,
+      });
+    }
+  }
+
+  /** Opens a group once its leader is ready. */
+  async #openReady(): Promise<void> {
+    this.#groups = await Promise.all(this.#groups.map(async (group) => {
+      if (group.state === "open") return group;
+      const res = await this.#parts.control.status(group.members[0].address);
+      const ready = res.ok && res.value.phase === "ready";
+      return ready ? { ...group, state: "open" as const } : group;
+    }));
+  }
+
+  async #publish(): Promise<void> {
+    const { store } = this.#parts;
+    const current = await store.read(NAIVE_GROUPS_KEY);
+    if (!current.ok) return;
+    await store.transact([{
+      key: NAIVE_GROUPS_KEY,
+      value: JSON.stringify(this.#groups),
+      expectRevision: current.value.modRevision,
+    }]);
+  }
+}
--- a/src/standins/server/engine_server.ts
+++ b/src/standins/server/engine_server.ts
@@ -53,6 +53,7 @@
       return;
     }
     const request = {
+      attemptId: String(req.headers["x-request-id"] ?? ""),
       fingerprint: String(req.headers["x-request-seed"] ?? ""),
       resumeAfter: Number(req.headers["x-resume-after"] ?? 0),
       poisonous: JSON.stringify(body).includes(POISON_MARK),
--- a/src/standins/server/service_server.ts
+++ b/src/standins/server/service_server.ts
@@ -33,6 +33,7 @@
     }
     await readJson(req);
     this.service.call({
+      attemptId: String(req.headers["x-request-id"] ?? ""),
       service: this.#name,
       idempotencyKey: String(req.headers["idempotency-key"] ?? ""),
       fingerprint: String(req.headers["x-request-seed"] ?? ""),
--- a/src/standins/sim/journal.ts
+++ b/src/standins/sim/journal.ts
@@ -13,6 +13,7 @@
     readonly groupId: string;
     readonly epoch: number;
     readonly availabilityZone: string;
+    readonly attemptId: string;
     readonly fingerprint: string;
     /** Whether every member was present in the epoch. */
     readonly whole: boolean;
@@ -47,6 +48,13 @@
     readonly groupId: string;
     readonly epoch: number;
   }
+  | {
+    /** A load came while the host was in another group. */
+    readonly kind: "stolen";
+    readonly at: number;
+    readonly hostId: string;
+    readonly groupId: string;
+  }
   | {
     readonly kind: "left";
     readonly at: number;
@@ -60,6 +68,7 @@
     readonly hostId: string;
     readonly availabilityZone: string;
     readonly service: string;
+    readonly attemptId: string;
     readonly idempotencyKey: string;
     readonly leavingForMs: number;
   };
--- a/src/standins/sim/service_sim.ts
+++ b/src/standins/sim/service_sim.ts
@@ -15,6 +15,7 @@
 
 /** A call as a service gets it. */
 export interface ServiceCall {
+  readonly attemptId: string;
   readonly service: string;
   readonly idempotencyKey: string;
   readonly fingerprint: string;
@@ -79,6 +80,7 @@
       hostId: this.hostId,
       availabilityZone: this.availabilityZone,
       service: call.service,
+      attemptId: call.attemptId,
       idempotencyKey: call.idempotencyKey,
       leavingForMs: Math.max(0, at - this.leavingSince),
     });
