Prove the ten promises by scenarios that fail without their mechanisms

Change: 22 cucumber scenarios over a small deployment in virtual time, tagged by promise; npm run mutation removes 21 mechanisms from copies of the build in turn. The stand-in engine now takes time to release a group, may end streams early and may ignore a cancellation; the checker also counts work to a group that was never whole.

--- /dev/null
+++ b/features/steps/promise_steps.ts
@@ -0,0 +1,427 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import type { PromiseNumber } from "../../src/bench/checker.ts";
+import type { Deployment, WorkloadPart } from "../../src/bench/deployment.ts";
+import { SMALL } from "../../src/bench/deployment.ts";
+import { FakeStore, STORE_LINK, StoreService } from "../../src/bench/fakes.ts";
+import { isServed } from "../../src/bench/measures.ts";
+import {
+  VirtualNetwork,
+  VirtualNode,
+} from "../../src/bench/virtual_network.ts";
+import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import { Random } from "../../src/base/random.ts";
+import { ControllerLease } from "../../src/core/controller/controller_lease.ts";
+import { MemoryKeyValue } from "../../src/standins/sim/memory_key_value.ts";
+import { ConfigReplica } from "../../src/core/configuration/config_replica.ts";
+import { Controller } from "../../src/core/controller/controller.ts";
+import { EMPTY_CONFIGURATION } from "../../src/world/configuration.ts";
+import { ClusterRun } from "./cluster_world.ts";
+
+const SEED = 11;
+
+interface PromiseWorld {
+  run: ClusterRun;
+  replica: ConfigReplica;
+  pausedController: string;
+  timers: VirtualTimers;
+  node: VirtualNode;
+  lease: ControllerLease;
+}
+
+async function startRun(world: PromiseWorld, deployment: Deployment) {
+  world.run = new ClusterRun(deployment, SEED);
+  await world.run.start();
+}
+
+function orderPart(run: ClusterRun): WorkloadPart {
+  const { workload } = run.cluster.deployment;
+  const part = workload.find((p) => p.kind === "service");
+  assert.ok(part);
+  return part;
+}
+
+Given("a small cluster under load", { timeout: 60_000 }, async function (
+  this: PromiseWorld,
+) {
+  await startRun(this, SMALL);
+});
+
+Given(
+  "a small cluster under three times its load",
+  { timeout: 60_000 },
+  async function (this: PromiseWorld) {
+    this.run = new ClusterRun(SMALL, SEED);
+    await this.run.start(3);
+  },
+);
+
+Given(
+  "a small cluster with engines that ignore fencing numbers under load",
+  { timeout: 60_000 },
+  async function (this: PromiseWorld) {
+    const profile = { ...SMALL.profile, checksFencing: false };
+    await startRun(this, { ...SMALL, profile });
+  },
+);
+
+Given(
+  "a cluster of 5 gateways that send at once to cold upstreams",
+  { timeout: 60_000 },
+  async function (this: PromiseWorld) {
+    this.run = new ClusterRun({ ...SMALL, gateways: 5 }, SEED);
+    await this.run.cluster.settle();
+    this.run.faultAt = this.run.cluster.timers.now();
+    this.run.callers.start(4, 0);
+  },
+);
+
+Given(
+  "changes must be in force at the moment they are accepted",
+  { timeout: 60_000 },
+  async function (this: PromiseWorld) {
+    this.run = new ClusterRun(SMALL, SEED, 0);
+    await this.run.start();
+  },
+);
+
+When("the store goes down", function (this: PromiseWorld) {
+  this.run.cluster.store.down = true;
+});
+
+When(
+  "a host that does not lead its group dies",
+  function (this: PromiseWorld) {
+    this.run.cluster.hostDies(this.run.follower().hostId);
+  },
+);
+
+When(
+  "a leader's engine restarts without its weights",
+  function (this: PromiseWorld) {
+    const { cluster } = this.run;
+    const [leader] = cluster.wholeGroups(cluster.deployment.models[0].name);
+    leader.crash("fault");
+  },
+);
+
+When(
+  "the active controller pauses in the middle of placing groups",
+  async function (this: PromiseWorld) {
+    const { cluster } = this.run;
+    const { node, controller } = cluster.activeController();
+    assert.ok(controller instanceof Controller);
+    const victim = this.run.follower().hostId;
+    cluster.hostDies(victim);
+    // Pauses with statuses read and commands about to be sent.
+    await this.run.pass(2_600);
+    node.pause();
+    this.pausedController = node.name;
+    await this.run.pass(12_000);
+    cluster.hostReturns(victim);
+    await this.run.pass(10_000);
+    node.resume();
+  },
+);
+
+When(
+  "every group's leader crashes and every gateway is restarted",
+  async function (this: PromiseWorld) {
+    const { cluster } = this.run;
+    for (const leader of this.run.leaders()) leader.crash("fault");
+    await this.run.pass(6_000);
+    for (const { member } of [...cluster.gateways]) {
+      cluster.killGateway(member.id);
+      await this.run.pass(500);
+      cluster.startGateway(member.id);
+    }
+  },
+);
+
+When("every engine host dies", function (this: PromiseWorld) {
+  const { cluster } = this.run;
+  for (const id of cluster.engines.keys()) cluster.hostDies(id);
+});
+
+When("the first zone is taken out", function (this: PromiseWorld) {
+  const { cluster } = this.run;
+  cluster.setZone(cluster.deployment.fleet.zones[0], "out");
+});
+
+When(
+  "one gateway is cut off from the store, the operator and its peers",
+  async function (this: PromiseWorld) {
+    const { cluster } = this.run;
+    const [cutOff, ...others] = cluster.gateways.map((g) => g.member.id);
+    const all = [...others, "operator", "ctl-1", "ctl-2", STORE_LINK];
+    for (const other of all) cluster.network.cut(cutOff, other);
+    await this.run.pass(500);
+  },
+);
+
+When("engines end streams early", function (this: PromiseWorld) {
+  for (const leader of this.run.leaders()) leader.truncates = 3;
+});
+
+When(
+  "every leader but one pauses for 2 seconds",
+  async function (this: PromiseWorld) {
+    const [, ...paused] = this.run.leaders();
+    for (const leader of paused) leader.paused = true;
+    await this.run.pass(2_000);
+    for (const leader of paused) leader.paused = false;
+  },
+);
+
+When(
+  "answers of the store are lost or late while orders are sent twice",
+  async function (this: PromiseWorld) {
+    const { cluster, callers } = this.run;
+    const part = orderPart(this.run);
+    for (let i = 0; i < 20; i++) {
+      if (i % 4 === 0) cluster.store.loseAnswers = 2;
+      if (i % 4 === 2) cluster.store.landLate = 2;
+      for (const { member } of cluster.gateways) {
+        callers.send(part, { key: `twice-${i}`, gateway: member.id });
+      }
+      await this.run.pass(300);
+    }
+  },
+);
+
+When(
+  "the same orders are sent through every gateway",
+  async function (this: PromiseWorld) {
+    const { cluster, callers } = this.run;
+    for (let i = 0; i < 10; i++) {
+      for (const { member } of cluster.gateways) {
+        callers.send(orderPart(this.run), {
+          key: `same-${i}`,
+          gateway: member.id,
+        });
+      }
+    }
+    await this.run.pass(100);
+  },
+);
+
+When("services lose their answers", function (this: PromiseWorld) {
+  for (const service of this.run.cluster.services.values()) {
+    service.losesAnswers = 5;
+  }
+});
+
+When(
+  "a gateway crashes with orders in flight",
+  async function (this: PromiseWorld) {
+    const { cluster, callers } = this.run;
+    const [{ member }] = cluster.gateways;
+    for (let i = 0; i < 20; i++) {
+      callers.send(orderPart(this.run), {
+        key: `crash-${i}`,
+        gateway: member.id,
+      });
+    }
+    await this.run.pass(45);
+    cluster.killGateway(member.id);
+  },
+);
+
+When(
+  "a service host and a group member begin to leave",
+  function (this: PromiseWorld) {
+    const { cluster } = this.run;
+    const [service] = cluster.services.keys();
+    cluster.hostLeaves(service);
+    cluster.hostLeaves(this.run.follower().hostId);
+  },
+);
+
+When("answers take many seconds", async function (this: PromiseWorld) {
+  for (const leader of this.run.leaders()) leader.slowdown = 8;
+  await this.run.pass(2_000);
+});
+
+When("cancelled requests run on and answer late", function (
+  this: PromiseWorld,
+) {
+  this.run.cluster.sims.ignoresCancel = true;
+});
+
+When("a gateway shuts down gracefully", function (this: PromiseWorld) {
+  const { cluster, checker } = this.run;
+  const [slot] = cluster.gateways;
+  this.run.shutDownIncarnation = slot.member.incarnation;
+  slot.gateway.shutdown().then(() => {
+    checker.shutdownEnded(slot.member.incarnation);
+    slot.node.kill();
+  });
+});
+
+When("{int} seconds pass", { timeout: 60_000 }, async function (
+  this: PromiseWorld,
+  seconds: number,
+) {
+  await this.run.pass(seconds * 1000);
+});
+
+Then("promise {int} holds", { timeout: 60_000 }, async function (
+  this: PromiseWorld,
+  promise: number,
+) {
+  await this.run.expectHeld(promise as PromiseNumber);
+});
+
+Then("every answer is whole", { timeout: 60_000 }, async function (
+  this: PromiseWorld,
+) {
+  await this.run.expectWhole();
+});
+
+Then("some group was opened after the fault", function (this: PromiseWorld) {
+  const joined = this.run.cluster.journal.some((event) =>
+    event.kind === "joined" && event.at > this.run.faultAt
+  );
+  assert.ok(joined, "No host joined a group after the fault");
+});
+
+Then("another controller has taken over", function (this: PromiseWorld) {
+  const active = this.run.cluster.activeController();
+  assert.notEqual(active.node.name, this.pausedController);
+});
+
+Then("no engine has crashed", function (this: PromiseWorld) {
+  const crashed = this.run.cluster.journal.filter((e) => e.kind === "crashed");
+  assert.equal(crashed.length, 0);
+});
+
+Then(
+  "at least {int} percent of requests are served in time",
+  function (this: PromiseWorld, percent: number) {
+    const all = this.run.sinceFault;
+    const served = all.filter((s) => isServed(s, this.run.cluster));
+    assert.ok(all.length > 0);
+    const share = served.length / all.length * 100;
+    assert.ok(share >= percent, `${share.toFixed(1)} percent were`);
+  },
+);
+
+Then("the change was accepted", function (this: PromiseWorld) {
+  const change = this.run.cluster.changes.at(-1);
+  assert.ok(change?.acceptedAt, `Refused: ${change?.refused}`);
+});
+
+Then("some request took more than one attempt", function (this: PromiseWorld) {
+  const starts = this.run.cluster.journal.filter((event) =>
+    event.kind === "request_started" && event.at > this.run.faultAt &&
+    !event.attemptId.endsWith("-1")
+  );
+  assert.ok(starts.length > 0, "Every request took one attempt");
+});
+
+Then("some request was refused as not run", function (this: PromiseWorld) {
+  assert.ok(this.run.sinceFault.some((s) => s.problem?.notRun));
+});
+
+Then(
+  "some request failed without saying not run",
+  function (this: PromiseWorld) {
+    const { sendings } = this.run.callers;
+    assert.ok(sendings.some((s) => s.problem?.notRun === false));
+  },
+);
+
+Then("every order placed has run", function (this: PromiseWorld) {
+  const ran = new Set(
+    this.run.cluster.journal.flatMap((event) =>
+      event.kind === "order_run" ? [event.idempotencyKey] : []
+    ),
+  );
+  const missing = [...this.run.callers.orders].filter((key) => !ran.has(key));
+  assert.deepEqual(missing, []);
+});
+
+Then("some order's outcome is unknown", function (this: PromiseWorld) {
+  const unknown = this.run.sinceFault.filter((s) =>
+    s.problem?.kind === "outcome_unknown"
+  );
+  assert.ok(unknown.length > 0);
+});
+
+Then(
+  "no caller was refused by the gateway that shut down",
+  function (this: PromiseWorld) {
+    const refused = this.run.sinceFault.filter((s) =>
+      s.incarnation === this.run.shutDownIncarnation && s.problem !== undefined
+    );
+    assert.equal(refused.length, 0, refused[0]?.problem?.detail);
+  },
+);
+
+Then(
+  "every model request was served in time since the fault",
+  { timeout: 60_000 },
+  async function (this: PromiseWorld) {
+    await this.run.judge();
+    const missed = this.run.sinceFault.filter((s) =>
+      s.part.kind === "model" && !isServed(s, this.run.cluster)
+    );
+    assert.equal(missed.length, 0, missed[0]?.problem?.detail);
+  },
+);
+
+Given(
+  "a controller that holds the lease",
+  async function (this: PromiseWorld) {
+    const timers = new VirtualTimers();
+    this.node = new VirtualNode("ctl-1", timers);
+    this.timers = timers;
+    const network = new VirtualNetwork(timers, new Random(SEED));
+    const service = new StoreService(timers, new MemoryKeyValue(timers));
+    const store = new FakeStore(this.node, network, service);
+    this.lease = new ControllerLease(this.node, store, "ctl-1/i1");
+    this.lease.maintain();
+    await timers.run(100);
+    assert.ok(this.lease.leadership);
+  },
+);
+
+When(
+  "its process pauses for {int} seconds",
+  async function (this: PromiseWorld, seconds: number) {
+    this.node.pause();
+    await this.timers.run(seconds * 1000);
+    this.node.resume();
+  },
+);
+
+Then("it knows at once that it leads no more", function (this: PromiseWorld) {
+  assert.equal(this.lease.leadership, undefined);
+});
+
+Given(
+  "a copy of the configuration at revision {int}",
+  function (this: PromiseWorld, revision: number) {
+    this.replica = new ConfigReplica({ id: "gw-1", incarnation: "i1" });
+    this.replica.offer({ ...EMPTY_CONFIGURATION, revision });
+  },
+);
+
+When(
+  "a stale read brings revision {int}",
+  function (this: PromiseWorld, revision: number) {
+    this.replica.offer({ ...EMPTY_CONFIGURATION, revision });
+    this.replica.confirmByPeer({ id: "gw-2", incarnation: "i2" }, 10, revision);
+  },
+);
+
+Then(
+  "the copy is still at revision {int}",
+  function (this: PromiseWorld, revision: number) {
+    assert.equal(this.replica.revision, revision);
+  },
+);
+
+Then("the stale read has confirmed nothing", function (this: PromiseWorld) {
+  assert.equal(this.replica.mayServe(10), false);
+});
--- a/src/bench/callers.ts
+++ b/src/bench/callers.ts
@@ -231,10 +231,9 @@
     return gateways.find((slot) => this.#accepts(slot));
   }
 
+  /** A gateway that shuts down still takes the connection and answers. */
   #accepts(slot: GatewaySlot): boolean {
-    if (slot.node.state !== "up") return slot.node.state === "paused";
-    const { notReadyReason } = slot.gateway;
-    return notReadyReason !== "The gateway is shutting down";
+    return slot.node.state !== "dead";
   }
 
   #refresh(caller: number): void {
--- a/src/bench/checker.ts
+++ b/src/bench/checker.ts
@@ -42,8 +42,12 @@
   readonly #revisions = new Map<string, number>();
   readonly #shutdowns: Array<{ incarnation: string; at: number }> = [];
 
-  constructor(cluster: Cluster) {
+  readonly #inForceBoundMs: number;
+
+  /** A bound of 0 holds the product to "accepted means in force". */
+  constructor(cluster: Cluster, inForceBoundMs = IN_FORCE_BOUND_MS) {
     this.#cluster = cluster;
+    this.#inForceBoundMs = inForceBoundMs;
     cluster.timers.subscribe(SAMPLE_MS, () => this.#sample());
     cluster.store.state.watch({
       prefix: DOMAIN_PREFIX,
@@ -94,6 +98,9 @@
     }
     if (event.kind !== "request_started") return;
     this.#checkPlace(event, at);
+    if (!event.formed) {
+      this.#breach(1, at, `${event.groupId} got work before it was formed`);
+    }
     if (event.brokenForMs > DETECTION_BOUND_MS) {
       this.#breach(
         1,
@@ -203,7 +210,7 @@
       if (change.acceptedAt === undefined || change.revision === undefined) {
         continue;
       }
-      if (now - change.acceptedAt > IN_FORCE_BOUND_MS) {
+      if (now - change.acceptedAt > this.#inForceBoundMs) {
         due = Math.max(due, change.revision);
       }
     }
--- a/src/bench/cluster.ts
+++ b/src/bench/cluster.ts
@@ -92,9 +92,11 @@
   readonly changes: OperatorChange[] = [];
   readonly deployment: Deployment;
   readonly variant: Variant;
-  readonly #byAddress = {
+  /** Simulated engines and services by address. */
+  readonly sims = {
     engines: new Map<string, EngineSim>(),
     services: new Map<string, ServiceSim>(),
+    ignoresCancel: false,
   };
   readonly #listed = new Map<string, Host>();
   readonly #operator: VirtualNode;
@@ -237,7 +239,7 @@
         return false;
       }
       return group.members.every((address) => {
-        const member = this.#byAddress.engines.get(address);
+        const member = this.sims.engines.get(address);
         return member?.alive === true && member.phase === "ready" &&
           member.membership?.epoch === group.epoch && !member.paused;
       });
@@ -269,18 +271,18 @@
     const { timers } = this;
     const journal = { record: (event: JournalEvent) => this.#record(event) };
     const weights = new WeightStoreSim(timers, WEIGHT_STORE_PARALLEL);
-    const engineAt = (address: string) => this.#byAddress.engines.get(address);
+    const engineAt = (address: string) => this.sims.engines.get(address);
     const env = { timers, weights, journal, engineAt };
     for (const host of this.hosts) {
       const at = { hostId: host.id, ...host };
       if (host.kind === "engine") {
         const engine = new EngineSim(env, at, this.deployment.profile);
         this.engines.set(host.id, engine);
-        this.#byAddress.engines.set(host.address, engine);
+        this.sims.engines.set(host.address, engine);
       } else {
         const service = new ServiceSim(timers, journal, at);
         this.services.set(host.id, service);
-        this.#byAddress.services.set(host.address, service);
+        this.sims.services.set(host.address, service);
       }
       this.#list(host.id);
     }
@@ -318,8 +320,8 @@
         network,
         () => [...this.#listed.values()],
       ),
-      control: new FakeEngineControl(node, network, this.#byAddress),
-      client: new FakeUpstreamClient(node, network, this.#byAddress),
+      control: new FakeEngineControl(node, network, this.sims),
+      client: new FakeUpstreamClient(node, network, this.sims),
       network: new FakePeerNetwork(node, network, peers),
       log: { decided: (decision: Decision) => this.#decided(decision) },
     };
--- a/src/bench/deployment.ts
+++ b/src/bench/deployment.ts
@@ -220,6 +220,50 @@
   ],
 };
 
+/** A few hosts and little load, for focused tests. */
+export const SMALL: Deployment = {
+  ...BINDERY,
+  name: "small",
+  fleet: {
+    ...BINDERY.fleet,
+    domainsPerZone: 1,
+    hostsPerDomain: 5,
+    extraHosts: 0,
+  },
+  gateways: 3,
+  profile: { ...PROFILE, loadMs: 3_000, releaseMs: 1_500 },
+  models: [
+    model("layout-large", 4, 3, { rank: 5, enginesCheckFencing: true }),
+    model("caption-small", 1, 1, { rank: 2, enginesCheckFencing: true }),
+  ],
+  workload: [
+    {
+      target: "layout-large",
+      kind: "model",
+      serviceClass: "counter",
+      requestsPerS: 6,
+    },
+    {
+      target: "layout-large",
+      kind: "model",
+      serviceClass: "draft",
+      requestsPerS: 4,
+    },
+    {
+      target: "caption-small",
+      kind: "model",
+      serviceClass: "archive",
+      requestsPerS: 3,
+    },
+    {
+      target: "albums",
+      kind: "service",
+      serviceClass: "counter",
+      requestsPerS: 3,
+    },
+  ],
+};
+
 /**
  * Returns the changes that declare a deployment, in an order that works.
  *
--- a/src/bench/fakes.ts
+++ b/src/bench/fakes.ts
@@ -239,6 +239,8 @@
 export interface SimDirectory {
   readonly engines: ReadonlyMap<string, EngineSim>;
   readonly services: ReadonlyMap<string, ServiceSim>;
+  /** Cancelled requests run on, and their answers still arrive. */
+  ignoresCancel: boolean;
 }
 
 /** Commands and status over virtual links. */
@@ -338,6 +340,7 @@
       listener.onEnd({ kind: "not_sent", detail: "Connect timed out" });
     });
     const cancel = () => {
+      if (this.#sims.ignoresCancel) return;
       ended = true;
       this.#network.send(from.name, address, () => cancelRun());
     };
--- a/src/standins/sim/engine_sim.ts
+++ b/src/standins/sim/engine_sim.ts
@@ -34,6 +34,8 @@
   /** Load time when the weights are still in memory. */
   readonly cachedLoadMs: number;
   readonly restartMs: number;
+  /** Time to leave a group once told to. */
+  readonly releaseMs: number;
   readonly checksFencing: boolean;
 }
 
@@ -50,6 +52,7 @@
   loadMs: 8_000,
   cachedLoadMs: 1_000,
   restartMs: 3_000,
+  releaseMs: 300,
   checksFencing: true,
 };
 
@@ -123,6 +126,8 @@
   alive = true;
   paused = false;
   slowdown = 1;
+  /** Ends the next streams early, without their end marker. */
+  truncates = 0;
   leavingSince = Infinity;
   /** Time at which the engine last died or left its group. */
   missingSince = Infinity;
@@ -137,6 +142,8 @@
   #completed = 0;
   #everWarm = false;
   #justStarted = true;
+  /** Whether every member was ready in this epoch at some time. */
+  #formed = false;
   #overloaded = false;
   /** What the last published report said; reports lag behind. */
   #reported = { running: 0, completed: 0 };
@@ -212,7 +219,7 @@
     if (command.kind === "release") {
       const same = current?.groupId === command.groupId &&
         current.epoch === command.epoch;
-      if (same) this.#leave();
+      if (same) this.#leaveLater(current);
       return success(true);
     }
     if (
@@ -300,6 +307,7 @@
     const membership = { groupId, epoch, model, members };
     this.#membership = membership;
     this.#phase = "loading";
+    this.#formed = false;
     this.#completed = 0;
     this.#everWarm = false;
     this.#justStarted = true;
@@ -310,6 +318,7 @@
       this.#weights.add(name);
       this.#phase = "ready";
       this.missingSince = Infinity;
+      this.#noteFormed(members[0]);
       const at = this.#env.timers.now();
       const { hostId } = this;
       this.#env.journal.record({ kind: "joined", at, hostId, groupId, epoch });
@@ -321,6 +330,21 @@
     }
   }
 
+  /** The last member to get ready makes the group whole. */
+  #noteFormed(leaderAddress: string): void {
+    const leader = this.#env.engineAt(leaderAddress);
+    if (leader !== undefined && this.#brokenSince() === Infinity) {
+      leader.#formed = true;
+    }
+  }
+
+  /** Unloading takes a while; the engine is in the group until then. */
+  #leaveLater(membership: Membership): void {
+    this.#env.timers.after(this.profile.releaseMs, () => {
+      if (this.#membership === membership) this.#leave();
+    });
+  }
+
   #leave(): void {
     const membership = this.#membership;
     const at = this.#env.timers.now();
@@ -384,7 +408,10 @@
       const engine = this.#env.engineAt(address);
       const present = engine?.alive === true && engine.#phase === "ready" &&
         engine.membership?.epoch === own?.epoch;
-      if (!present) since = Math.min(since, engine?.missingSince ?? 0);
+      if (present) continue;
+      const missingSince = engine?.missingSince ?? 0;
+      // A member that never joined has been missing from the start.
+      since = Math.min(since, Number.isFinite(missingSince) ? missingSince : 0);
     }
     return since;
   }
@@ -402,6 +429,7 @@
       attemptId: req.attemptId,
       fingerprint: req.fingerprint,
       whole: since === Infinity,
+      formed: this.#formed,
       brokenForMs: since === Infinity ? 0 : at - since,
       running: this.running,
       bears: this.bears,
@@ -441,6 +469,11 @@
     if (last >= total) return this.#complete(generation, text + END_EVENT);
     generation.sink.data(Buffer.from(text));
     const load = 0.75 + this.running / this.profile.capacity / 4;
+    if (this.truncates > 0) {
+      this.truncates -= 1;
+      this.#running.delete(generation);
+      return generation.sink.end();
+    }
     const count = last - next + 1;
     const delay = this.profile.tokenMs * count * load * this.slowdown;
     this.#scheduleNext(generation, last + 1, delay);
--- a/src/standins/sim/journal.ts
+++ b/src/standins/sim/journal.ts
@@ -17,6 +17,8 @@
     readonly fingerprint: string;
     /** Whether every member was present in the epoch. */
     readonly whole: boolean;
+    /** Whether every member has been present in this epoch before. */
+    readonly formed: boolean;
     /** Time since a member went missing; 0 when whole. */
     readonly brokenForMs: number;
     /** Requests running, this one included. */
--- /dev/null
+++ b/tools/mutations.ts
@@ -0,0 +1,242 @@
+/**
+ * The mechanisms that the promises rest on, and how each is switched off.
+ *
+ * @module
+ */
+
+/** One mechanism, as a change to the compiled code. */
+export interface Mutation {
+  readonly promise: number;
+  readonly mechanism: string;
+  readonly edits: readonly Edit[];
+}
+
+/** One change to a compiled module. */
+export interface Edit {
+  /** Below `dist/src/core`. */
+  readonly file: string;
+  /** Text that stands in the module exactly once. */
+  readonly find: string;
+  readonly replace: string;
+}
+
+/** Every mechanism that is switched off in turn. */
+export const MUTATIONS: readonly Mutation[] = [
+  {
+    promise: 1,
+    mechanism: "A group closes on the first evidence",
+    edits: [{
+      file: "routing/upstream_table.js",
+      find: "close(evidence) {",
+      replace: "close(evidence) { return false;",
+    }],
+  },
+  {
+    promise: 1,
+    mechanism: "A group opens only when every member confirmed the epoch",
+    edits: [{
+      file: "groups/group_planner.js",
+      find: "if (group.members.every((m) => memberReady",
+      replace: "if (group.members.some((m) => memberReady",
+    }],
+  },
+  {
+    promise: 2,
+    mechanism: "A host is reused only after its engine has left",
+    edits: [
+      {
+        file: "groups/host_view.js",
+        find: "export function memberReleased(member, group, views) {",
+        replace:
+          "export function memberReleased(member, group, views) { return true;",
+      },
+      {
+        file: "groups/group_planner.js",
+        find: 'if (status.phase === "idle")',
+        replace: "",
+      },
+      {
+        file: "controller/controller.js",
+        find: 'if (status === undefined || status.phase !== "idle")',
+        replace: "if (status === undefined)",
+      },
+    ],
+  },
+  {
+    promise: 2,
+    mechanism: "The lease is checked right before each act",
+    edits: [{
+      file: "controller/controller_lease.js",
+      find:
+        "if (this.#timers.now() >= this.#validUntil)\n            return undefined;",
+      replace: "",
+    }],
+  },
+  {
+    promise: 3,
+    mechanism: "One owner counts the slots of all gateways",
+    edits: [{
+      file: "limits/slot_owner.js",
+      find: "#taken(budget, now) {",
+      replace: "#taken(budget, now) { return 0;",
+    }],
+  },
+  {
+    promise: 3,
+    mechanism: "An upstream of which nothing is known is not warm",
+    edits: [{
+      file: "limits/slot_holder.js",
+      find: "if (this.#warm.has(upstreamId))\n            return true;",
+      replace: "return true;",
+    }],
+  },
+  {
+    promise: 4,
+    mechanism: "A zone that is out takes no new work",
+    edits: [{
+      file: "routing/upstream_table.js",
+      find: "const zone = zoneTakesWork(cfg, entry.upstream.availabilityZone);",
+      replace: "const zone = true;",
+    }],
+  },
+  {
+    promise: 4,
+    mechanism: "A gateway with an unconfirmed configuration stops",
+    edits: [{
+      file: "configuration/config_replica.js",
+      find:
+        "return this.#cfg.revision > 0 && this.ageMs(now) <= CONFIG_STALE_MS;",
+      replace: "return this.#cfg.revision > 0;",
+    }],
+  },
+  {
+    promise: 5,
+    mechanism: "A stream goes on after the last event delivered",
+    edits: [{
+      file: "gateway/request_run.js",
+      find: "resumeAfter: this.call.resumeAfter + this.#delivered,",
+      replace: "resumeAfter: this.call.resumeAfter,",
+    }],
+  },
+  {
+    promise: 5,
+    mechanism: "A stream without its end marker is broken",
+    edits: [{
+      file: "gateway/request_run.js",
+      find: 'this.#broken(attempt, "The stream ended without its end marker");',
+      replace: "this.#completeStream(attempt);",
+    }],
+  },
+  {
+    promise: 5,
+    mechanism: "What arrives after an attempt was closed is dropped",
+    edits: [
+      {
+        file: "gateway/attempt_run.js",
+        find: "onData(chunk) {\n        if (this.#closed)\n            return;",
+        replace: "onData(chunk) {",
+      },
+      {
+        file: "gateway/request_run.js",
+        find:
+          "if (attempt !== this.#winner)\n            return;\n        const streams",
+        replace: "const streams",
+      },
+    ],
+  },
+  {
+    promise: 6,
+    mechanism: "Only what reached no upstream is called not run",
+    edits: [{
+      file: "gateway/request_run.js",
+      find: "if (!this.#reachedUpstream) {",
+      replace: "{",
+    }],
+  },
+  {
+    promise: 7,
+    mechanism: "An order that can't be claimed is refused",
+    edits: [{
+      file: "orders/order_ledger.js",
+      find: 'if (res.kind === "failed") {',
+      replace:
+        'if (res.kind === "failed") { return { kind: "claimed", claim: { key, record, revision: 0 } };',
+    }],
+  },
+  {
+    promise: 7,
+    mechanism: "A claim of another attempt is respected",
+    edits: [{
+      file: "orders/order_ledger.js",
+      find: 'return { kind: "duplicate", record: found };',
+      replace:
+        'return { kind: "claimed", claim: { key, record, revision: res.current.modRevision } };',
+    }],
+  },
+  {
+    promise: 7,
+    mechanism: "An order is not sent again after its connection broke",
+    edits: [{
+      file: "gateway/request_run.js",
+      find:
+        'if (this.repeatable)\n            this.#tryAgain(false);\n        else\n            this.#failAsUnknown("The connection to the service broke");',
+      replace: "this.#failedOn.clear(); this.#tryAgain(false);",
+    }],
+  },
+  {
+    promise: 8,
+    mechanism: "The host list's leaving mark closes an upstream",
+    edits: [{
+      file: "routing/upstream_table.js",
+      find:
+        'if (host.state === "leaving")\n                entry.leaving = true;',
+      replace: "",
+    }],
+  },
+  {
+    promise: 9,
+    mechanism: "A shutdown waits for requests in flight",
+    edits: [{
+      file: "gateway/gateway.js",
+      find: "while (this.#busy &&",
+      replace: "while (false &&",
+    }],
+  },
+  {
+    promise: 9,
+    mechanism: "A shutdown waits for addresses that callers still hold",
+    edits: [{
+      file: "gateway/gateway.js",
+      find: "await this.#wait(ADDRESS_TTL_MS + SYNC_PERIOD_MS);",
+      replace: "",
+    }],
+  },
+  {
+    promise: 10,
+    mechanism: "An older configuration never replaces a newer one",
+    edits: [{
+      file: "configuration/config_replica.js",
+      find:
+        "if (cfg.revision <= this.#cfg.revision)\n            return false;",
+      replace: "",
+    }],
+  },
+  {
+    promise: 10,
+    mechanism: "A change is accepted only once no gateway serves without it",
+    edits: [{
+      file: "configuration/administration.js",
+      find: "async #confirm(before, cfg, deadline) {",
+      replace: "async #confirm(before, cfg, deadline) { return true;",
+    }],
+  },
+  {
+    promise: 10,
+    mechanism: "A majority of gateways confirms while the store is down",
+    edits: [{
+      file: "configuration/config_replica.js",
+      find: "#confirmByMajority(now) {",
+      replace: "#confirmByMajority(now) { return;",
+    }],
+  },
+];
--- a/tools/run_tests.ts
+++ b/tools/run_tests.ts
@@ -69,11 +69,11 @@
 }
 
 async function main(): Promise<void> {
-  const [tags = ""] = process.argv.slice(2);
+  const [tags = "", dist = "dist"] = process.argv.slice(2);
   const { runConfiguration } = await loadConfiguration({
     provided: {
       paths: ["features/**/*.feature"],
-      import: ["dist/features/**/*.js"],
+      import: [`${dist}/features/**/*.js`],
       format: [],
       tags,
     },
