--- /dev/null
+++ b/src/bin/oleander_demo.ts
@@ -0,0 +1,30 @@
+#!/usr/bin/env node
+/**
+ * Shows the whole system at work in one process.
+ *
+ * @module
+ */
+import process from "node:process";
+import { cac } from "cac";
+import { SystemTimers } from "../base/system_timers.ts";
+import { Demo } from "../demo/demo.ts";
+import { parseOrExit } from "./run_process.ts";
+import { VERSION } from "./version.ts";
+
+const cli = cac("oleander-demo");
+cli.command("", "Run the demonstration")
+  .option("--seed <n>", "Varies what is asked and which zone goes out", {
+    default: 1,
+  })
+  .action(async (options: { seed: number }) => {
+    const checks = await new Demo(new SystemTimers(), Number(options.seed)).run();
+    process.stdout.write("\n");
+    for (const { name, held, detail } of checks) {
+      const mark = held ? "held  " : "BROKEN";
+      process.stdout.write(`${mark}  ${name.padEnd(55)} ${detail}\n`);
+    }
+    process.exit(checks.every((check) => check.held) ? 0 : 1);
+  });
+cli.help();
+cli.version(VERSION);
+parseOrExit(cli);
--- /dev/null
+++ b/src/demo/demo.ts
@@ -0,0 +1,250 @@
+/**
+ * The demonstration: callers, an order, a zone change and a dead host, judged.
+ *
+ * @module
+ */
+import process from "node:process";
+import type { Timers } from "../base/timers.ts";
+import { sleep } from "../base/timers.ts";
+import { sha256 } from "../base/hash.ts";
+import type { CallerAnswer } from "../load/caller_client.ts";
+import { CallerClient } from "../load/caller_client.ts";
+import { DEFAULT_PROFILE } from "../standins/sim/engine_sim.ts";
+import { CUSTOMER_KEY, demoRandom, LocalDeployment } from "./local_deployment.ts";
+
+const MODEL = "layout-large";
+const SERVICE = "albums";
+const ZONES = ["ktm-a", "ktm-b", "ktm-c"];
+const CALLERS = 8;
+const FORM_LIMIT_MS = 20_000;
+/** New work may still go to a zone this long after it was taken out. */
+const ZONE_BOUND_MS = 5_000;
+
+/** One thing that was shown. */
+export interface DemoCheck {
+  readonly name: string;
+  readonly held: boolean;
+  readonly detail: string;
+}
+
+/** Runs everything and says what held. */
+export class Demo {
+  readonly #timers: Timers;
+  readonly #seed: number;
+  readonly #checks: DemoCheck[] = [];
+  readonly #answers: CallerAnswer[] = [];
+  #changes = 0;
+
+  constructor(timers: Timers, seed: number) {
+    this.#timers = timers;
+    this.#seed = seed;
+  }
+
+  /** Plays the demonstration. */
+  async run(): Promise<readonly DemoCheck[]> {
+    this.#say("Starting stand-ins, five gateways and a controller");
+    const deployment = await LocalDeployment.start({
+      timers: this.#timers,
+      fleet: {
+        zones: ZONES,
+        domainsPerZone: 1,
+        hostsPerDomain: 5,
+        extraHosts: 0,
+        acceleratorsPerHost: 8,
+        service: SERVICE,
+      },
+      profile: { ...DEFAULT_PROFILE, loadMs: 1_500 },
+      gateways: 5,
+      seed: this.#seed,
+    });
+    try {
+      await this.#declare(deployment);
+      await this.#waitForGroups(deployment);
+      await this.#play(deployment);
+    } finally {
+      await deployment.close();
+    }
+    return this.#checks;
+  }
+
+  async #play(deployment: LocalDeployment): Promise<void> {
+    const state = { stop: false };
+    const callers = Array.from(
+      { length: CALLERS },
+      (_, i) => this.#callInLoop(deployment, i, state),
+    );
+    await sleep(this.#timers, 2_000);
+    await this.#placeOrder(deployment);
+    await this.#zoneOutAndBack(deployment);
+    await this.#killHost(deployment);
+    state.stop = true;
+    await Promise.all(callers);
+    const whole = this.#answers.filter((a) => a.whole).length;
+    this.#check(
+      "Every answer is whole",
+      whole === this.#answers.length && whole > 0,
+      `${whole} of ${this.#answers.length} streams`,
+    );
+  }
+
+  async #declare(deployment: LocalDeployment): Promise<void> {
+    const team = "platform";
+    const targets = { betweenTokensMs: 200, reliabilityPercent: 99 };
+    await this.#change(deployment, {
+      kind: "set_class",
+      value: { name: "counter", team, priority: 5, firstTokenMs: 3_000, ...targets },
+    });
+    await this.#change(deployment, {
+      kind: "set_model",
+      value: {
+        name: MODEL,
+        team,
+        version: "v1",
+        hostsPerReplica: 4,
+        minReplicas: 3,
+        rank: 5,
+        enginesCheckFencing: true,
+      },
+    });
+    await this.#change(deployment, {
+      kind: "set_service",
+      value: {
+        name: SERVICE,
+        team,
+        repeatable: false,
+        notRunStatuses: [],
+        timeoutMs: 5_000,
+      },
+    });
+    await this.#change(deployment, {
+      kind: "set_customer",
+      value: {
+        name: "front-desk",
+        team,
+        keyHashes: [sha256(CUSTOMER_KEY)],
+        maxConcurrent: 100,
+        defaultClass: "counter",
+      },
+    });
+  }
+
+  async #waitForGroups(deployment: LocalDeployment): Promise<void> {
+    const until = this.#timers.now() + FORM_LIMIT_MS;
+    while (this.#openGroups(deployment) < ZONES.length) {
+      if (this.#timers.now() > until) break;
+      await sleep(this.#timers, 200);
+    }
+    const open = this.#openGroups(deployment);
+    this.#check("Four-host groups are open", open >= ZONES.length, `${open} groups`);
+  }
+
+  #openGroups(deployment: LocalDeployment): number {
+    const [gateway] = deployment.gateways;
+    const entries = [...gateway.gateway.table.entries.values()];
+    return entries.filter((e) => e.listed && e.upstream.serves === MODEL).length;
+  }
+
+  async #callInLoop(
+    deployment: LocalDeployment,
+    index: number,
+    state: { stop: boolean },
+  ): Promise<void> {
+    const caller = this.#caller(deployment, index);
+    for (let i = 0; !state.stop; i++) {
+      this.#answers.push(await caller.chat(MODEL, `seed ${this.#seed} ${index}/${i}`));
+    }
+  }
+
+  #caller(deployment: LocalDeployment, index: number): CallerClient {
+    return new CallerClient({
+      seeds: deployment.callerAddresses,
+      key: CUSTOMER_KEY,
+      zone: ZONES[index % ZONES.length],
+    }, () => this.#timers.now());
+  }
+
+  async #placeOrder(deployment: LocalDeployment): Promise<void> {
+    this.#say("Sending one order twice at once and again through another gateway");
+    const one = (address: string) =>
+      new CallerClient(
+        { seeds: [address], key: CUSTOMER_KEY },
+        () => this.#timers.now(),
+      ).order(SERVICE, "album-1", { pages: 24 });
+    const [first, second, third] = deployment.callerAddresses;
+    const answers = await Promise.all([one(first), one(second)]);
+    answers.push(await one(third));
+    const same = answers.every((a) => a.whole && a.text === answers[0].text);
+    const runs = deployment.journal.filter((e) => e.kind === "order_run").length;
+    this.#check(
+      "The order is recorded once and answered three times",
+      same && runs === 1,
+      `ran ${runs} times`,
+    );
+  }
+
+  async #zoneOutAndBack(deployment: LocalDeployment): Promise<void> {
+    const zone = demoRandom(this.#seed).pick(ZONES);
+    this.#say(`Taking ${zone} out and bringing it back`);
+    const seconds = await this.#change(deployment, {
+      kind: "set_zone",
+      zone,
+      state: "out",
+    });
+    const outAt = this.#timers.now();
+    await sleep(this.#timers, ZONE_BOUND_MS + 2_000);
+    const late = deployment.journal.filter((e) =>
+      e.kind === "request_started" && e.availabilityZone === zone &&
+      e.at > outAt + ZONE_BOUND_MS
+    ).length;
+    this.#check(
+      "A zone that is out gets no new work",
+      late === 0,
+      `${late} late requests; in force after ${seconds.toFixed(2)} s`,
+    );
+    await this.#change(deployment, { kind: "set_zone", zone, state: "in" });
+    await sleep(this.#timers, 2_000);
+  }
+
+  async #killHost(deployment: LocalDeployment): Promise<void> {
+    const engines = [...deployment.standins.engines.values()];
+    const busy = engines.find((e) => e.running > 0) ?? engines[0];
+    const members = busy.membership?.members ?? [];
+    const victim = engines.find((e) => e.address === members.at(-1)) ?? busy;
+    const running = busy.running;
+    const before = this.#answers.length;
+    this.#say(`Killing ${victim.hostId} under ${running} running streams`);
+    victim.die();
+    await sleep(this.#timers, 8_000);
+    const since = this.#answers.slice(before);
+    const whole = since.filter((a) => a.whole).length;
+    this.#check(
+      "Streams under a dead host end whole",
+      whole === since.length && since.length > 0 && running > 0,
+      `${whole} of ${since.length} streams since, ${running} under the host`,
+    );
+  }
+
+  /** Submits a change and returns the seconds until it was in force. */
+  async #change(
+    deployment: LocalDeployment,
+    action: Record<string, unknown>,
+  ): Promise<number> {
+    const startedAt = this.#timers.now();
+    this.#changes += 1;
+    const answer = await deployment.submit(action, `demo-${this.#changes}`);
+    if (answer.status !== 200) {
+      const detail = JSON.stringify(answer.body);
+      this.#check(`Change ${this.#changes} is accepted`, false, detail);
+    }
+    return (this.#timers.now() - startedAt) / 1000;
+  }
+
+  #check(name: string, held: boolean, detail: string): void {
+    this.#checks.push({ name, held, detail });
+    this.#say(`${held ? "held" : "BROKEN"}: ${name} (${detail})`);
+  }
+
+  #say(text: string): void {
+    process.stdout.write(`${text}\n`);
+  }
+}
--- /dev/null
+++ b/src/demo/local_deployment.ts
@@ -0,0 +1,141 @@
+/**
+ * A whole deployment in one process on loopback: stand-ins, gateways, controllers.
+ *
+ * @module
+ */
+import type { Server } from "node:http";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { Random } from "../base/random.ts";
+import { sha256 } from "../base/hash.ts";
+import type { Timers } from "../base/timers.ts";
+import { ControllerProcess } from "../controller/controller_process.ts";
+import { AdminClient } from "../ctl/admin_client.ts";
+import { GatewayProcess } from "../gateway/gateway_process.ts";
+import { createLogger } from "../logging/logger.ts";
+import type { FleetHost, FleetShape } from "../standins/fleet.ts";
+import { layOutFleet } from "../standins/fleet.ts";
+import { Standins } from "../standins/server/standins.ts";
+import type { EngineProfile } from "../standins/sim/engine_sim.ts";
+import type { JournalEvent } from "../standins/sim/journal.ts";
+
+/** Key of the deployment's one customer. */
+export const CUSTOMER_KEY = "demo-customer-key";
+const OPERATOR_TOKEN = "demo-operator-token";
+const PEER_KEY = "demo-peer-key-0123456789";
+
+/** Size and behaviour of the deployment. */
+export interface LocalDeploymentOptions {
+  readonly timers: Timers;
+  readonly fleet: FleetShape;
+  readonly profile: EngineProfile;
+  readonly gateways: number;
+  readonly seed: number;
+}
+
+/** Everything, with the hands that break it. */
+export class LocalDeployment {
+  readonly standins: Standins;
+  readonly gateways: GatewayProcess[] = [];
+  readonly callerAddresses: string[] = [];
+  readonly journal: JournalEvent[] = [];
+  readonly admin: AdminClient;
+  readonly #controller: ControllerProcess;
+
+  private constructor(
+    options: LocalDeploymentOptions,
+    ports: readonly number[],
+  ) {
+    const at = (index: number) => `127.0.0.1:${ports[index]}`;
+    const log = createLogger({ format: "json", level: "error", process: "demo" });
+    const platform = { store: `http://${at(0)}`, host_list: `http://${at(1)}` };
+    const logging = { format: "json", level: "error" } as const;
+    const firstHost = 3 + 2 * options.gateways;
+    const hosts: FleetHost[] = layOutFleet(
+      options.fleet,
+      (i) => at(firstHost + i),
+    );
+    this.standins = new Standins({
+      timers: options.timers,
+      journal: { record: (event) => this.journal.push(event) },
+      storeAddress: at(0),
+      platformAddress: at(1),
+      hosts,
+      profile: options.profile,
+    });
+    const seeds = Array.from({ length: options.gateways }, (_, i) => at(3 + 2 * i));
+    const peers = { key: PEER_KEY, seeds };
+    for (let i = 0; i < options.gateways; i++) {
+      const { zones } = options.fleet;
+      const caller = at(4 + 2 * i);
+      this.callerAddresses.push(caller);
+      this.gateways.push(
+        new GatewayProcess({
+          gateway: {
+            id: `gw-${i + 1}`,
+            availability_zone: zones[i % zones.length],
+            caller_address: caller,
+            peer_address: seeds[i],
+          },
+          platform,
+          peers,
+          limits: { max_body: 1_048_576 },
+          log: logging,
+        }, log),
+      );
+    }
+    this.#controller = new ControllerProcess({
+      controller: { id: "ctl-1", admin_address: at(2) },
+      platform,
+      peers,
+      token: { demo: { role: "operator", hash: sha256(OPERATOR_TOKEN) } },
+      log: logging,
+    }, log);
+    this.admin = new AdminClient({ address: at(2), token: OPERATOR_TOKEN });
+  }
+
+  /** Opens all ports and starts everything. */
+  static async start(
+    options: LocalDeploymentOptions,
+  ): Promise<LocalDeployment> {
+    const hosts = layOutFleet(options.fleet, () => "").length;
+    const count = 3 + 2 * options.gateways + hosts;
+    const deployment = new LocalDeployment(options, await freePorts(count));
+    await deployment.standins.start();
+    for (const gateway of deployment.gateways) await gateway.start();
+    await deployment.#controller.start();
+    return deployment;
+  }
+
+  /** Submits a change; the answer tells when it is in force. */
+  async submit(action: Record<string, unknown>, changeId: string) {
+    return await this.admin.submit({ changeId, action });
+  }
+
+  /** Stops everything at once. */
+  async close(): Promise<void> {
+    await this.#controller.close();
+    await Promise.all(this.gateways.map((gateway) => gateway.close()));
+    await this.standins.shutdown();
+  }
+}
+
+/** Draws the order in which a demo does things. */
+export function demoRandom(seed: number): Random {
+  return new Random(seed);
+}
+
+/** Finds ports that nobody listens on. */
+async function freePorts(count: number): Promise<number[]> {
+  const servers: Server[] = [];
+  for (let i = 0; i < count; i++) {
+    const server = createServer();
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    servers.push(server);
+  }
+  const ports = servers.map((s) => (s.address() as AddressInfo).port);
+  await Promise.all(
+    servers.map((s) => new Promise((resolve) => s.close(resolve))),
+  );
+  return ports;
+}
--- /dev/null
+++ b/src/load/caller_client.ts
@@ -0,0 +1,148 @@
+/**
+ * A caller over real sockets: asks for an address, connects, checks the answer.
+ *
+ * @module
+ */
+import type { Agent } from "undici";
+import { request } from "undici";
+
+/** Where to start and who calls. */
+export interface CallerClientOptions {
+  /** Callers' addresses of some gateways. */
+  readonly seeds: readonly string[];
+  readonly key: string;
+  readonly zone?: string;
+  readonly dispatcher?: Agent;
+}
+
+/** One answer as the caller saw it. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly text: string;
+  /** Events received, the end marker not counted. */
+  readonly events: number;
+  /** Whether the answer came to its end. */
+  readonly whole: boolean;
+  readonly firstByteMs: number;
+  readonly totalMs: number;
+}
+
+/** An order's or a call's extra headers. */
+export type ExtraHeaders = Readonly<Record<string, string>>;
+
+const END_MARKER = "data: [DONE]\n\n";
+
+/** Keeps addresses for their time to live and goes on to the next when refused. */
+export class CallerClient {
+  readonly #options: CallerClientOptions;
+  readonly #now: () => number;
+  #addresses: readonly string[] = [];
+  #until = -Infinity;
+
+  constructor(options: CallerClientOptions, now: () => number) {
+    this.#options = options;
+    this.#now = now;
+  }
+
+  /** Streams a chat completion. */
+  chat(model: string, content: string): Promise<CallerAnswer> {
+    const messages = [{ role: "user", content }];
+    const body = { model, stream: true, messages };
+    return this.#post("/v1/chat/completions", body, {});
+  }
+
+  /** Places an order at a plain service. */
+  order(
+    service: string,
+    key: string,
+    body: Record<string, unknown>,
+  ): Promise<CallerAnswer> {
+    const headers = { "idempotency-key": key };
+    return this.#post(`/services/${service}/orders`, body, headers);
+  }
+
+  /** Addresses to use now, asked for again when their time is over. */
+  async addresses(): Promise<readonly string[]> {
+    if (this.#now() < this.#until) return this.#addresses;
+    const { zone, seeds } = this.#options;
+    const query = zone === undefined ? "" : `?zone=${zone}`;
+    for (const seed of [...this.#addresses, ...seeds]) {
+      try {
+        const res = await request(`http://${seed}/v1/addresses${query}`);
+        const body = await res.body.json() as {
+          addresses: string[];
+          ttl_ms: number;
+        };
+        if (body.addresses.length === 0) continue;
+        this.#addresses = body.addresses;
+        this.#until = this.#now() + body.ttl_ms;
+        return this.#addresses;
+      } catch {
+        // A gateway that is gone: the next seed answers.
+      }
+    }
+    return seeds;
+  }
+
+  async #post(
+    path: string,
+    body: Record<string, unknown>,
+    extra: ExtraHeaders,
+  ): Promise<CallerAnswer> {
+    const startedAt = this.#now();
+    for (const address of await this.addresses()) {
+      try {
+        return await this.#send(address, path, { body, extra, startedAt });
+      } catch (err) {
+        const code = (err as { code?: string }).code;
+        if (code !== "ECONNREFUSED") return brokenAnswer(this.#now() - startedAt);
+        this.#until = -Infinity;
+      }
+    }
+    return brokenAnswer(this.#now() - startedAt);
+  }
+
+  async #send(
+    address: string,
+    path: string,
+    what: { body: unknown; extra: ExtraHeaders; startedAt: number },
+  ): Promise<CallerAnswer> {
+    const res = await request(`http://${address}${path}`, {
+      method: "POST",
+      dispatcher: this.#options.dispatcher,
+      headers: {
+        authorization: `Bearer ${this.#options.key}`,
+        "content-type": "application/json",
+        ...what.extra,
+      },
+      body: JSON.stringify(what.body),
+    });
+    let text = "";
+    let firstByteMs = 0;
+    for await (const chunk of res.body) {
+      if (text === "") firstByteMs = this.#now() - what.startedAt;
+      text += chunk.toString("utf8");
+    }
+    const streamed = String(res.headers["content-type"])
+      .startsWith("text/event-stream");
+    return {
+      status: res.statusCode,
+      text,
+      events: text.split("\ndata: {").length - 1,
+      whole: streamed ? text.endsWith(END_MARKER) : res.statusCode === 200,
+      firstByteMs,
+      totalMs: this.#now() - what.startedAt,
+    };
+  }
+}
+
+function brokenAnswer(totalMs: number): CallerAnswer {
+  return {
+    status: 0,
+    text: "",
+    events: 0,
+    whole: false,
+    firstByteMs: totalMs,
+    totalMs,
+  };
+}
