--- /dev/null
+++ b/features/steps/tour_steps.ts
@@ -0,0 +1,118 @@
+import assert from "node:assert/strict";
+import type { ChildProcess } from "node:child_process";
+import { spawn, spawnSync } from "node:child_process";
+import process from "node:process";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { SystemTimers } from "../../src/base/system_timers.ts";
+import { sleep } from "../../src/base/timers.ts";
+import { CallerClient } from "../../src/load/caller_client.ts";
+
+const BIN = "dist/src/bin";
+const MAX_WAIT_MS = 60_000;
+const timers = new SystemTimers();
+
+interface TourWorld {
+  processes: ChildProcess[];
+}
+
+const PROCESSES: ReadonlyArray<readonly [string, string]> = [
+  ["oleander_standins.js", "standins.ini"],
+  ["oleander_gateway.js", "gateway-1.ini"],
+  ["oleander_gateway.js", "gateway-2.ini"],
+  ["oleander_controller.js", "controller.ini"],
+];
+
+function ctl(...args: string[]) {
+  return spawnSync(process.execPath, [`${BIN}/oleanderctl.js`, ...args], {
+    encoding: "utf8",
+    env: { ...process.env, OLEANDER_TOKEN: "operator-token" },
+  });
+}
+
+/** Tries until a command does what it should; the limit only ends a hang. */
+async function ctlUntil(
+  args: readonly string[],
+  done: (out: string) => boolean,
+): Promise<void> {
+  const limit = timers.now() + MAX_WAIT_MS;
+  while (true) {
+    const res = ctl(...args);
+    if (res.status === 0 && done(res.stdout)) return;
+    assert.ok(
+      timers.now() < limit,
+      `${args.join(" ")}: ${res.stderr}${res.stdout}`,
+    );
+    await sleep(timers, 300);
+  }
+}
+
+Given("the tour's processes run", function (this: TourWorld) {
+  this.processes = PROCESSES.map(([binary, settings]) =>
+    spawn(
+      process.execPath,
+      [`${BIN}/${binary}`, `examples/local/${settings}`],
+      {
+        stdio: "ignore",
+      },
+    )
+  );
+});
+
+When(
+  "the declarations are applied with oleanderctl",
+  { timeout: 130_000 },
+  async function (this: TourWorld) {
+    await ctlUntil(["fleet"], (out) => out.includes('"active": true'));
+    await ctlUntil(["apply", "examples/local/declarations.json"], () => true);
+    await ctlUntil(["groups"], (out) => out.includes("open\t4 hosts"));
+  },
+);
+
+Then(
+  "a caller that asks for an address gets a whole streamed answer",
+  { timeout: 130_000 },
+  async function (this: TourWorld) {
+    const seeds = ["127.0.0.1:7001", "127.0.0.1:7002"];
+    const caller = new CallerClient(
+      { seeds, key: "counter-key" },
+      () => timers.now(),
+    );
+    const limit = timers.now() + MAX_WAIT_MS;
+    while (true) {
+      const answer = await caller.chat("layout-large", "hello");
+      if (answer.whole && answer.events > 0) return;
+      assert.ok(timers.now() < limit, answer.text);
+      await sleep(timers, 300);
+    }
+  },
+);
+
+Then(
+  "oleanderctl takes a zone out",
+  { timeout: 130_000 },
+  async function (this: TourWorld) {
+    await ctlUntil(["zone-out", "ktm-a", "--json"], (out) => {
+      return JSON.parse(out).accepted === true;
+    });
+  },
+);
+
+Then(
+  "the processes stop on SIGTERM with exit code {int}",
+  { timeout: 130_000 },
+  async function (this: TourWorld, code: number) {
+    const [standins, ...rest] = this.processes;
+    for (const group of [rest, [standins]]) {
+      const ends = group.map((child) =>
+        new Promise<number | null>((resolve) => child.once("exit", resolve))
+      );
+      for (const child of group) child.kill("SIGTERM");
+      const codes = await Promise.all(ends);
+      assert.deepEqual(codes, group.map(() => code));
+    }
+  },
+);
+
+After({ tags: "@tour" }, function (this: TourWorld) {
+  for (const child of this.processes ?? []) child.kill("SIGKILL");
+});
--- a/src/bin/oleander_demo.ts
+++ b/src/bin/oleander_demo.ts
@@ -17,7 +17,8 @@
     default: 1,
   })
   .action(async (options: { seed: number }) => {
-    const checks = await new Demo(new SystemTimers(), Number(options.seed)).run();
+    const checks = await new Demo(new SystemTimers(), Number(options.seed))
+      .run();
     process.stdout.write("\n");
     for (const { name, held, detail } of checks) {
       const mark = held ? "held  " : "BROKEN";
--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -10,7 +10,11 @@
 import type { CallerAnswer } from "../load/caller_client.ts";
 import { CallerClient } from "../load/caller_client.ts";
 import { DEFAULT_PROFILE } from "../standins/sim/engine_sim.ts";
-import { CUSTOMER_KEY, demoRandom, LocalDeployment } from "./local_deployment.ts";
+import {
+  CUSTOMER_KEY,
+  demoRandom,
+  LocalDeployment,
+} from "./local_deployment.ts";
 
 const MODEL = "layout-large";
 const SERVICE = "albums";
@@ -92,7 +96,13 @@
     const targets = { betweenTokensMs: 200, reliabilityPercent: 99 };
     await this.#change(deployment, {
       kind: "set_class",
-      value: { name: "counter", team, priority: 5, firstTokenMs: 3_000, ...targets },
+      value: {
+        name: "counter",
+        team,
+        priority: 5,
+        firstTokenMs: 3_000,
+        ...targets,
+      },
     });
     await this.#change(deployment, {
       kind: "set_model",
@@ -135,13 +145,18 @@
       await sleep(this.#timers, 200);
     }
     const open = this.#openGroups(deployment);
-    this.#check("Four-host groups are open", open >= ZONES.length, `${open} groups`);
+    this.#check(
+      "Four-host groups are open",
+      open >= ZONES.length,
+      `${open} groups`,
+    );
   }
 
   #openGroups(deployment: LocalDeployment): number {
     const [gateway] = deployment.gateways;
     const entries = [...gateway.gateway.table.entries.values()];
-    return entries.filter((e) => e.listed && e.upstream.serves === MODEL).length;
+    return entries.filter((e) => e.listed && e.upstream.serves === MODEL)
+      .length;
   }
 
   async #callInLoop(
@@ -151,7 +166,9 @@
   ): Promise<void> {
     const caller = this.#caller(deployment, index);
     for (let i = 0; !state.stop; i++) {
-      this.#answers.push(await caller.chat(MODEL, `seed ${this.#seed} ${index}/${i}`));
+      this.#answers.push(
+        await caller.chat(MODEL, `seed ${this.#seed} ${index}/${i}`),
+      );
     }
   }
 
@@ -164,7 +181,9 @@
   }
 
   async #placeOrder(deployment: LocalDeployment): Promise<void> {
-    this.#say("Sending one order twice at once and again through another gateway");
+    this.#say(
+      "Sending one order twice at once and again through another gateway",
+    );
     const one = (address: string) =>
       new CallerClient(
         { seeds: [address], key: CUSTOMER_KEY },
@@ -174,7 +193,8 @@
     const answers = await Promise.all([one(first), one(second)]);
     answers.push(await one(third));
     const same = answers.every((a) => a.whole && a.text === answers[0].text);
-    const runs = deployment.journal.filter((e) => e.kind === "order_run").length;
+    const runs =
+      deployment.journal.filter((e) => e.kind === "order_run").length;
     this.#check(
       "The order is recorded once and answered three times",
       same && runs === 1,
@@ -192,10 +212,11 @@
     });
     const outAt = this.#timers.now();
     await sleep(this.#timers, ZONE_BOUND_MS + 2_000);
-    const late = deployment.journal.filter((e) =>
-      e.kind === "request_started" && e.availabilityZone === zone &&
-      e.at > outAt + ZONE_BOUND_MS
-    ).length;
+    const late =
+      deployment.journal.filter((e) =>
+        e.kind === "request_started" && e.availabilityZone === zone &&
+        e.at > outAt + ZONE_BOUND_MS
+      ).length;
     this.#check(
       "A zone that is out gets no new work",
       late === 0,
--- a/src/demo/local_deployment.ts
+++ b/src/demo/local_deployment.ts
@@ -47,7 +47,11 @@
     ports: readonly number[],
   ) {
     const at = (index: number) => `127.0.0.1:${ports[index]}`;
-    const log = createLogger({ format: "json", level: "error", process: "demo" });
+    const log = createLogger({
+      format: "json",
+      level: "error",
+      process: "demo",
+    });
     const platform = { store: `http://${at(0)}`, host_list: `http://${at(1)}` };
     const logging = { format: "json", level: "error" } as const;
     const firstHost = 3 + 2 * options.gateways;
@@ -63,7 +67,10 @@
       hosts,
       profile: options.profile,
     });
-    const seeds = Array.from({ length: options.gateways }, (_, i) => at(3 + 2 * i));
+    const seeds = Array.from(
+      { length: options.gateways },
+      (_, i) => at(3 + 2 * i),
+    );
     const peers = { key: PEER_KEY, seeds };
     for (let i = 0; i < options.gateways; i++) {
       const { zones } = options.fleet;
@@ -130,7 +137,9 @@
   const servers: Server[] = [];
   for (let i = 0; i < count; i++) {
     const server = createServer();
-    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
     servers.push(server);
   }
   const ports = servers.map((s) => (s.address() as AddressInfo).port);
--- a/src/load/caller_client.ts
+++ b/src/load/caller_client.ts
@@ -95,7 +95,9 @@
         return await this.#send(address, path, { body, extra, startedAt });
       } catch (err) {
         const code = (err as { code?: string }).code;
-        if (code !== "ECONNREFUSED") return brokenAnswer(this.#now() - startedAt);
+        if (code !== "ECONNREFUSED") {
+          return brokenAnswer(this.#now() - startedAt);
+        }
         this.#until = -Infinity;
       }
     }
