Measure the request path and keep engines' connections

Change: the relay benchmark (real gateway, pipe, engines and clients as processes); a whole answer lets its transport end by itself and is cut only after 1 s.

--- a/src/adapters/undici_upstream_client.ts
+++ b/src/adapters/undici_upstream_client.ts
@@ -25,7 +25,7 @@
 /** {@linkcode UpstreamClient} over HTTP/1.1 with kept connections. */
 export class UndiciUpstreamClient implements UpstreamClient {
   readonly #agent = new Agent({
-    connections: 512,
+    connections: 8_192,
     pipelining: 1,
     connectTimeout: CONNECT_TIMEOUT_MS,
     headersTimeout: ANSWER_TIMEOUT_MS,
--- a/src/core/gateway/attempt_run.ts
+++ b/src/core/gateway/attempt_run.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Timers } from "../../base/timers.ts";
+import type { Timer, Timers } from "../../base/timers.ts";
 import type {
   AnswerHead,
   Attempt,
@@ -17,6 +17,9 @@
 /** Header by which an upstream says that it did not run the request. */
 export const NOT_RUN_HEADER = "x-not-run";
 
+/** Time that a transport has to end after the answer's end marker. */
+const LINGER_MS = 1_000;
+
 /** Receives what attempts of one request do. */
 export interface AttemptOwner {
   attemptHead(attempt: AttemptRun, head: AnswerHead): void;
@@ -38,6 +41,7 @@
   readonly #owner: AttemptOwner;
   #handle: Attempt | undefined;
   #closed = false;
+  #linger: Timer | undefined;
 
   constructor(timers: Timers, entry: UpstreamEntry, owner: AttemptOwner) {
     this.#timers = timers;
@@ -61,6 +65,16 @@
     this.#handle?.cancel();
   }
 
+  /**
+   * Lets the transport end by itself after a whole answer, so that its
+   * connection can be used again; cuts it if it does not.
+   */
+  finish(): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#linger = this.#timers.after(LINGER_MS, () => this.#handle?.cancel());
+  }
+
   /** Stops reading while the caller is slow. */
   pause(): void {
     this.#handle?.pause();
@@ -89,6 +103,7 @@
   }
 
   onEnd(end: AttemptEnd): void {
+    this.#linger?.cancel();
     if (this.#closed) return;
     this.#closed = true;
     this.#owner.attemptEnd(this, end);
--- a/src/core/gateway/request_run.ts
+++ b/src/core/gateway/request_run.ts
@@ -521,7 +521,8 @@
 
   #closeAttempt(attempt: AttemptRun, whole: boolean): void {
     if (!this.#attempts.delete(attempt)) return;
-    attempt.close();
+    if (whole) attempt.finish();
+    else attempt.close();
     if (this.#winner === attempt && !whole) {
       this.#winner = undefined;
       this.#framer = new EventFramer();
--- /dev/null
+++ b/tools/relay/engine.ts
@@ -0,0 +1,98 @@
+/**
+ * An engine that streams events as fast as they are read, or at a pace.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import { setImmediate } from "node:timers";
+import { listen } from "../../src/adapters/listen.ts";
+import { SystemTimers } from "../../src/base/system_timers.ts";
+import type {
+  EngineCommand,
+  FencedCommand,
+} from "../../src/platform/engine_control.ts";
+import { readJson, sendJson } from "../../src/standins/server/http_helpers.ts";
+import { PORTS } from "./messages.ts";
+import { monotonicMs } from "./monotonic.ts";
+
+const CAPACITY = 100_000;
+const TICK_MS = 5;
+/** Writes of one stream before others have their turn. */
+const TURN = 8;
+const timers = new SystemTimers();
+
+/** Starts engine number `index`. */
+export async function startEngine(index: number): Promise<void> {
+  const hostId = `engine-${index}`;
+  let group: EngineCommand | undefined;
+  const server = createServer(async (req, res) => {
+    if (req.url === "/engine/status") {
+      const joined = group?.kind === "load";
+      return sendJson(res, 200, {
+        hostId,
+        bootId: `${hostId}-b1`,
+        phase: joined ? "ready" : "idle",
+        groupId: joined ? group?.groupId : "",
+        epoch: joined ? group?.epoch : 0,
+        running: 0,
+        completed: 0,
+        capacity: CAPACITY,
+        weights: [],
+      });
+    }
+    if (req.url === "/engine/command") {
+      const body = await readJson(req) as unknown as FencedCommand;
+      group = body.command;
+      return sendJson(res, 200, { ok: true });
+    }
+    await stream(req, res);
+  });
+  await listen(server, `127.0.0.1:${PORTS.firstEngine + index}`);
+}
+
+/** The pace and the length of an answer stand in the request's message. */
+async function stream(
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  const body = await readJson(req);
+  const pace = Number(body.events_per_s ?? 0);
+  const total = Number(body.events ?? 0) || Infinity;
+  res.writeHead(200, { "content-type": "text/event-stream" });
+  res.socket?.setNoDelay(true);
+  const batch = Number(body.batch ?? 1);
+  if (pace > 0) return streamPaced(res, pace);
+  let sent = 0;
+  const push = () => {
+    for (let n = 0; n < TURN && !res.destroyed && sent < total; n++) {
+      sent += batch;
+      if (!res.write(events(batch))) {
+        res.once("drain", push);
+        return;
+      }
+    }
+    if (sent < total) setImmediate(push);
+    else if (!res.destroyed) res.end("data: [DONE]\n\n");
+  };
+  push();
+}
+
+function streamPaced(res: ServerResponse, pace: number): void {
+  const startedAt = timers.now();
+  let sent = 0;
+  const timer = timers.subscribe(TICK_MS, () => {
+    const due = Math.floor((timers.now() - startedAt) * pace / 1000) + 1;
+    if (due <= sent) return;
+    const count = due - sent;
+    sent = due;
+    res.write(events(count));
+  });
+  res.on("close", () => timer.cancel());
+}
+
+function events(count: number): Buffer {
+  const data = `data: {"t":${monotonicMs().toFixed(3)},"c":"token "}\n\n`;
+  return Buffer.from(data.repeat(count));
+}
