Send differences between gateways and read an unchanged host list for nothing

Change: a hash of the records decides whether digests and missing records are sent; warm upstreams are told once to each peer; only first-hand reports are shared; the host list is read with an entity tag; probers are computed once for a list of gateways. An owner that knows an upstream is warm says so.

--- a/src/adapters/http_host_list.ts
+++ b/src/adapters/http_host_list.ts
@@ -3,13 +3,12 @@
  *
  * @module
  */
-import { Agent } from "undici";
+import { Agent, request } from "undici";
 import { z } from "zod";
 import type { Outcome } from "../base/outcome.ts";
 import { failure, success } from "../base/outcome.ts";
 import type { HostList, HostListError } from "../platform/host_list.ts";
 import type { Host } from "../world/host.ts";
-import { callJson } from "./http_json.ts";
 
 const LIST_TIMEOUT_MS = 2_000;
 
@@ -30,21 +29,36 @@
 export class HttpHostList implements HostList {
   readonly #url: string;
   readonly #agent = new Agent({ connections: 2 });
+  #etag = "";
+  #hosts: readonly Host[] = [];
 
   constructor(endpoint: string) {
     this.#url = `${endpoint}/v1/hosts`;
   }
 
+  /** Reads the list; one that has not changed costs a few bytes. */
   async list(): Promise<Outcome<readonly Host[], HostListError>> {
-    const res = await callJson(this.#url, {
-      dispatcher: this.#agent,
-      timeoutMs: LIST_TIMEOUT_MS,
-      method: "GET",
-    });
-    if (!res.ok) return unavailable(res.err.detail);
-    const parsed = ListSchema.safeParse(res.value);
-    if (!parsed.success) return unavailable("The host list is malformed");
-    return success(parsed.data.hosts);
+    try {
+      const res = await request(this.#url, {
+        dispatcher: this.#agent,
+        headersTimeout: LIST_TIMEOUT_MS,
+        bodyTimeout: LIST_TIMEOUT_MS,
+        headers: this.#etag === "" ? {} : { "if-none-match": this.#etag },
+      });
+      const text = await res.body.text();
+      if (res.statusCode === 304) return success(this.#hosts);
+      if (res.statusCode !== 200) {
+        return unavailable(`Status ${res.statusCode}`);
+      }
+      const parsed = ListSchema.safeParse(JSON.parse(text));
+      if (!parsed.success) return unavailable("The host list is malformed");
+      const { etag } = res.headers;
+      this.#etag = typeof etag === "string" ? etag : "";
+      this.#hosts = parsed.data.hosts;
+      return success(this.#hosts);
+    } catch (err) {
+      return unavailable(err instanceof Error ? err.message : String(err));
+    }
   }
 
   /** Ends all connections. */
--- a/src/adapters/http_json.ts
+++ b/src/adapters/http_json.ts
@@ -20,6 +20,7 @@
   readonly timeoutMs: number;
   readonly method: "GET" | "POST";
   readonly body?: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /**
@@ -42,7 +43,7 @@
       dispatcher: call.dispatcher,
       headersTimeout: call.timeoutMs,
       bodyTimeout: call.timeoutMs,
-      headers: { "content-type": "application/json" },
+      headers: { "content-type": "application/json", ...call.headers },
       body: call.body === undefined ? undefined : JSON.stringify(call.body),
     });
     status = res.statusCode;
--- a/src/core/configuration/administration.ts
+++ b/src/core/configuration/administration.ts
@@ -209,6 +209,7 @@
       lifecycle: "starting",
       configRevision: cfg.revision,
       cfg,
+      recordsHash: 0,
       digests: [],
       records: [],
       evidence: [],
--- a/src/core/gateway/gateway.ts
+++ b/src/core/gateway/gateway.ts
@@ -281,6 +281,7 @@
     const refused = { share: 0, warm: false };
     if (this.#ownerId(req.upstreamId) !== this.#parts.self.id) return refused;
     if (!this.#replica.mayServe(now)) return refused;
+    if (this.#holder.warm.has(req.upstreamId)) return { share: 0, warm: true };
     const openAt = this.#ownedFrom(req.upstreamId);
     return this.#owner.request(req, now, openAt);
   }
@@ -545,7 +546,7 @@
     for (const suspect of msg.suspects) this.#suspects.learn(suspect, now);
     for (const shared of msg.reports) {
       const entry = this.#table.entries.get(shared.upstreamId);
-      entry?.reported(shared.report, now - shared.ageMs);
+      entry?.reported(shared.report, now - shared.ageMs, false);
     }
   }
 
@@ -585,7 +586,8 @@
     }
     return {
       lifecycle: this.#lifecycle,
-      records: this.#table.records.values(),
+      records: this.#table.records,
+      recordsHash: this.#table.recordsHash,
       warm: [...this.#holder.warm],
       cold: this.#holder.cooledLately(now),
       suspects: this.#suspects.all().slice(-MAX_SHARED_SUSPECTS),
--- a/src/core/gateway/prober.ts
+++ b/src/core/gateway/prober.ts
@@ -34,6 +34,9 @@
 export class Prober {
   readonly #parts: ProberParts;
   readonly #inProgress = new Set<string>();
+  /** Answers of {@linkcode Prober.#isMine} for one list of gateways. */
+  readonly #share = new Map<string, boolean>();
+  #shareOf: readonly string[] = [];
 
   constructor(parts: ProberParts) {
     this.#parts = parts;
@@ -41,22 +44,36 @@
 
   /** Probes the hosts that are this gateway's share, and those out of reach. */
   probeShare(): void {
-    const gateways = this.#parts.gatewayIds();
     const hosts = new Map<string, string>();
     for (const entry of this.#parts.table.entries.values()) {
       if (!entry.listed || entry.lostReason !== undefined) continue;
       for (const hostId of entry.upstream.hostIds) {
-        const probers = rendezvousOrder(hostId, gateways);
-        const share = probers.slice(0, PROBERS_PER_HOST);
-        const mine = share.length === 0 || share.includes(this.#parts.selfId);
+        if (!this.#isMine(hostId) && !entry.unreachable.has(hostId)) continue;
         const address = this.#addressOf(entry, hostId);
-        if (address === undefined) continue;
-        if (mine || entry.unreachable.has(hostId)) hosts.set(hostId, address);
+        if (address !== undefined) hosts.set(hostId, address);
       }
     }
     for (const [hostId, address] of hosts) this.probeHost(hostId, address);
   }
 
+  /** Whether this gateway is among a host's probers; kept while members stay. */
+  #isMine(hostId: string): boolean {
+    const gateways = this.#parts.gatewayIds();
+    if (gateways !== this.#shareOf) {
+      this.#shareOf = gateways;
+      this.#share.clear();
+    }
+    const known = this.#share.get(hostId);
+    if (known !== undefined) return known;
+    const probers = rendezvousOrder(hostId, gateways).slice(
+      0,
+      PROBERS_PER_HOST,
+    );
+    const mine = probers.length === 0 || probers.includes(this.#parts.selfId);
+    this.#share.set(hostId, mine);
+    return mine;
+  }
+
   /** Probes every member of an upstream at once. */
   probeUpstream(entry: UpstreamEntry): void {
     for (const hostId of entry.upstream.hostIds) {
--- a/src/core/membership/messages.ts
+++ b/src/core/membership/messages.ts
@@ -46,10 +46,14 @@
   readonly configRevision: number;
   /** Present when the receiver was last known to have an older one. */
   readonly cfg?: Configuration;
+  /** Same for processes that have the same domain records. */
+  readonly recordsHash: number;
+  /** Present when the receiver's records were last known to differ. */
   readonly digests: readonly RecordDigest[];
   /** Records that the receiver was last known to lack. */
   readonly records: readonly DomainRecord[];
   readonly evidence: readonly Evidence[];
+  /** Warm upstreams of which the receiver was not told before. */
   readonly warm: readonly string[];
   readonly cold: readonly string[];
   readonly suspects: readonly Suspect[];
--- a/src/core/membership/peer_sync.ts
+++ b/src/core/membership/peer_sync.ts
@@ -36,7 +36,8 @@
 /** What a gateway says of itself in every message. */
 export interface LocalNews {
   readonly lifecycle: Lifecycle;
-  readonly records: Iterable<DomainRecord>;
+  readonly records: ReadonlyMap<string, DomainRecord>;
+  readonly recordsHash: number;
   readonly warm: readonly string[];
   readonly cold: readonly string[];
   readonly suspects: readonly Suspect[];
@@ -61,7 +62,11 @@
   configRevision: number;
   lifecycle: Lifecycle;
   heardAt: number;
-  readonly recordRevisions: Map<string, number>;
+  incarnation: string;
+  recordsHash: number | undefined;
+  /** Revisions that the peer has; unknown until it has sent digests. */
+  recordRevisions: Map<string, number> | undefined;
+  readonly toldWarm: Set<string>;
   /** The exchange on its way, and the one that follows it. */
   current: Promise<void> | undefined;
   next: Promise<void> | undefined;
@@ -160,37 +165,40 @@
 
   #note(msg: SyncMessage): PeerState {
     const peer = this.#peer(msg.from);
+    if (peer.incarnation !== msg.incarnation) forget(peer, msg.incarnation);
     peer.configRevision = msg.configRevision;
     peer.lifecycle = msg.lifecycle;
     peer.heardAt = this.#parts.timers.now();
-    peer.recordRevisions.clear();
-    for (const digest of msg.digests) {
-      peer.recordRevisions.set(digest.fabricDomain, digest.revision);
+    peer.recordsHash = msg.recordsHash;
+    const hasNone = msg.recordsHash === 0 && msg.lifecycle !== "starting";
+    if (msg.digests.length > 0 || hasNone) {
+      peer.recordRevisions = new Map(
+        msg.digests.map((d) => [d.fabricDomain, d.revision]),
+      );
     }
+    for (const id of msg.warm) peer.toldWarm.add(id);
+    for (const id of msg.cold) peer.toldWarm.delete(id);
     return peer;
   }
 
   #message(peer: PeerState): SyncMessage {
     const { replica, selfId, incarnation } = this.#parts;
     const news = this.#parts.localNews();
-    const digests: RecordDigest[] = [];
-    const records: DomainRecord[] = [];
-    for (const record of news.records) {
-      const { fabricDomain, revision } = record;
-      digests.push({ fabricDomain, revision });
-      const known = peer.recordRevisions.get(fabricDomain) ?? 0;
-      if (known < revision) records.push(record);
-    }
+    for (const id of news.cold) peer.toldWarm.delete(id);
+    const warm = news.warm.filter((id) => !peer.toldWarm.has(id));
+    for (const id of warm) peer.toldWarm.add(id);
+    const differs = peer.recordsHash !== news.recordsHash;
     return {
       from: selfId,
       incarnation,
       lifecycle: news.lifecycle,
       configRevision: replica.revision,
       cfg: peer.configRevision < replica.revision ? replica.cfg : undefined,
-      digests,
-      records,
+      recordsHash: news.recordsHash,
+      digests: differs ? digestsOf(news.records) : [],
+      records: differs ? recordsMissing(peer, news.records) : [],
       evidence: this.#evidence.map((kept) => kept.evidence),
-      warm: news.warm,
+      warm,
       cold: news.cold,
       suspects: news.suspects,
       reports: news.reports,
@@ -209,7 +217,10 @@
         configRevision: 0,
         lifecycle: "starting",
         heardAt: -Infinity,
-        recordRevisions: new Map(),
+        incarnation: "",
+        recordsHash: undefined,
+        recordRevisions: undefined,
+        toldWarm: new Set(),
         current: undefined,
         next: undefined,
       };
@@ -218,3 +229,34 @@
     return peer;
   }
 }
+
+/** A restarted peer has none of what its predecessor was told. */
+function forget(peer: PeerState, incarnation: string): void {
+  peer.incarnation = incarnation;
+  peer.recordRevisions = undefined;
+  peer.toldWarm.clear();
+}
+
+function digestsOf(records: ReadonlyMap<string, DomainRecord>): RecordDigest[] {
+  return [...records.values()].map(({ fabricDomain, revision }) => ({
+    fabricDomain,
+    revision,
+  }));
+}
+
+/** Records newer than the peer's; none before its revisions are known. */
+function recordsMissing(
+  peer: PeerState,
+  records: ReadonlyMap<string, DomainRecord>,
+): DomainRecord[] {
+  const known = peer.recordRevisions;
+  if (known === undefined) return [];
+  const missing: DomainRecord[] = [];
+  for (const record of records.values()) {
+    const { fabricDomain, revision } = record;
+    if ((known.get(fabricDomain) ?? 0) >= revision) continue;
+    missing.push(record);
+    known.set(fabricDomain, revision);
+  }
+  return missing;
+}
--- a/src/core/routing/upstream_entry.ts
+++ b/src/core/routing/upstream_entry.ts
@@ -41,6 +41,7 @@
   lastStartedAt = -Infinity;
   #report: LoadReport | undefined;
   #reportAt = -Infinity;
+  #firstHand = false;
   #inFlightAtReport = 0;
 
   constructor(upstream: Upstream, memberBoots: ReadonlyMap<string, string>) {
@@ -58,16 +59,21 @@
     return undefined;
   }
 
-  /** Takes a load report that was made at `at` on this gateway's clock. */
-  reported(report: LoadReport, at: number): void {
+  /**
+   * Takes a load report that was made at `at` on this gateway's clock. Only
+   * reports that this gateway asked for itself are passed on to peers.
+   */
+  reported(report: LoadReport, at: number, firstHand = true): void {
     if (at < this.#reportAt) return;
+    this.#firstHand = firstHand;
     this.#report = report;
     this.#reportAt = at;
     this.#inFlightAtReport = this.inFlight;
   }
 
-  /** The newest report and its time, for peers. */
+  /** The newest report if it is first-hand, and its time, for peers. */
   get report(): { readonly load: LoadReport; readonly at: number } | undefined {
+    if (!this.#firstHand) return undefined;
     return this.#report && { load: this.#report, at: this.#reportAt };
   }
 
--- a/src/core/routing/upstream_table.ts
+++ b/src/core/routing/upstream_table.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { hash32 } from "../../base/hash.ts";
 import type { Configuration } from "../../world/configuration.ts";
 import { zoneTakesWork } from "../../world/configuration.ts";
 import type { Host } from "../../world/host.ts";
@@ -31,8 +32,16 @@
 export class UpstreamTable {
   readonly #entries = new Map<string, UpstreamEntry>();
   readonly #byName = new Map<string, Set<UpstreamEntry>>();
+  readonly #byHost = new Map<string, Set<UpstreamEntry>>();
   readonly #records = new Map<string, DomainRecord>();
   #hosts = new Map<string, Host>();
+  #listed: readonly Host[] = [];
+  #recordsHash = 0;
+
+  /** Same for all gateways that have the same records. */
+  get recordsHash(): number {
+    return this.#recordsHash;
+  }
 
   /** Newest record of each fabric domain. */
   get records(): ReadonlyMap<string, DomainRecord> {
@@ -54,12 +63,16 @@
     const known = this.#records.get(record.fabricDomain);
     if (known !== undefined && known.revision >= record.revision) return false;
     this.#records.set(record.fabricDomain, record);
+    this.#recordsHash = (this.#recordsHash ^ hashRecord(known) ^
+      hashRecord(record)) >>> 0;
     this.#rebuildGroups(known, record);
     return true;
   }
 
   /** Takes the host list as it was just read. */
   offerHosts(hosts: readonly Host[]): void {
+    if (hosts === this.#listed) return;
+    this.#listed = hosts;
     this.#hosts = new Map(hosts.map((host) => [host.id, host]));
     this.#rebuildServices(hosts);
     for (const entry of this.#entries.values()) this.#applyHosts(entry);
@@ -98,9 +111,7 @@
 
   /** Upstreams that a host is part of. */
   upstreamsOnHost(hostId: string): UpstreamEntry[] {
-    return [...this.#entries.values()].filter((entry) =>
-      entry.upstream.hostIds.includes(hostId)
-    );
+    return [...this.#byHost.get(hostId) ?? []];
   }
 
   #rebuildGroups(old: DomainRecord | undefined, record: DomainRecord): void {
@@ -164,10 +175,8 @@
 
   #add(entry: UpstreamEntry): void {
     this.#entries.set(entry.upstream.id, entry);
-    const name = entry.upstream.serves;
-    const list = this.#byName.get(name) ?? new Set();
-    list.add(entry);
-    this.#byName.set(name, list);
+    addTo(this.#byName, entry.upstream.serves, entry);
+    for (const id of entry.upstream.hostIds) addTo(this.#byHost, id, entry);
   }
 
   #drop(id: string): void {
@@ -176,9 +185,27 @@
     entry.listed = false;
     this.#entries.delete(id);
     this.#byName.get(entry.upstream.serves)?.delete(entry);
+    for (const hostId of entry.upstream.hostIds) {
+      this.#byHost.get(hostId)?.delete(entry);
+    }
   }
 }
 
+function addTo(
+  index: Map<string, Set<UpstreamEntry>>,
+  key: string,
+  entry: UpstreamEntry,
+): void {
+  const list = index.get(key) ?? new Set();
+  list.add(entry);
+  index.set(key, list);
+}
+
+function hashRecord(record: DomainRecord | undefined): number {
+  if (record === undefined) return 0;
+  return hash32(`${record.fabricDomain}:${record.revision}`);
+}
+
 function serviceEntry(id: string, host: Host): UpstreamEntry {
   return new UpstreamEntry({
     id,
--- /dev/null
+++ b/src/standins/server/host_list_server.ts
@@ -0,0 +1,28 @@
+/**
+ * The host list's stand-in: one resource with an entity tag.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { sha256 } from "../../base/hash.ts";
+import type { Host } from "../../world/host.ts";
+
+/** Answers `GET /v1/hosts`, with 304 to a reader that has the newest list. */
+export class HostListServer {
+  readonly #list: () => readonly Host[];
+
+  constructor(list: () => readonly Host[]) {
+    this.#list = list;
+  }
+
+  /** Handles one request. */
+  handle(req: IncomingMessage, res: ServerResponse): void {
+    const body = JSON.stringify({ hosts: this.#list() });
+    const etag = `"${sha256(body).slice(0, 16)}"`;
+    if (req.headers["if-none-match"] === etag) {
+      res.writeHead(304, { etag }).end();
+      return;
+    }
+    res.writeHead(200, { "content-type": "application/json", etag }).end(body);
+  }
+}
--- a/src/standins/server/standins.ts
+++ b/src/standins/server/standins.ts
@@ -16,6 +16,7 @@
 import { ServiceSim } from "../sim/service_sim.ts";
 import { WeightStoreSim } from "../sim/weight_store.ts";
 import { EngineServer } from "./engine_server.ts";
+import { HostListServer } from "./host_list_server.ts";
 import { readJson, sendJson } from "./http_helpers.ts";
 import { ServiceServer } from "./service_server.ts";
 import { StoreServer } from "./store_server.ts";
@@ -44,6 +45,7 @@
   readonly #platform: Server;
   readonly #servers: Server[] = [];
   readonly #leaving = new Set<string>();
+  readonly #hostList = new HostListServer(() => this.#listHosts());
 
   constructor(options: StandinsOptions) {
     this.#options = options;
@@ -137,9 +139,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    if (req.url === "/v1/hosts") {
-      return sendJson(res, 200, { hosts: this.#listHosts() });
-    }
+    if (req.url === "/v1/hosts") return this.#hostList.handle(req, res);
     if (req.method !== "POST") return sendJson(res, 404, { error: "No path" });
     const body = await readJson(req);
     if (req.url === "/faults/store") {
--- /dev/null
+++ b/tools/capacity.ts
@@ -0,0 +1,243 @@
+/**
+ * Measures what control costs a gateway, over fleets of several sizes, with real
+ * gateway processes on loopback. Stops by itself and leaves nothing running.
+ *
+ * @module
+ */
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { writeFileSync } from "node:fs";
+import { totalmem } from "node:os";
+import process from "node:process";
+import { cac } from "cac";
+import { SystemTimers } from "../src/base/system_timers.ts";
+import { sleep } from "../src/base/timers.ts";
+import type {
+  FleetSize,
+  GatewayStart,
+  GatewayUsage,
+  SizeResult,
+} from "./capacity/messages.ts";
+import { CapacityPlatform, PLATFORM_PORTS } from "./capacity/platform.ts";
+import { fitLine } from "./capacity/fit.ts";
+
+const FIRST_PORT = 20_000;
+const WINDOW_MS = 6_000;
+const SETTLE_MS = 4_000;
+const SEEDS = 3;
+const MB_PER_GATEWAY = 130;
+const timers = new SystemTimers();
+
+const SIZES: readonly FleetSize[] = [
+  { gateways: 5, hosts: 500, changesPerS: 0 },
+  { gateways: 15, hosts: 500, changesPerS: 0 },
+  { gateways: 30, hosts: 500, changesPerS: 0 },
+  { gateways: 60, hosts: 500, changesPerS: 0 },
+  { gateways: 10, hosts: 50, changesPerS: 0 },
+  { gateways: 10, hosts: 500, changesPerS: 0 },
+  { gateways: 10, hosts: 2_000, changesPerS: 0 },
+  { gateways: 10, hosts: 5_700, changesPerS: 0 },
+  { gateways: 10, hosts: 500, changesPerS: 1 },
+  { gateways: 10, hosts: 500, changesPerS: 3 },
+];
+
+function startGateways(count: number): ChildProcess[] {
+  const script =
+    new URL("./capacity/gateway_role.js", import.meta.url).pathname;
+  return Array.from({ length: count }, (_, i) => {
+    const child = spawn(process.execPath, ["--max-semi-space-size=2", script], {
+      stdio: ["ignore", "inherit", "inherit", "ipc"],
+      env: { ...process.env, UV_USE_IO_URING: "0" },
+    });
+    const seeds = Math.min(SEEDS, count);
+    const start: GatewayStart = {
+      index: i,
+      callerPort: FIRST_PORT + 2 * i,
+      peerPort: FIRST_PORT + 2 * i + 1,
+      storePort: PLATFORM_PORTS.store,
+      hostListPort: PLATFORM_PORTS.hostList,
+      seedPorts: Array.from(
+        { length: seeds },
+        (_, n) => FIRST_PORT + 2 * n + 1,
+      ),
+    };
+    child.send(start);
+    return child;
+  });
+}
+
+function once<T>(child: ChildProcess): Promise<T> {
+  return new Promise((resolve) => child.once("message", resolve));
+}
+
+function readUsage(children: readonly ChildProcess[]): Promise<GatewayUsage[]> {
+  return Promise.all(children.map((child) => {
+    const answer = once<GatewayUsage>(child);
+    child.send("usage");
+    return answer;
+  }));
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, v) => sum + v, 0) / values.length;
+}
+
+/** Submits changes at a pace and returns how long each took to be in force. */
+async function submitChanges(
+  platform: CapacityPlatform,
+  changesPerS: number,
+): Promise<number[]> {
+  const times: number[] = [];
+  const count = Math.max(3, Math.round(changesPerS * WINDOW_MS / 1000));
+  const pauseMs = changesPerS === 0 ? 0 : 1000 / changesPerS;
+  const submit = async (i: number) => {
+    const startedAt = timers.now();
+    const value = {
+      name: `class-${i % 5}`,
+      team: "capacity",
+      priority: 1,
+      firstTokenMs: 1_000 + i,
+      betweenTokensMs: 100,
+      reliabilityPercent: 95,
+    };
+    const changeId = `change-${startedAt}-${i}`;
+    const change = {
+      changeId,
+      author: "capacity",
+      action: { kind: "set_class", value } as const,
+    };
+    const res = await platform.administration.submit(change, 30_000);
+    if (res.ok) times.push((timers.now() - startedAt) / 1000);
+  };
+  const running: Promise<void>[] = [];
+  for (let i = 0; i < count; i++) {
+    running.push(submit(i));
+    if (pauseMs === 0) await running[i];
+    else await sleep(timers, pauseMs);
+  }
+  await Promise.all(running);
+  return times;
+}
+
+async function measure(size: FleetSize): Promise<SizeResult> {
+  const platform = new CapacityPlatform();
+  const children: ChildProcess[] = [];
+  try {
+    await platform.start(size.hosts);
+    children.push(...startGateways(size.gateways));
+    await Promise.all(children.map(once));
+    await platform.admit(size.gateways);
+    await sleep(timers, SETTLE_MS);
+    const before = await readUsage(children);
+    const { reads, writes } = platform.store.calls;
+    const startedAt = timers.now();
+    const loaded = size.changesPerS > 0
+      ? await submitChanges(platform, size.changesPerS)
+      : [];
+    const restMs = WINDOW_MS - (timers.now() - startedAt);
+    if (restMs > 0) await sleep(timers, restMs);
+    const seconds = (timers.now() - startedAt) / 1000;
+    const after = await readUsage(children);
+    const calls = { ...platform.store.calls };
+    const inForceS = loaded.length > 0
+      ? loaded
+      : await submitChanges(platform, 0);
+    const perGateway = (pick: (u: GatewayUsage) => number) =>
+      mean(after.map((u, i) => pick(u) - pick(before[i]))) / seconds;
+    return {
+      ...size,
+      cpuPercent: perGateway((u) => u.cpuMs) / 10,
+      residentMb: mean(after.map((u) => u.residentBytes)) / 1_048_576,
+      controlKbPerS: perGateway((u) => u.socketBytes) / 1024,
+      storeReadsPerS: (calls.reads - reads) / seconds,
+      storeWritesPerS: (calls.writes - writes) / seconds,
+      inForceS,
+    };
+  } finally {
+    for (const child of children) child.kill("SIGKILL");
+    await platform.stop();
+  }
+}
+
+function formatResult(r: SizeResult): string {
+  const worst = Math.max(...r.inForceS);
+  return [
+    String(r.gateways).padStart(8),
+    String(r.hosts).padStart(7),
+    String(r.changesPerS).padStart(10),
+    r.cpuPercent.toFixed(2).padStart(8),
+    r.residentMb.toFixed(1).padStart(8),
+    r.controlKbPerS.toFixed(1).padStart(9),
+    `${r.storeReadsPerS.toFixed(1)}/${r.storeWritesPerS.toFixed(1)}`.padStart(
+      12,
+    ),
+    worst.toFixed(2).padStart(10),
+  ].join("");
+}
+
+function fits(results: readonly SizeResult[]) {
+  const byGateways = results.filter((r) =>
+    r.hosts === 500 && r.changesPerS === 0
+  );
+  const byHosts = results.filter((r) =>
+    r.gateways === 10 && r.changesPerS === 0
+  );
+  const byChanges = results.filter((r) => r.gateways === 10 && r.hosts === 500);
+  const fit = (
+    list: readonly SizeResult[],
+    x: (r: SizeResult) => number,
+    y: (r: SizeResult) => number,
+  ) => fitLine(list.map((r) => ({ x: x(r), y: y(r) })));
+  const all = (list: readonly SizeResult[], x: (r: SizeResult) => number) => ({
+    cpuPercent: fit(list, x, (r) => r.cpuPercent),
+    residentMb: fit(list, x, (r) => r.residentMb),
+    controlKbPerS: fit(list, x, (r) => r.controlKbPerS),
+    storeReadsPerS: fit(list, x, (r) => r.storeReadsPerS),
+    storeWritesPerS: fit(list, x, (r) => r.storeWritesPerS),
+    inForceS: fit(list, x, (r) => Math.max(...r.inForceS)),
+  });
+  return {
+    perGateway: all(byGateways, (r) => r.gateways),
+    perHost: all(byHosts, (r) => r.hosts),
+    perChangePerS: all(byChanges, (r) => r.changesPerS),
+  };
+}
+
+async function main(options: { json?: string; most: number }): Promise<void> {
+  const memoryLimit = totalmem() / 2 / 1_048_576 / MB_PER_GATEWAY;
+  const most = Math.min(Number(options.most), Math.floor(memoryLimit));
+  const results: SizeResult[] = [];
+  process.stdout.write(
+    "gateways  hosts changes/s   cpu %   RSS MB    KB/s  reads/writes in force s\n",
+  );
+  for (const size of SIZES) {
+    if (size.gateways > most) continue;
+    const result = await measure(size);
+    results.push(result);
+    process.stdout.write(`${formatResult(result)}\n`);
+  }
+  const slopes = fits(results);
+  for (const [by, all] of Object.entries(slopes)) {
+    for (const [what, { slope, intercept, residual }] of Object.entries(all)) {
+      const line =
+        `${by} ${what}: ${intercept.toFixed(4)} + ${slope.toFixed(5)} x, ` +
+        `largest residual ${residual.toFixed(3)}`;
+      process.stdout.write(`${line}\n`);
+    }
+  }
+  if (options.json !== undefined) {
+    writeFileSync(
+      options.json,
+      `${JSON.stringify({ results, slopes }, null, 2)}\n`,
+    );
+  }
+  process.exit(0);
+}
+
+const cli = cac("capacity");
+cli.command("", "Measure the slopes of control costs")
+  .option("--json <file>", "Write the measures there too")
+  .option("--most <n>", "Most gateway processes", { default: 60 })
+  .action(main);
+cli.help();
+cli.parse();
