--- a/features/promises.feature
+++ b/features/promises.feature
@@ -181,3 +181,9 @@
     And 60 seconds pass
     Then every model request was served in time since the fault
     And promise 10 holds
+
+  @promise-7
+  Scenario: should forget an answered order after a day but never an open claim
+    Given a ledger with one answered order and one whose outcome is unknown
+    When 26 hours pass for the ledger
+    Then the answered order is forgotten and the other claim still stands
--- /dev/null
+++ b/features/steps/ledger_steps.ts
@@ -0,0 +1,155 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import fc from "fast-check";
+import { Random } from "../../src/base/random.ts";
+import { FakeStore, StoreService } from "../../src/bench/fakes.ts";
+import { VirtualNetwork, VirtualNode } from "../../src/bench/virtual_network.ts";
+import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import type { Waiting } from "../../src/core/limits/fair_queue.ts";
+import { FairQueue } from "../../src/core/limits/fair_queue.ts";
+import {
+  COLD_START_LIMIT,
+  SlotOwner,
+  WARM_AFTER_COMPLETED,
+} from "../../src/core/limits/slot_owner.ts";
+import { OrderLedger } from "../../src/core/orders/order_ledger.ts";
+import { MemoryKeyValue } from "../../src/standins/sim/memory_key_value.ts";
+
+const HOUR_MS = 3_600_000;
+const FIXED = { seed: 7, numRuns: 300 };
+
+interface LedgerWorld {
+  timers: VirtualTimers;
+  state: MemoryKeyValue;
+  ledger: OrderLedger;
+}
+
+function order(idempotencyKey: string) {
+  return { customer: "c", service: "s", idempotencyKey, bodyHash: "h" };
+}
+
+Given(
+  "a ledger with one answered order and one whose outcome is unknown",
+  async function (this: LedgerWorld) {
+    this.timers = new VirtualTimers();
+    this.state = new MemoryKeyValue(this.timers);
+    const node = new VirtualNode("gw-1", this.timers);
+    const network = new VirtualNetwork(this.timers, new Random(1));
+    const service = new StoreService(this.timers, this.state);
+    const store = new FakeStore(node, network, service);
+    const self = { gatewayId: "gw-1", incarnation: "i1" };
+    this.ledger = new OrderLedger(node, store, self);
+    for (const key of ["answered", "unknown"]) {
+      this.ledger.claim(order(key), 5_000).then((res) => {
+        assert.equal(res.kind, "claimed");
+        if (res.kind !== "claimed" || key === "unknown") return;
+        const answer = { status: 200, contentType: "text/plain", body: "ok" };
+        this.ledger.done(res.claim, answer);
+      });
+    }
+    await this.timers.run(1_000);
+    assert.equal(this.state.readPrefix("orders/").length, 2);
+  },
+);
+
+When("{int} hours pass for the ledger", async function (
+  this: LedgerWorld,
+  hours: number,
+) {
+  await this.timers.run(hours * HOUR_MS);
+});
+
+Then(
+  "the answered order is forgotten and the other claim still stands",
+  function (this: LedgerWorld) {
+    const keys = this.state.readPrefix("orders/").map((entry) => entry.key);
+    assert.deepEqual(keys, ["orders/c/s/unknown"]);
+  },
+);
+
+/** The queue's order, found by choosing the best of all that wait, one by one. */
+function naiveOrder(items: Waiting[], running: Map<string, number>): string[] {
+  const left = [...items];
+  const given = new Map(running);
+  const counts = new Map<string, number>();
+  const order: string[] = [];
+  const turnOf = (item: Waiting) =>
+    counts.get(`${item.priority}|${item.customer}`) ??
+      (given.get(item.customer) ?? 0);
+  while (left.length > 0) {
+    const top = Math.max(...left.map((item) => item.priority));
+    const level = left.filter((item) => item.priority === top);
+    const least = Math.min(...level.map(turnOf));
+    const fair = level.filter((item) => turnOf(item) === least);
+    fair.sort((a, b) => a.deadline - b.deadline);
+    const [next] = fair;
+    counts.set(`${next.priority}|${next.customer}`, turnOf(next) + 1);
+    left.splice(left.indexOf(next), 1);
+    order.push(next.id);
+  }
+  return order;
+}
+
+Then("the queue's order is that of the naive choice for any load", function () {
+  const waiting = fc.uniqueArray(
+    fc.record({
+      customer: fc.constantFrom("a", "b", "c"),
+      priority: fc.integer({ min: 0, max: 2 }),
+      deadline: fc.integer({ min: 0, max: 10_000 }),
+    }),
+    { maxLength: 20, selector: (item) => item.deadline },
+  );
+  const running = fc.dictionary(
+    fc.constantFrom("a", "b", "c"),
+    fc.integer({ min: 0, max: 4 }),
+  );
+  fc.assert(
+    fc.property(waiting, running, (list, counts) => {
+      const items = list.map((item, i) => ({ id: String(i), ...item }));
+      const queue = new FairQueue<Waiting>();
+      for (const item of items) queue.push(item);
+      const known = new Map(Object.entries(counts));
+      const order = queue.inOrder(known).map((item) => item.id);
+      assert.deepEqual(order, naiveOrder(items, known));
+    }),
+    FIXED,
+  );
+});
+
+Then("no sequence of requests gives out more slots than the budget", function () {
+  const step = fc.record({
+    gateway: fc.integer({ min: 0, max: 4 }),
+    wanted: fc.integer({ min: 0, max: 6 }),
+    completes: fc.integer({ min: 0, max: 2 }),
+    waitMs: fc.integer({ min: 0, max: 40_000 }),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const owner = new SlotOwner();
+      const inUse = [0, 0, 0, 0, 0];
+      const completed = [0, 0, 0, 0, 0];
+      let now = 0;
+      for (const { gateway, wanted, completes, waitMs } of steps) {
+        // A gateway that runs requests is heard at least every 30 s.
+        now += Math.min(waitMs, 400);
+        const done = Math.min(completes, inUse[gateway]);
+        inUse[gateway] -= done;
+        completed[gateway] += done;
+        const { share, warm } = owner.request({
+          gatewayId: `gw-${gateway}`,
+          upstreamId: "u",
+          inUse: inUse[gateway],
+          wanted,
+          completed: completed[gateway],
+        }, now, 0);
+        if (warm) return;
+        inUse[gateway] = share;
+        const total = completed.reduce((sum, n) => sum + n, 0);
+        const running = inUse.reduce((sum, n) => sum + n, 0);
+        assert.ok(total < WARM_AFTER_COMPLETED);
+        assert.ok(running <= COLD_START_LIMIT + total, `${running} of ${total}`);
+      }
+    }),
+    FIXED,
+  );
+});
--- a/src/core/orders/order_ledger.ts
+++ b/src/core/orders/order_ledger.ts
@@ -19,6 +19,10 @@
 /** First pause between tries at the store; doubles up to the maximum. */
 const RETRY_MIN_MS = 50;
 const RETRY_MAX_MS = 2_000;
+/** How long an answered order is remembered. */
+export const ORDER_RETENTION_MS = 24 * 3_600_000;
+/** One lease serves the orders answered in this time. */
+const LEASE_SHARE_MS = 3_600_000;
 
 /** A claim held by this gateway. */
 export interface OrderClaim {
@@ -70,6 +74,8 @@
   readonly #self: ClaimantId;
   #attempts = 0;
   #unsettled = 0;
+  #leaseId: string | undefined;
+  #leasedAt = -Infinity;
 
   constructor(timers: Timers, store: KeyValueStore, self: ClaimantId) {
     this.#timers = timers;
@@ -162,9 +168,10 @@
     key: string,
     record: OrderRecord,
     expectRevision: number,
+    leaseId?: string,
   ): Promise<WriteResult> {
     const value = JSON.stringify(record);
-    return this.#batcher.write({ key, value, expectRevision });
+    return this.#batcher.write({ key, value, expectRevision, leaseId });
   }
 
   #claimedInTime(
@@ -187,6 +194,21 @@
     this.#settle(key, 0, { ...record, state: "not_run" });
   }
 
+  /**
+   * The lease that lets final records go after their retention. Claims have
+   * none: what is not known to have run, or not to have, never lapses.
+   */
+  async #retentionLease(): Promise<string | undefined> {
+    const now = this.#timers.now();
+    if (now - this.#leasedAt < LEASE_SHARE_MS) return this.#leaseId;
+    this.#leasedAt = now;
+    const ttlMs = ORDER_RETENTION_MS + LEASE_SHARE_MS;
+    const res = await this.#store.grantLease(ttlMs);
+    if (res.ok) this.#leaseId = res.value.id;
+    else this.#leasedAt = -Infinity;
+    return this.#leaseId;
+  }
+
   /** Writes a final record, trying until the store has it or another's holds. */
   async #settle(
     key: string,
@@ -197,7 +219,8 @@
     let expected = expectRevision;
     let pauseMs = RETRY_MIN_MS;
     while (true) {
-      const res = await this.#write(key, record, expected);
+      const leaseId = await this.#retentionLease();
+      const res = await this.#write(key, record, expected, leaseId);
       if (res.kind === "written") break;
       if (res.kind === "mismatch") {
         const found = parseRecord(res.current.value);
