Move cold budgets out of the gateway class

Change: BudgetOwners finds owners and since when they are safe; ColdBudgets asks, answers and detects. The gateway only wires them. Conclusion: no change of behaviour.

--- a/src/core/gateway/gateway.ts
+++ b/src/core/gateway/gateway.ts
@@ -15,14 +15,10 @@
   Configuration,
   GatewayMember,
 } from "../../world/configuration.ts";
-import {
-  CONFIG_STALE_MS,
-  ConfigReplica,
-} from "../configuration/config_replica.ts";
+import { ConfigReplica } from "../configuration/config_replica.ts";
 import { StoreReader } from "../configuration/store_reader.ts";
-import { SlotHolder } from "../limits/slot_holder.ts";
+import { ColdBudgets } from "../limits/cold_budgets.ts";
 import type { ShareReply, ShareRequest } from "../limits/slot_owner.ts";
-import { SHARE_TTL_MS, SlotOwner } from "../limits/slot_owner.ts";
 import type {
   Lifecycle,
   PeerNetwork,
@@ -56,10 +52,6 @@
 const TICK_MS = 50;
 /** How long peers are given to learn of a suspect before it is sent again. */
 const BLAME_PUSH_MS = 250;
-/** A first byte this many times slower than usual means a cold upstream. */
-const COLD_JUMP_FACTOR = 2.5;
-/** Shortest first byte that counts as a jump. */
-const COLD_JUMP_MIN_MS = 400;
 /** Most suspects in one message. */
 const MAX_SHARED_SUSPECTS = 200;
 
@@ -80,19 +72,12 @@
   onResult(call: Call, result: RunResult): void;
 }
 
-/** An earlier list of gateways and when it was replaced. */
-interface FormerOwners {
-  readonly ids: readonly string[];
-  readonly replacedAt: number;
-}
-
 /** Serves callers' requests and takes part in the fleet of gateways. */
 export class Gateway implements EntryGateway {
   readonly #parts: GatewayParts;
   readonly #replica: ConfigReplica;
   readonly #table = new UpstreamTable();
-  readonly #holder = new SlotHolder();
-  readonly #owner = new SlotOwner();
+  readonly #budgets: ColdBudgets;
   readonly #suspects = new Suspects();
   readonly #orders: OrderLedger;
   readonly #dispatcher: Dispatcher;
@@ -106,10 +91,6 @@
   readonly #attemptsOn = new Map<string, Map<AttemptRun, RequestRun>>();
   readonly #runParts: RunParts;
   readonly #timers: Timer[] = [];
-  #former: FormerOwners[] = [];
-  #memberIds: readonly string[] = [];
-  /** Ids and incarnations of the listed gateways. */
-  #memberKeys = "";
   #lifecycle: Lifecycle = "starting";
 
   constructor(parts: GatewayParts) {
@@ -120,11 +101,21 @@
       gatewayId: self.id,
       incarnation: self.incarnation,
     });
+    this.#budgets = new ColdBudgets({
+      timers,
+      network: parts.network,
+      log: parts.log,
+      selfId: self.id,
+      cfg: () => this.#replica.cfg,
+      mayServe: () => this.#replica.mayServe(timers.now()),
+      onCooled: () => this.#exchange(),
+      onShares: () => this.#dispatcher.pump(),
+    });
     this.#dispatcher = new Dispatcher({
       timers,
       table: this.#table,
       router: parts.router,
-      holder: this.#holder,
+      holder: this.#budgets.holder,
       availabilityZone: self.availabilityZone,
       cfg: () => this.#replica.cfg,
     });
@@ -153,7 +144,7 @@
       control: parts.control,
       table: this.#table,
       selfId: self.id,
-      gatewayIds: () => this.#memberIds,
+      gatewayIds: () => this.#budgets.owners.memberIds,
       onEvidence: (evidence) => this.#takeEvidence(evidence, "own"),
     });
     this.#registration = new Registration(timers, store, self);
@@ -282,13 +273,7 @@
 
   /** Answers a peer that wants slots of a cold upstream owned here. */
   handleShare(req: ShareRequest): ShareReply {
-    const now = this.#parts.timers.now();
-    const refused = { share: 0, warm: false };
-    if (this.#ownerId(req.upstreamId) !== this.#parts.self.id) return refused;
-    if (!this.#replica.mayServe(now)) return refused;
-    if (this.#holder.warm.has(req.upstreamId)) return { share: 0, warm: true };
-    const openAt = this.#ownedFrom(req.upstreamId);
-    return this.#owner.request(req, now, openAt);
+    return this.#budgets.answer(req);
   }
 
   /**
@@ -351,7 +336,7 @@
     const id = entry.upstream.id;
     entry.inFlight += 1;
     entry.lastStartedAt = this.#parts.timers.now();
-    this.#holder.started(id);
+    this.#budgets.holder.started(id);
     this.#dispatcher.started(run.customer);
     const attempts = this.#attemptsOn.get(id) ?? new Map();
     attempts.set(attempt, run);
@@ -365,7 +350,7 @@
     invariant(entry.inFlight >= 0, "More attempts ended than started");
     this.#attemptsOn.get(id)?.delete(attempt);
     if (whole) this.#attemptWhole(run, attempt);
-    this.#holder.finished(id, whole);
+    this.#budgets.holder.finished(id, whole);
     this.#dispatcher.finished(run.customer, run.name);
   }
 
@@ -436,94 +421,21 @@
   #tick(): void {
     const now = this.#parts.timers.now();
     for (const run of this.#runs) run.tick(now);
-    this.#detectCold(now);
-    this.#askForShares(now);
+    this.#detectCold();
+    this.#budgets.askForShares();
     this.#dispatcher.pump();
   }
 
-  /** Finds upstreams whose first byte takes far longer than it used to. */
-  #detectCold(now: number): void {
+  #detectCold(): void {
     for (const [id, attempts] of this.#attemptsOn) {
-      if (!this.#holder.warm.has(id)) continue;
-      const usual = this.#table.entries.get(id)?.firstByteMs;
-      if (usual === undefined) continue;
-      const limit = Math.max(COLD_JUMP_MIN_MS, usual * COLD_JUMP_FACTOR);
-      for (const attempt of attempts.keys()) {
-        const waits = !attempt.gotData && now - attempt.startedAt > limit;
-        if (!waits) continue;
-        this.#coolDown(id, now);
-        break;
-      }
-    }
-  }
-
-  #coolDown(upstreamId: string, now: number): void {
-    this.#holder.coolDown(upstreamId, now);
-    this.#owner.coolDown(upstreamId);
-    this.#parts.log.decided({
-      kind: "cool_down",
-      upstream: upstreamId,
-      reason: "The first byte takes far longer than usual",
-    });
-    this.#exchange();
-  }
-
-  #askForShares(now: number): void {
-    for (const id of this.#holder.toAsk(now)) this.#askForShare(id, now);
-  }
-
-  async #askForShare(upstreamId: string, now: number): Promise<void> {
-    const entry = this.#table.entries.get(upstreamId);
-    const owner = this.#ownerId(upstreamId);
-    if (entry === undefined || owner === undefined) return;
-    const req: ShareRequest = {
-      gatewayId: this.#parts.self.id,
-      upstreamId,
-      inUse: this.#holder.inUse(upstreamId),
-      wanted: this.#holder.wanted(upstreamId, now),
-      completed: this.#holder.completed(upstreamId),
-    };
-    if (owner === this.#parts.self.id) {
-      this.#holder.answered(upstreamId, this.handleShare(req), now);
-      return;
+      const entry = this.#table.entries.get(id);
+      if (entry !== undefined) this.#budgets.detectCold(entry, attempts.keys());
     }
-    const member = this.#replica.cfg.gateways.find((g) => g.id === owner);
-    if (member === undefined) return;
-    this.#holder.asking(upstreamId);
-    const res = await this.#parts.network.requestShare(member, req);
-    const reply = res.ok ? res.value : undefined;
-    this.#holder.answered(upstreamId, reply, now);
-    this.#dispatcher.pump();
-  }
-
-  #ownerId(upstreamId: string): string | undefined {
-    return rendezvousOrder(upstreamId, this.#memberIds)[0];
-  }
-
-  /** Time from which no earlier owner's shares of the upstream are usable. */
-  #ownedFrom(upstreamId: string): number {
-    let from = -Infinity;
-    for (const former of this.#former) {
-      const [owner] = rendezvousOrder(upstreamId, former.ids);
-      if (owner === this.#parts.self.id) continue;
-      const usableUntil = former.replacedAt + CONFIG_STALE_MS + SHARE_TTL_MS;
-      from = Math.max(from, usableUntil);
-    }
-    return from;
   }
 
   #configChanged(cfg: Configuration): void {
     const now = this.#parts.timers.now();
-    const ids = cfg.gateways.map((member) => member.id);
-    const keys = cfg.gateways.map((m) => `${m.id}/${m.incarnation}`);
-    const before = this.#memberKeys;
-    this.#memberKeys = keys.join(",");
-    if (this.#memberKeys !== before) {
-      const longest = CONFIG_STALE_MS + SHARE_TTL_MS;
-      this.#former = this.#former.filter((f) => now - f.replacedAt < longest);
-      this.#former.push({ ids: this.#memberIds, replacedAt: now });
-      this.#memberIds = ids;
-    }
+    this.#budgets.owners.membersChanged(cfg.gateways, now);
     this.#parts.log.decided({
       kind: "configuration",
       reason: "A newer revision is in force",
@@ -537,15 +449,7 @@
     if (msg.cfg !== undefined) this.#replica.offer(msg.cfg);
     this.#offerRecords(msg.records);
     for (const evidence of msg.evidence) this.#takeEvidence(evidence, "peer");
-    for (const id of msg.cold) {
-      if (!this.#holder.warm.has(id)) continue;
-      this.#holder.coolDown(id, now);
-      this.#owner.coolDown(id);
-    }
-    const cold = new Set(msg.cold);
-    for (const id of msg.warm) {
-      if (!cold.has(id)) this.#holder.learnWarm(id, now);
-    }
+    this.#budgets.takeNews(msg);
     for (const suspect of msg.suspects) this.#suspects.learn(suspect, now);
     for (const shared of msg.reports) {
       const entry = this.#table.entries.get(shared.upstreamId);
@@ -567,8 +471,7 @@
 
   #forgetUpstreams(): void {
     const ids = new Set(this.#table.entries.keys());
-    this.#holder.retain(ids);
-    this.#owner.retain(ids);
+    this.#budgets.retain(ids);
     for (const [id, attempts] of this.#attemptsOn) {
       if (!ids.has(id) && attempts.size === 0) this.#attemptsOn.delete(id);
     }
@@ -592,8 +495,8 @@
       lifecycle: this.#lifecycle,
       records: this.#table.records,
       recordsHash: this.#table.recordsHash,
-      warm: [...this.#holder.warm],
-      cold: this.#holder.cooledLately(now),
+      warm: [...this.#budgets.holder.warm],
+      cold: this.#budgets.holder.cooledLately(now),
       suspects: this.#suspects.all().slice(-MAX_SHARED_SUSPECTS),
       reports,
     };
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -13,6 +13,7 @@
 import type { Call } from "../core/gateway/call.ts";
 import type { Gateway } from "../core/gateway/gateway.ts";
 import type { RunResult } from "../core/gateway/request_run.ts";
+import { zoneTakesWork } from "../world/configuration.ts";
 
 const FIRST_BYTE_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.75, 1.5, 3, 6, 12];
 
@@ -100,8 +101,7 @@
     registers,
     collect() {
       this.reset();
-      for (const { upstream, ...entry } of openEntries(gateway())) {
-        void entry;
+      for (const { upstream } of openEntries(gateway())) {
         this.inc({ serves: upstream.serves, zone: upstream.availabilityZone });
       }
     },
@@ -109,9 +109,9 @@
 }
 
 function openEntries(gateway: Gateway) {
-  return [...gateway.table.entries.values()].filter((entry) =>
-    entry.closedReason(
-      gateway.cfg.zones[entry.upstream.availabilityZone] !== "out",
-    ) === undefined
-  );
+  const { table, cfg } = gateway;
+  return [...table.entries.values()].filter((entry) => {
+    const zone = zoneTakesWork(cfg, entry.upstream.availabilityZone);
+    return entry.closedReason(zone) === undefined;
+  });
 }
