Never give back the claim of an order that is on its way

Cause: reading request_run.ts as a newcomer: a caller that vanished before the service's first byte had its order's claim given back as not run, though it had been sent; sent again through another gateway, the order ran twice. No earlier scenario had callers that vanish. Change: an order with an attempt in flight runs to its end when its caller goes. Conclusion: a breach of promise 7, mended with its test.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -140,6 +140,14 @@
     And 40 seconds pass
     Then promise 7 holds
 
+  @promise-7
+  Scenario: should run an order once when its caller vanishes and sends it again
+    Given a small cluster under load
+    When callers vanish with orders in flight and send them through another gateway
+    And 20 seconds pass
+    Then promise 7 holds
+    And every order placed has run
+
   @promise-8
   Scenario: should send nothing to an upstream that is leaving
     Given a small cluster under load
--- a/features/steps/promise_steps.ts
+++ b/features/steps/promise_steps.ts
@@ -227,6 +227,22 @@
   },
 );
 
+When(
+  "callers vanish with orders in flight and send them through another gateway",
+  async function (this: PromiseWorld) {
+    const { cluster, callers } = this.run;
+    const [{ member }] = cluster.gateways;
+    for (let i = 0; i < 30; i++) {
+      const options = { key: `vanish-${i}`, gateway: member.id };
+      callers.send(orderPart(this.run), {
+        ...options,
+        leavesAfterMs: 5 + 3 * i,
+      });
+      await this.run.pass(50);
+    }
+  },
+);
+
 When(
   "a service host and a group member begin to leave",
   function (this: PromiseWorld) {
--- a/src/bench/callers.ts
+++ b/src/bench/callers.ts
@@ -70,6 +70,15 @@
   return text + END_EVENT;
 }
 
+/** What is special about one sending. */
+export interface SendOptions {
+  readonly poisonous?: boolean;
+  readonly key?: string;
+  readonly gateway?: string;
+  /** The caller vanishes after this time, and sends again elsewhere. */
+  readonly leavesAfterMs?: number;
+}
+
 interface CallerAddresses {
   addresses: readonly string[];
   until: number;
@@ -113,7 +122,7 @@
   /** Sends one request from a caller. */
   send(
     part: WorkloadPart,
-    options: { poisonous?: boolean; key?: string; gateway?: string } = {},
+    options: SendOptions = {},
   ): Sending | undefined {
     const caller = this.#random.int(CALLERS);
     const body = this.#makeBody(options.poisonous === true);
@@ -153,9 +162,7 @@
       body: string;
       key: string | undefined;
       left: number;
-      poisonous?: boolean;
-      gateway?: string;
-    },
+    } & SendOptions,
   ): Sending | undefined {
     const slot = request.gateway === undefined
       ? this.#connect(caller)
@@ -188,7 +195,10 @@
         this.#sendFrom(other, part, { body, key, poisonous, left: left - 1 });
       });
     };
-    this.#deliver(slot, call, sending, again);
+    const reply = this.#deliver(slot, call, sending, again);
+    if (request.leavesAfterMs !== undefined) {
+      this.#cluster.timers.after(request.leavesAfterMs, () => reply.leave());
+    }
     return sending;
   }
 
@@ -197,7 +207,7 @@
     call: Call,
     sending: Sending,
     ended: () => void,
-  ): void {
+  ): CallerReply {
     const { network, timers } = this.#cluster;
     const reply = new CallerReply(this.#cluster, sending, ended);
     network.send(`caller`, slot.member.id, () => {
@@ -214,6 +224,7 @@
         reply.running?.callerGone();
       }
     });
+    return reply;
   }
 
   /** The gateway at the first address that takes the connection. */
@@ -335,6 +346,13 @@
     this.#finish();
   }
 
+  /** The caller vanishes; the gateway sees its connection close. */
+  leave(): void {
+    if (this.#sending.endedAt !== undefined) return;
+    this.cut();
+    this.running?.callerGone();
+  }
+
   onDrain(callback: () => void): void {
     this.#cluster.timers.after(1, callback);
   }
--- a/src/core/gateway/request_run.ts
+++ b/src/core/gateway/request_run.ts
@@ -175,8 +175,9 @@
   /** Ends the request because its caller has gone. */
   callerGone(): void {
     if (this.#done) return;
-    // An order that has been sent runs to its end, so that it is recorded.
-    if (this.#claim !== undefined && this.#reachedUpstream) return;
+    // An order that may have been sent runs to its end, so that it is recorded
+    // and its claim is never given back.
+    if (this.#claim !== undefined && this.#mayHaveReached) return;
     if (this.#claim !== undefined) this.#parts.orders.notRun(this.#claim);
     this.#finish("caller_gone");
   }
@@ -289,6 +290,11 @@
       .exhaustive();
   }
 
+  /** Whether an attempt has reached an upstream or is on its way to one. */
+  get #mayHaveReached(): boolean {
+    return this.#reachedUpstream || this.#attempts.size > 0;
+  }
+
   #enqueue(): void {
     this.#queued = true;
     this.#parts.enqueue(this);
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -183,6 +183,15 @@
       replace: "this.#failedOn.clear(); this.#tryAgain(false);",
     }],
   },
+  {
+    promise: 7,
+    mechanism: "An order on its way is not given back when its caller vanishes",
+    edits: [{
+      file: "gateway/request_run.js",
+      find: "return this.#reachedUpstream || this.#attempts.size > 0;",
+      replace: "return this.#reachedUpstream;",
+    }],
+  },
   {
     promise: 8,
     mechanism: "The host list's leaving mark closes an upstream",
