Let operators settle orders whose outcome stayed unknown

Cause: a claim of a gateway that crashed stands for ever, and nobody could end it. Change: OrderDesk reads and settles by compare-and-swap, refused while the claimant is listed; GET and POST /admin/v1/orders/..., oleanderctl order and order-settle. Conclusion: an unknown order ends by an operator's word and no other way.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -195,3 +195,10 @@
     Given a ledger with one answered order and one whose outcome is unknown
     When 26 hours pass for the ledger
     Then the answered order is forgotten and the other claim still stands
+
+  @promise-7
+  Scenario: should let operators settle only orders that no gateway answers for
+    Given a ledger with one answered order and one whose outcome is unknown
+    Then settling the unknown order is refused while its gateway is listed
+    And it is accepted once its gateway is gone, and the order can be sent again
+    And settling the answered order is refused
--- a/features/steps/ledger_steps.ts
+++ b/features/steps/ledger_steps.ts
@@ -15,16 +15,25 @@
   SlotOwner,
   WARM_AFTER_COMPLETED,
 } from "../../src/core/limits/slot_owner.ts";
+import { OrderDesk } from "../../src/core/orders/order_desk.ts";
 import { OrderLedger } from "../../src/core/orders/order_ledger.ts";
 import { MemoryKeyValue } from "../../src/standins/sim/memory_key_value.ts";
+import { EMPTY_CONFIGURATION } from "../../src/world/configuration.ts";
 
 const HOUR_MS = 3_600_000;
+const GATEWAY = {
+  id: "gw-1",
+  peerAddress: "gw-1",
+  callerAddress: "gw-1",
+  availabilityZone: "z",
+};
 const FIXED = { seed: 7, numRuns: 300 };
 
 interface LedgerWorld {
   timers: VirtualTimers;
   state: MemoryKeyValue;
   ledger: OrderLedger;
+  store: FakeStore;
 }
 
 function order(idempotencyKey: string) {
@@ -40,6 +49,7 @@
     const network = new VirtualNetwork(this.timers, new Random(1));
     const service = new StoreService(this.timers, this.state);
     const store = new FakeStore(node, network, service);
+    this.store = store;
     const self = { gatewayId: "gw-1", incarnation: "i1" };
     this.ledger = new OrderLedger(node, store, self);
     for (const key of ["answered", "unknown"]) {
@@ -70,6 +80,46 @@
   },
 );
 
+async function settle(world: LedgerWorld, key: string, listed: boolean) {
+  const [member] = listed ? [{ ...GATEWAY, incarnation: "i1" }] : [];
+  const gateways = member === undefined ? [] : [member];
+  const cfg = { ...EMPTY_CONFIGURATION, gateways };
+  const desk = new OrderDesk(world.store);
+  const call = desk.settle(order(key), "not_run", cfg);
+  await world.timers.run(1_000);
+  return await call;
+}
+
+Then(
+  "settling the unknown order is refused while its gateway is listed",
+  async function (this: LedgerWorld) {
+    const res = await settle(this, "unknown", true);
+    assert.equal(!res.ok && res.err.kind, "still_running");
+  },
+);
+
+Then(
+  "it is accepted once its gateway is gone, and the order can be sent again",
+  async function (this: LedgerWorld) {
+    const res = await settle(this, "unknown", false);
+    assert.ok(res.ok, JSON.stringify(res));
+    const claim = this.ledger.claim(
+      order("unknown"),
+      this.timers.now() + 5_000,
+    );
+    await this.timers.run(1_000);
+    assert.equal((await claim).kind, "claimed");
+  },
+);
+
+Then(
+  "settling the answered order is refused",
+  async function (this: LedgerWorld) {
+    const res = await settle(this, "answered", false);
+    assert.equal(!res.ok && res.err.kind, "already_settled");
+  },
+);
+
 /** The queue's order, found by choosing the best of all that wait, one by one. */
 function naiveOrder(items: Waiting[], running: Map<string, number>): string[] {
   const left = [...items];
--- a/src/bin/oleanderctl.ts
+++ b/src/bin/oleanderctl.ts
@@ -38,6 +38,12 @@
   "Print the digest of a key read from standard input",
   "hash-key",
 );
+add("order <customer> <service> <key>", "Show an order's record", "order");
+add(
+  "order-settle <customer> <service> <key> <state>",
+  "Settle an unknown order as done or not_run",
+  "order-settle",
+);
 cli.option("--address <ip:port>", "Administration API of any controller", {
   default: process.env.OLEANDER_ADDRESS ?? "127.0.0.1:7300",
 });
--- a/src/controller/admin_server.ts
+++ b/src/controller/admin_server.ts
@@ -10,17 +10,23 @@
 import { Hono } from "hono";
 import type { Registry } from "prom-client";
 import { match, P } from "ts-pattern";
+import { z } from "zod";
 import { sha256 } from "../base/hash.ts";
+import type { Outcome } from "../base/outcome.ts";
 import type { AdministrationError } from "../core/configuration/administration.ts";
 import type { Action, Change } from "../core/configuration/change.ts";
 import { ChangeSchema } from "../core/configuration/change.ts";
 import type { Controller } from "../core/controller/controller.ts";
+import type { OrderDeskError, OrderName } from "../core/orders/order_desk.ts";
+import type { OrderRecord } from "../core/orders/order_record.ts";
 import type { TokenSettings } from "../settings/controller_settings.ts";
 import type { DecisionRing } from "./decision_ring.ts";
 
 /** Longest wait for a change to be in force everywhere. */
 const CHANGE_LIMIT_MS = 15_000;
 
+const SettleSchema = z.strictObject({ state: z.enum(["done", "not_run"]) });
+
 /** What the server works with. */
 export interface AdminServerParts {
   readonly controller: Controller;
@@ -57,6 +63,9 @@
   app.get("/admin/v1/configuration", (c) => readConfiguration(c, parts));
   app.get("/admin/v1/fleet", (c) => readFleet(c, parts));
   app.get("/admin/v1/decisions", (c) => readDecisions(c, parts));
+  const order = "/admin/v1/orders/:customer/:service/:key";
+  app.get(order, (c) => showOrder(c, parts));
+  app.post(order, (c) => settleOrder(c, parts));
   app.post("/admin/v1/changes", (c) => submitChange(c, parts));
   app.notFound((c) => c.json(problem("not_found", "No such path"), 404));
   return app;
@@ -93,6 +102,66 @@
   return c.json({ decisions: parts.decisions.newest });
 }
 
+function orderName(c: Context): OrderName {
+  return {
+    customer: c.req.param("customer") ?? "",
+    service: c.req.param("service") ?? "",
+    idempotencyKey: c.req.param("key") ?? "",
+  };
+}
+
+async function showOrder(
+  c: Context,
+  parts: AdminServerParts,
+): Promise<Response> {
+  const author = authenticate(c, parts);
+  if (author === undefined) return unauthenticated(c);
+  if (author.token.role === "team") {
+    return c.json(problem("forbidden", "Orders are for operators"), 403);
+  }
+  return answerOrder(c, await parts.controller.orders.show(orderName(c)));
+}
+
+async function settleOrder(
+  c: Context,
+  parts: AdminServerParts,
+): Promise<Response> {
+  const author = authenticate(c, parts);
+  if (author === undefined) return unauthenticated(c);
+  if (author.token.role !== "operator") {
+    return c.json(problem("forbidden", "Orders are for operators"), 403);
+  }
+  const body = await c.req.json().catch(() => undefined);
+  const parsed = SettleSchema.safeParse(body);
+  if (!parsed.success) {
+    return c.json(problem("invalid", 'state must be "done" or "not_run"'), 400);
+  }
+  const { administration, orders } = parts.controller;
+  const stored = await administration.read();
+  if (!stored.ok) return failed(c, stored.err);
+  const { cfg } = stored.value;
+  const { state } = parsed.data;
+  return answerOrder(c, await orders.settle(orderName(c), state, cfg));
+}
+
+function answerOrder(
+  c: Context,
+  res: Outcome<OrderRecord, OrderDeskError>,
+): Response {
+  if (res.ok) return c.json(res.value);
+  const { kind, detail } = res.err;
+  return match(kind)
+    .with("unknown_order", () => c.json(problem(kind, detail), 404))
+    .with("store_unavailable", () => c.json(problem(kind, detail), 503))
+    .with(
+      "already_settled",
+      "still_running",
+      "conflict",
+      () => c.json(problem(kind, detail), 409),
+    )
+    .exhaustive();
+}
+
 async function submitChange(
   c: Context,
   parts: AdminServerParts,
--- a/src/core/controller/controller.ts
+++ b/src/core/controller/controller.ts
@@ -26,6 +26,7 @@
 import type { DomainPlan } from "../groups/group_planner.ts";
 import { planFleet } from "../groups/group_planner.ts";
 import type { HostView } from "../groups/host_view.ts";
+import { OrderDesk } from "../orders/order_desk.ts";
 import type { PeerNetwork } from "../membership/messages.ts";
 import { ControllerLease } from "./controller_lease.ts";
 import { FleetMembership } from "./fleet_membership.ts";
@@ -93,6 +94,11 @@
     });
   }
 
+  /** Lets operators settle orders. Works on every controller. */
+  get orders(): OrderDesk {
+    return new OrderDesk(this.#parts.store);
+  }
+
   /** Accepts operators' changes. Works on every controller, active or not. */
   get administration(): Administration {
     return this.#administration;
--- /dev/null
+++ b/src/core/orders/order_desk.ts
@@ -0,0 +1,100 @@
+/**
+ * Operators' hand on claims whose outcome stayed unknown.
+ *
+ * @module
+ */
+import type { Outcome } from "../../base/outcome.ts";
+import { failure, success } from "../../base/outcome.ts";
+import type { KeyValueStore } from "../../platform/key_value_store.ts";
+import type { Configuration } from "../../world/configuration.ts";
+import type { OrderRecord, OrderRef } from "./order_record.ts";
+import { orderKey, parseOrderRecord } from "./order_record.ts";
+
+/** Names an order. */
+export type OrderName = Omit<OrderRef, "bodyHash">;
+
+/** What an operator found out about an order. */
+export type SettledState = "done" | "not_run";
+
+/** Why an order can't be read or settled. */
+export interface OrderDeskError {
+  readonly kind:
+    | "store_unavailable"
+    | "unknown_order"
+    | "already_settled"
+    | "still_running"
+    | "conflict";
+  readonly detail: string;
+}
+
+/** Reads orders, and settles those that no running gateway answers for. */
+export class OrderDesk {
+  readonly #store: KeyValueStore;
+
+  constructor(store: KeyValueStore) {
+    this.#store = store;
+  }
+
+  /** Reads an order's record. */
+  async show(
+    order: OrderName,
+  ): Promise<Outcome<OrderRecord, OrderDeskError>> {
+    const res = await this.#read(order);
+    return res.ok ? success(res.value.record) : res;
+  }
+
+  /**
+   * Writes what became of an order. Refused while the claimant is listed: its
+   * request may still be on its way.
+   */
+  async settle(
+    order: OrderName,
+    state: SettledState,
+    cfg: Configuration,
+  ): Promise<Outcome<OrderRecord, OrderDeskError>> {
+    const res = await this.#read(order);
+    if (!res.ok) return res;
+    const { record, modRevision } = res.value;
+    if (record.state !== "claimed") {
+      return refused("already_settled", `The order is ${record.state}`);
+    }
+    const lives = cfg.gateways.some((g) =>
+      g.incarnation === record.incarnation
+    );
+    if (lives) {
+      const detail = `Gateway ${record.gatewayId} still answers for the order`;
+      return refused("still_running", detail);
+    }
+    const settled: OrderRecord = { ...record, state };
+    const written = await this.#store.transact([{
+      key: orderKey({ ...order, bodyHash: record.bodyHash }),
+      value: JSON.stringify(settled),
+      expectRevision: modRevision,
+    }]);
+    if (!written.ok) return refused("store_unavailable", written.err.detail);
+    if (written.value.applied) return success(settled);
+    return refused("conflict", "The order changed meanwhile; look again");
+  }
+
+  async #read(order: OrderName): Promise<
+    Outcome<
+      { readonly record: OrderRecord; readonly modRevision: number },
+      OrderDeskError
+    >
+  > {
+    const res = await this.#store.read(orderKey({ ...order, bodyHash: "" }));
+    if (!res.ok) return refused("store_unavailable", res.err.detail);
+    const record = parseOrderRecord(res.value.value);
+    if (record === undefined) {
+      return refused("unknown_order", "There is no such order");
+    }
+    return success({ record, modRevision: res.value.modRevision });
+  }
+}
+
+function refused(
+  kind: OrderDeskError["kind"],
+  detail: string,
+): { readonly ok: false; readonly err: OrderDeskError } {
+  return failure({ kind, detail });
+}
--- a/src/core/orders/order_ledger.ts
+++ b/src/core/orders/order_ledger.ts
@@ -11,7 +11,7 @@
 import {
   MAX_RECORDED_BODY,
   orderKey,
-  OrderRecordSchema,
+  parseOrderRecord,
 } from "./order_record.ts";
 import type { WriteResult } from "./write_batcher.ts";
 import { WriteBatcher } from "./write_batcher.ts";
@@ -105,7 +105,7 @@
         pauseMs = Math.min(pauseMs * 2, RETRY_MAX_MS);
         continue;
       }
-      const found = parseRecord(res.current.value);
+      const found = parseOrderRecord(res.current.value);
       if (res.current.modRevision === 0) {
         expectRevision = 0;
       } else if (found === undefined) {
@@ -150,7 +150,7 @@
 
   async look(order: OrderRef): Promise<OrderRecord | undefined> {
     const res = await this.#store.read(orderKey(order));
-    return res.ok ? parseRecord(res.value.value) : undefined;
+    return res.ok ? parseOrderRecord(res.value.value) : undefined;
   }
 
   #newRecord(order: OrderRef): OrderRecord {
@@ -223,7 +223,7 @@
       const res = await this.#write(key, record, expected, leaseId);
       if (res.kind === "written") break;
       if (res.kind === "mismatch") {
-        const found = parseRecord(res.current.value);
+        const found = parseOrderRecord(res.current.value);
         const own = found?.attemptId === record.attemptId;
         if (own && found.state === record.state) break;
         // Another's `not_run` is written over: a late claim of this attempt
@@ -240,14 +240,3 @@
     this.#unsettled -= 1;
   }
 }
-
-/** Reads a record; undefined when there is none or it is not one. */
-function parseRecord(value: string): OrderRecord | undefined {
-  if (value === "") return undefined;
-  try {
-    const res = OrderRecordSchema.safeParse(JSON.parse(value));
-    return res.success ? res.data : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/src/core/orders/order_record.ts
+++ b/src/core/orders/order_record.ts
@@ -49,3 +49,14 @@
   const parts = [order.customer, order.service, order.idempotencyKey];
   return `orders/${parts.map(encodeURIComponent).join("/")}`;
 }
+
+/** Reads a record; undefined when there is none or it is not one. */
+export function parseOrderRecord(value: string): OrderRecord | undefined {
+  if (value === "") return undefined;
+  try {
+    const res = OrderRecordSchema.safeParse(JSON.parse(value));
+    return res.success ? res.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/ctl/admin_client.ts
+++ b/src/ctl/admin_client.ts
@@ -36,6 +36,11 @@
     return this.#call("POST", "changes", change);
   }
 
+  /** Writes what became of an order. */
+  settleOrder(path: string, state: string): Promise<AdminAnswer> {
+    return this.#call("POST", path, { state });
+  }
+
   async #call(
     method: "GET" | "POST",
     resource: string,
--- a/src/ctl/commands.ts
+++ b/src/ctl/commands.ts
@@ -67,6 +67,8 @@
       .with("zone-in", () => change(client, setZone(words[0], "in"), options))
       .with("remove", () => change(client, remove(words, options), options))
       .with("apply", () => applyFile(client, words[0], options))
+      .with("order", () => show(client, orderPath(words), options))
+      .with("order-settle", () => settleOrder(client, words, options))
       .with("hash-key", () => hashKey())
       .otherwise((name) => usage(`No command "${name}"`));
   } catch (err) {
@@ -97,6 +99,22 @@
   return EXIT_CODES.done;
 }
 
+function orderPath(words: readonly string[]): string {
+  const parts = words.slice(0, 3).map(encodeURIComponent);
+  return `orders/${parts.join("/")}`;
+}
+
+async function settleOrder(
+  client: AdminClient,
+  words: readonly string[],
+  options: CtlOptions,
+): Promise<number> {
+  const answer = await client.settleOrder(orderPath(words), words[3]);
+  if (answer.status >= 400) return printRefusal(answer, options);
+  process.stdout.write(`${JSON.stringify(answer.body)}\n`);
+  return EXIT_CODES.done;
+}
+
 async function showGroups(
   client: AdminClient,
   options: CtlOptions,
