Mend comments that were wrong and drop what nobody used

Change: comments of changedBy and completed; demoRandom, the seed option and gatewayIds are gone. Conclusion: less to explain.

--- a/features/steps/socket_steps.ts
+++ b/features/steps/socket_steps.ts
@@ -63,7 +63,6 @@
     },
     profile: { ...DEFAULT_PROFILE, loadMs: 200, prefillMs: 20, tokenMs: 10 },
     gateways: 2,
-    seed: 1,
   });
   const team = "platform";
   const targets = { betweenTokensMs: 1_000, reliabilityPercent: 90 };
--- a/src/bench/fakes.ts
+++ b/src/bench/fakes.ts
@@ -41,7 +41,7 @@
 import type { EngineSim } from "../standins/sim/engine_sim.ts";
 import type { MemoryKeyValue } from "../standins/sim/memory_key_value.ts";
 import type { ServiceSim } from "../standins/sim/service_sim.ts";
-import type { Configuration, GatewayMember } from "../world/configuration.ts";
+import type { GatewayMember } from "../world/configuration.ts";
 import type { Host } from "../world/host.ts";
 import type { Upstream } from "../world/upstream.ts";
 import type {
@@ -450,8 +450,3 @@
     return failure({ kind: "peer_unreachable", detail: res });
   }
 }
-
-/** The gateways of a configuration, for callers and checks. */
-export function gatewayIds(cfg: Configuration): string[] {
-  return cfg.gateways.map((member) => member.id);
-}
--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -4,17 +4,14 @@
  * @module
  */
 import process from "node:process";
+import { Random } from "../base/random.ts";
 import type { Timers } from "../base/timers.ts";
 import { sleep } from "../base/timers.ts";
 import { sha256 } from "../base/hash.ts";
 import type { CallerAnswer } from "../load/caller_client.ts";
 import { CallerClient } from "../load/caller_client.ts";
 import { DEFAULT_PROFILE } from "../standins/sim/engine_sim.ts";
-import {
-  CUSTOMER_KEY,
-  demoRandom,
-  LocalDeployment,
-} from "./local_deployment.ts";
+import { CUSTOMER_KEY, LocalDeployment } from "./local_deployment.ts";
 
 const MODEL = "layout-large";
 const SERVICE = "albums";
@@ -59,7 +56,6 @@
       },
       profile: { ...DEFAULT_PROFILE, loadMs: 1_500 },
       gateways: 5,
-      seed: this.#seed,
     });
     try {
       await this.#declare(deployment);
@@ -203,7 +199,7 @@
   }
 
   async #zoneOutAndBack(deployment: LocalDeployment): Promise<void> {
-    const zone = demoRandom(this.#seed).pick(ZONES);
+    const zone = new Random(this.#seed).pick(ZONES);
     this.#say(`Taking ${zone} out and bringing it back`);
     const seconds = await this.#change(deployment, {
       kind: "set_zone",
--- a/src/demo/local_deployment.ts
+++ b/src/demo/local_deployment.ts
@@ -6,7 +6,6 @@
 import type { Server } from "node:http";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
-import { Random } from "../base/random.ts";
 import { sha256 } from "../base/hash.ts";
 import type { Timers } from "../base/timers.ts";
 import { ControllerProcess } from "../controller/controller_process.ts";
@@ -30,7 +29,6 @@
   readonly fleet: FleetShape;
   readonly profile: EngineProfile;
   readonly gateways: number;
-  readonly seed: number;
 }
 
 /** Everything, with the hands that break it. */
@@ -127,11 +125,6 @@
   }
 }
 
-/** Draws the order in which a demo does things. */
-export function demoRandom(seed: number): Random {
-  return new Random(seed);
-}
-
 /** Finds ports that nobody listens on. */
 async function freePorts(count: number): Promise<number[]> {
   const servers: Server[] = [];
--- a/src/world/replica_group.ts
+++ b/src/world/replica_group.ts
@@ -27,7 +27,7 @@
   readonly version: string;
   readonly members: readonly GroupMember[];
   readonly state: GroupState;
-  /** Wall-independent ordinal of the plan that last changed the group. */
+  /** Incarnation of the controller that formed the group. */
   readonly changedBy: string;
 }
 
--- a/src/world/upstream.ts
+++ b/src/world/upstream.ts
@@ -30,6 +30,6 @@
   readonly running: number;
   /** Most requests the upstream runs at once when warm. */
   readonly capacity: number;
-  /** Upstream that reports, for a group leader. */
+  /** Requests completed since the engine joined its group. */
   readonly completed: number;
 }
