Rename the folder of ports, to free the name platform

Cause: the folder src/platform held the product's own interfaces to outside systems; the name is needed for what only translates between the users' platform and the product. Change: src/platform is src/ports; import lists and imports follow. No behaviour changes. Conclusion: src/platform is free for the translation.

--- a/src/adapters/etcd_store.ts
+++ b/src/adapters/etcd_store.ts
@@ -17,7 +17,7 @@
   StoreWatch,
   TransactionResult,
   WatchListener,
-} from "../platform/key_value_store.ts";
+} from "../ports/key_value_store.ts";
 import { LineReader } from "./line_reader.ts";
 
 /** Longest wait for an answer. */
--- a/src/adapters/http_engine_control.ts
+++ b/src/adapters/http_engine_control.ts
@@ -12,7 +12,7 @@
   EngineError,
   EngineStatus,
   FencedCommand,
-} from "../platform/engine_control.ts";
+} from "../ports/engine_control.ts";
 import { callJson } from "./http_json.ts";
 
 const STATUS_TIMEOUT_MS = 1_000;
--- a/src/adapters/http_host_list.ts
+++ b/src/adapters/http_host_list.ts
@@ -7,7 +7,7 @@
 import { z } from "zod";
 import type { Outcome } from "../base/outcome.ts";
 import { failure, success } from "../base/outcome.ts";
-import type { HostList, HostListError } from "../platform/host_list.ts";
+import type { HostList, HostListError } from "../ports/host_list.ts";
 import type { Host } from "../world/host.ts";
 
 const LIST_TIMEOUT_MS = 2_000;
--- a/src/adapters/undici_upstream_client.ts
+++ b/src/adapters/undici_upstream_client.ts
@@ -12,7 +12,7 @@
   AttemptListener,
   AttemptRequest,
   UpstreamClient,
-} from "../platform/upstream_client.ts";
+} from "../ports/upstream_client.ts";
 import type { Upstream } from "../world/upstream.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
--- a/src/bench/fakes.ts
+++ b/src/bench/fakes.ts
@@ -19,8 +19,8 @@
   EngineError,
   EngineStatus,
   FencedCommand,
-} from "../platform/engine_control.ts";
-import type { HostList, HostListError } from "../platform/host_list.ts";
+} from "../ports/engine_control.ts";
+import type { HostList, HostListError } from "../ports/host_list.ts";
 import type {
   KeyValueStore,
   StoreEntry,
@@ -30,14 +30,14 @@
   StoreWatch,
   TransactionResult,
   WatchListener,
-} from "../platform/key_value_store.ts";
+} from "../ports/key_value_store.ts";
 import type {
   Attempt,
   AttemptEnd,
   AttemptListener,
   AttemptRequest,
   UpstreamClient,
-} from "../platform/upstream_client.ts";
+} from "../ports/upstream_client.ts";
 import type { EngineSim } from "../standins/sim/engine_sim.ts";
 import type { MemoryKeyValue } from "../standins/sim/memory_key_value.ts";
 import type { ServiceSim } from "../standins/sim/service_sim.ts";
--- a/src/core/configuration/administration.ts
+++ b/src/core/configuration/administration.ts
@@ -7,7 +7,7 @@
 import { failure, success } from "../../base/outcome.ts";
 import type { Timers } from "../../base/timers.ts";
 import { sleep, TIMED_OUT, withTimeout } from "../../base/timers.ts";
-import type { KeyValueStore } from "../../platform/key_value_store.ts";
+import type { KeyValueStore } from "../../ports/key_value_store.ts";
 import type {
   AppliedChange,
   Configuration,
--- a/src/core/configuration/store_reader.ts
+++ b/src/core/configuration/store_reader.ts
@@ -9,7 +9,7 @@
   KeyValueStore,
   StoreEntry,
   StoreWatch,
-} from "../../platform/key_value_store.ts";
+} from "../../ports/key_value_store.ts";
 import type { DomainRecord } from "../../world/replica_group.ts";
 import type { ConfigReplica } from "./config_replica.ts";
 import { parseConfiguration, parseDomainRecord } from "./parse.ts";
--- a/src/core/controller/controller.ts
+++ b/src/core/controller/controller.ts
@@ -9,9 +9,9 @@
   EngineCommand,
   EngineControl,
   EngineStatus,
-} from "../../platform/engine_control.ts";
-import type { HostList } from "../../platform/host_list.ts";
-import type { KeyValueStore } from "../../platform/key_value_store.ts";
+} from "../../ports/engine_control.ts";
+import type { HostList } from "../../ports/host_list.ts";
+import type { KeyValueStore } from "../../ports/key_value_store.ts";
 import type { Configuration } from "../../world/configuration.ts";
 import type { Host } from "../../world/host.ts";
 import type { DomainRecord, ReplicaGroup } from "../../world/replica_group.ts";
--- a/src/core/controller/controller_lease.ts
+++ b/src/core/controller/controller_lease.ts
@@ -7,7 +7,7 @@
 import type {
   KeyValueStore,
   StoreLease,
-} from "../../platform/key_value_store.ts";
+} from "../../ports/key_value_store.ts";
 import { CONTROLLER_KEY } from "../configuration/store_keys.ts";
 
 /** Time without renewal after which another controller may take over. */
--- a/src/core/controller/fleet_membership.ts
+++ b/src/core/controller/fleet_membership.ts
@@ -5,7 +5,7 @@
  */
 import { z } from "zod";
 import type { Timers } from "../../base/timers.ts";
-import type { KeyValueStore } from "../../platform/key_value_store.ts";
+import type { KeyValueStore } from "../../ports/key_value_store.ts";
 import type {
   Configuration,
   GatewayMember,
--- a/src/core/gateway/attempt_run.ts
+++ b/src/core/gateway/attempt_run.ts
@@ -11,7 +11,7 @@
   AttemptListener,
   AttemptRequest,
   UpstreamClient,
-} from "../../platform/upstream_client.ts";
+} from "../../ports/upstream_client.ts";
 import type { UpstreamEntry } from "../routing/upstream_entry.ts";
 
 /** Header by which an upstream says that it did not run the request. */
--- a/src/core/gateway/gateway.ts
+++ b/src/core/gateway/gateway.ts
@@ -7,10 +7,10 @@
 import { invariant } from "../../base/outcome.ts";
 import type { Random } from "../../base/random.ts";
 import type { Timer, Timers } from "../../base/timers.ts";
-import type { EngineControl } from "../../platform/engine_control.ts";
-import type { HostList } from "../../platform/host_list.ts";
-import type { KeyValueStore } from "../../platform/key_value_store.ts";
-import type { UpstreamClient } from "../../platform/upstream_client.ts";
+import type { EngineControl } from "../../ports/engine_control.ts";
+import type { HostList } from "../../ports/host_list.ts";
+import type { KeyValueStore } from "../../ports/key_value_store.ts";
+import type { UpstreamClient } from "../../ports/upstream_client.ts";
 import type {
   Configuration,
   GatewayMember,
--- a/src/core/gateway/prober.ts
+++ b/src/core/gateway/prober.ts
@@ -9,7 +9,7 @@
 import type {
   EngineControl,
   EngineStatus,
-} from "../../platform/engine_control.ts";
+} from "../../ports/engine_control.ts";
 import type { UpstreamEntry } from "../routing/upstream_entry.ts";
 import type { Evidence, UpstreamTable } from "../routing/upstream_table.ts";
 
--- a/src/core/gateway/request_run.ts
+++ b/src/core/gateway/request_run.ts
@@ -11,7 +11,7 @@
   AnswerHead,
   AttemptEnd,
   UpstreamClient,
-} from "../../platform/upstream_client.ts";
+} from "../../ports/upstream_client.ts";
 import type { Configuration, PlainService } from "../../world/configuration.ts";
 import type { OrderClaim, Orders } from "../orders/order_ledger.ts";
 import type { OrderRecord, OrderRef } from "../orders/order_record.ts";
--- a/src/core/groups/host_view.ts
+++ b/src/core/groups/host_view.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { EngineStatus } from "../../platform/engine_control.ts";
+import type { EngineStatus } from "../../ports/engine_control.ts";
 import type { Host } from "../../world/host.ts";
 import type { GroupMember, ReplicaGroup } from "../../world/replica_group.ts";
 
--- a/src/core/membership/registration.ts
+++ b/src/core/membership/registration.ts
@@ -7,7 +7,7 @@
 import type {
   KeyValueStore,
   StoreLease,
-} from "../../platform/key_value_store.ts";
+} from "../../ports/key_value_store.ts";
 import type { GatewayMember } from "../../world/configuration.ts";
 import { gatewayKey } from "../configuration/store_keys.ts";
 
--- a/src/core/orders/order_desk.ts
+++ b/src/core/orders/order_desk.ts
@@ -5,7 +5,7 @@
  */
 import type { Outcome } from "../../base/outcome.ts";
 import { failure, success } from "../../base/outcome.ts";
-import type { KeyValueStore } from "../../platform/key_value_store.ts";
+import type { KeyValueStore } from "../../ports/key_value_store.ts";
 import type { Configuration } from "../../world/configuration.ts";
 import type { OrderRecord, OrderRef } from "./order_record.ts";
 import { orderKey, parseOrderRecord } from "./order_record.ts";
--- a/src/core/orders/order_ledger.ts
+++ b/src/core/orders/order_ledger.ts
@@ -6,7 +6,7 @@
  */
 import type { Timers } from "../../base/timers.ts";
 import { sleep } from "../../base/timers.ts";
-import type { KeyValueStore } from "../../platform/key_value_store.ts";
+import type { KeyValueStore } from "../../ports/key_value_store.ts";
 import type { OrderRecord, OrderRef } from "./order_record.ts";
 import {
   MAX_RECORDED_BODY,
--- a/src/core/orders/write_batcher.ts
+++ b/src/core/orders/write_batcher.ts
@@ -10,7 +10,7 @@
   StoreEntry,
   StoreError,
   StorePut,
-} from "../../platform/key_value_store.ts";
+} from "../../ports/key_value_store.ts";
 
 /** How long writes gather before they go out together. */
 export const BATCH_WINDOW_MS = 5;
--- a/src/naive/naive_controller.ts
+++ b/src/naive/naive_controller.ts
@@ -6,9 +6,9 @@
 import type { Timers } from "../base/timers.ts";
 import { CONFIG_KEY } from "../core/configuration/store_keys.ts";
 import { parseConfiguration } from "../core/configuration/parse.ts";
-import type { EngineControl } from "../platform/engine_control.ts";
-import type { HostList } from "../platform/host_list.ts";
-import type { KeyValueStore } from "../platform/key_value_store.ts";
+import type { EngineControl } from "../ports/engine_control.ts";
+import type { HostList } from "../ports/host_list.ts";
+import type { KeyValueStore } from "../ports/key_value_store.ts";
 import type { Configuration } from "../world/configuration.ts";
 import type { Host } from "../world/host.ts";
 import type { ReplicaGroup } from "../world/replica_group.ts";
--- a/src/naive/naive_gateway.ts
+++ b/src/naive/naive_gateway.ts
@@ -20,13 +20,13 @@
   RunningCall,
 } from "../core/gateway/entry_gateway.ts";
 import { EventFramer } from "../core/gateway/event_framer.ts";
-import type { HostList } from "../platform/host_list.ts";
-import type { KeyValueStore } from "../platform/key_value_store.ts";
+import type { HostList } from "../ports/host_list.ts";
+import type { KeyValueStore } from "../ports/key_value_store.ts";
 import type {
   Attempt,
   AttemptEnd,
   UpstreamClient,
-} from "../platform/upstream_client.ts";
+} from "../ports/upstream_client.ts";
 import type { Configuration, GatewayMember } from "../world/configuration.ts";
 import { EMPTY_CONFIGURATION } from "../world/configuration.ts";
 import type { Upstream } from "../world/upstream.ts";
--- a/src/standins/server/engine_server.ts
+++ b/src/standins/server/engine_server.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
-import type { FencedCommand } from "../../platform/engine_control.ts";
+import type { FencedCommand } from "../../ports/engine_control.ts";
 import type { EngineSim } from "../sim/engine_sim.ts";
 import { readJson, sendJson } from "./http_helpers.ts";
 
--- a/src/standins/server/store_server.ts
+++ b/src/standins/server/store_server.ts
@@ -8,7 +8,7 @@
 import { createServer } from "node:http";
 import type { Timers } from "../../base/timers.ts";
 import { sleep } from "../../base/timers.ts";
-import type { StoreEntry, StorePut } from "../../platform/key_value_store.ts";
+import type { StoreEntry, StorePut } from "../../ports/key_value_store.ts";
 import type { MemoryKeyValue } from "../sim/memory_key_value.ts";
 import { readJson, sendJson } from "./http_helpers.ts";
 
--- a/src/standins/sim/engine_sim.ts
+++ b/src/standins/sim/engine_sim.ts
@@ -13,7 +13,7 @@
   EnginePhase,
   EngineStatus,
   FencedCommand,
-} from "../../platform/engine_control.ts";
+} from "../../ports/engine_control.ts";
 import type { Journal } from "./journal.ts";
 import type { WeightStoreSim } from "./weight_store.ts";
 
--- a/src/standins/sim/memory_key_value.ts
+++ b/src/standins/sim/memory_key_value.ts
@@ -8,7 +8,7 @@
   StoreEntry,
   StorePut,
   TransactionResult,
-} from "../../platform/key_value_store.ts";
+} from "../../ports/key_value_store.ts";
 
 interface Item {
   value: string;
--- a/src/standins/sim/service_sim.ts
+++ b/src/standins/sim/service_sim.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Timer, Timers } from "../../base/timers.ts";
-import type { EngineStatus } from "../../platform/engine_control.ts";
+import type { EngineStatus } from "../../ports/engine_control.ts";
 import type { Journal } from "./journal.ts";
 
 /** Receives the answer to a call. */
--- a/tools/relay/engine.ts
+++ b/tools/relay/engine.ts
@@ -12,7 +12,7 @@
 import type {
   EngineCommand,
   FencedCommand,
-} from "../../src/platform/engine_control.ts";
+} from "../../src/ports/engine_control.ts";
 import { readJson, sendJson } from "../../src/standins/server/http_helpers.ts";
 import { PORTS } from "./messages.ts";
 import { monotonicMs } from "./monotonic.ts";
