--- /dev/null
+++ b/src/adapters/udp_datagrams.ts
@@ -0,0 +1,52 @@
+/**
+ * Datagrams over UDP.
+ *
+ * @module
+ */
+import type { Socket } from "node:dgram";
+import { createSocket } from "node:dgram";
+import type { Datagrams } from "../ports/datagrams.ts";
+
+/** Larger messages would be cut into pieces on the way. */
+const MAX_DATAGRAM_BYTES = 60_000;
+
+/** {@linkcode Datagrams} on one UDP socket. */
+export class UdpDatagrams implements Datagrams {
+  readonly #socket: Socket;
+
+  private constructor(socket: Socket) {
+    this.#socket = socket;
+    socket.on("error", () => {});
+  }
+
+  /** Binds to an IP number and port. */
+  static bind(ip: string, port: number): Promise<UdpDatagrams> {
+    return new Promise((resolve, reject) => {
+      const socket = createSocket("udp4");
+      socket.once("error", reject);
+      socket.bind(port, ip, () => {
+        socket.off("error", reject);
+        resolve(new UdpDatagrams(socket));
+      });
+    });
+  }
+
+  send(address: string, payload: Uint8Array): void {
+    if (payload.byteLength > MAX_DATAGRAM_BYTES) return;
+    const at = address.lastIndexOf(":");
+    const port = Number(address.slice(at + 1));
+    // A datagram that can't be sent counts as lost.
+    this.#socket.send(payload, port, address.slice(0, at), () => {});
+  }
+
+  onMessage(receive: (payload: Uint8Array, from: string) => void): void {
+    this.#socket.on("message", (payload, info) => {
+      receive(payload, `${info.address}:${info.port}`);
+    });
+  }
+
+  /** Stops receiving. */
+  close(): void {
+    this.#socket.close();
+  }
+}
--- /dev/null
+++ b/src/core/catalog/catalog_holder.ts
@@ -0,0 +1,84 @@
+/**
+ * The catalog in force in this process and how fresh its confirmation is.
+ *
+ * @module
+ */
+import type {
+  Catalog,
+  KeyedCustomer,
+  ServiceSpec,
+} from "../../world/catalog.ts";
+import type { Age } from "./confirmation.ts";
+import { Confirmation } from "./confirmation.ts";
+import { RouteTable } from "./route_table.ts";
+
+/** A catalog made ready for look-ups. */
+export interface CatalogInForce {
+  readonly catalog: Catalog;
+  readonly routes: RouteTable;
+  readonly services: ReadonlyMap<string, ServiceSpec>;
+  /** Undefined when requests carry no keys. */
+  readonly customerOfKey: ReadonlyMap<string, KeyedCustomer> | undefined;
+}
+
+/** Holds the newest catalog; an older one never replaces it. */
+export class CatalogHolder {
+  readonly #confirmation: Confirmation;
+  #inForce: CatalogInForce | undefined;
+
+  constructor(monotonic: () => number, wall: () => number) {
+    this.#confirmation = new Confirmation(monotonic, wall);
+  }
+
+  /** The catalog in force; undefined before the first. */
+  get inForce(): CatalogInForce | undefined {
+    return this.#inForce;
+  }
+
+  /** Version in force; 0 before the first. */
+  get version(): number {
+    return this.#inForce?.catalog.version ?? 0;
+  }
+
+  /** Takes a catalog if it is newer. Returns whether it was. */
+  offer(catalog: Catalog): boolean {
+    if (catalog.version <= this.version) return false;
+    this.#inForce = {
+      catalog,
+      routes: new RouteTable(catalog),
+      services: new Map(catalog.services.map((svc) => [svc.name, svc])),
+      customerOfKey: catalog.customers && keyIndex(catalog.customers),
+    };
+    return true;
+  }
+
+  /** Reads the clocks before a confirmation is asked for. */
+  now(): Age {
+    return this.#confirmation.now();
+  }
+
+  /** Notes that the version was the newest when `askedAt` was read. */
+  confirmed(version: number, askedAt: Age): void {
+    if (version === this.version) this.#confirmation.confirmed(askedAt);
+  }
+
+  /** Notes that a peer's copy of the same version was confirmed `ageMs` ago. */
+  confirmedByPeer(version: number, ageMs: number): void {
+    if (version === this.version) this.#confirmation.confirmedBefore(ageMs);
+  }
+
+  /** Time since the version was known to be the newest, in milliseconds. */
+  get confirmationAgeMs(): number {
+    return this.#confirmation.ageMs;
+  }
+}
+
+function keyIndex(
+  customers: readonly KeyedCustomer[],
+): Map<string, KeyedCustomer> {
+  return new Map(
+    customers.flatMap((customer) =>
+      customer.keys.map((key) => [key, customer] as const)
+    ),
+  );
+}
--- /dev/null
+++ b/src/core/catalog/confirmation.ts
@@ -0,0 +1,55 @@
+/**
+ * Age of a confirmation by two clocks.
+ *
+ * @module
+ */
+
+/** A reading of the monotonic clock and of the time of day. */
+export interface Age {
+  readonly monotonic: number;
+  readonly wall: number;
+}
+
+/**
+ * Ages a confirmation by the larger of two differences: the monotonic clock
+ * stands still while a host is suspended, and the time of day may be set back.
+ */
+export class Confirmation {
+  readonly #monotonic: () => number;
+  readonly #wall: () => number;
+  #at: Age | undefined;
+
+  constructor(monotonic: () => number, wall: () => number) {
+    this.#monotonic = monotonic;
+    this.#wall = wall;
+  }
+
+  /** Reads both clocks. */
+  now(): Age {
+    return { monotonic: this.#monotonic(), wall: this.#wall() };
+  }
+
+  /** Takes a confirmation asked for at `askedAt`, unless a newer one is held. */
+  confirmed(askedAt: Age): void {
+    if (this.#ageOf(askedAt) < this.ageMs) this.#at = askedAt;
+  }
+
+  /** Takes a confirmation that is `ageMs` old. */
+  confirmedBefore(ageMs: number): void {
+    const now = this.now();
+    this.confirmed({
+      monotonic: now.monotonic - ageMs,
+      wall: now.wall - ageMs,
+    });
+  }
+
+  /** Age in milliseconds; infinite before the first confirmation. */
+  get ageMs(): number {
+    return this.#at === undefined ? Infinity : this.#ageOf(this.#at);
+  }
+
+  #ageOf(at: Age): number {
+    const now = this.now();
+    return Math.max(now.monotonic - at.monotonic, now.wall - at.wall);
+  }
+}
--- /dev/null
+++ b/src/core/fleet/change_feed.ts
@@ -0,0 +1,147 @@
+/**
+ * Follows the keys under a prefix of the store.
+ *
+ * @module
+ */
+import type { Timers } from "../../base/timers.ts";
+import { sleep, TIMED_OUT, withTimeout } from "../../base/timers.ts";
+import type {
+  CoordinationError,
+  CoordinationEvent,
+  CoordinationItem,
+  CoordinationListing,
+  CoordinationStore,
+} from "../../ports/coordination_store.ts";
+import type { Outcome } from "../../base/outcome.ts";
+import type { Age } from "../catalog/confirmation.ts";
+
+/** Time beyond the wait after which a call counts as silent. */
+const CALL_LIMIT_MS = 1_200;
+/** First pause after a failed call; doubles up to the maximum. */
+const RETRY_MIN_MS = 100;
+const RETRY_MAX_MS = 400;
+
+/** Receives what the feed sees. */
+export interface FeedListener {
+  /** Everything under the prefix, replacing what was known before. */
+  onListing(items: readonly CoordinationItem[]): void;
+  onEvents(events: readonly CoordinationEvent[]): void;
+  /** Everything up to `askedAt` has been seen. */
+  onConfirmed(askedAt: Age): void;
+  onLost(detail: string): void;
+}
+
+/** Pace of a feed, in milliseconds. */
+export interface FeedPace {
+  /** Longest wait of one call. */
+  readonly waitMs: number;
+  /** Shortest time between two calls. */
+  readonly pauseMs: number;
+}
+
+/** Lists once, then follows changes; lists again when history is gone. */
+export class ChangeFeed {
+  readonly #timers: Timers;
+  readonly #store: CoordinationStore;
+  readonly #prefix: string;
+  readonly #listener: FeedListener;
+  readonly #clocks: () => Age;
+  #pace: FeedPace;
+  #asOf: number | undefined;
+  #retryMs = RETRY_MIN_MS;
+  #stopped = false;
+
+  constructor(
+    timers: Timers,
+    store: CoordinationStore,
+    prefix: string,
+    pace: FeedPace,
+    clocks: () => Age,
+    listener: FeedListener,
+  ) {
+    this.#timers = timers;
+    this.#store = store;
+    this.#prefix = prefix;
+    this.#pace = pace;
+    this.#clocks = clocks;
+    this.#listener = listener;
+  }
+
+  /** Changes the pace from the next call on. */
+  set pace(pace: FeedPace) {
+    this.#pace = pace;
+  }
+
+  /** Begins to follow. */
+  start(): void {
+    this.#follow();
+  }
+
+  /** Stops after the call that is under way. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  async #follow(): Promise<void> {
+    while (!this.#stopped) {
+      const startedAt = this.#timers.now();
+      const askedAt = this.#clocks();
+      const err = this.#asOf === undefined
+        ? await this.#list(askedAt)
+        : await this.#change(this.#asOf, askedAt);
+      if (this.#stopped) return;
+      if (err === undefined) this.#retryMs = RETRY_MIN_MS;
+      else await this.#failed(err);
+      const early = startedAt + this.#pace.pauseMs - this.#timers.now();
+      if (early > 0) await sleep(this.#timers, early);
+    }
+  }
+
+  async #list(askedAt: Age): Promise<CoordinationError | undefined> {
+    const res = await this.#limited<CoordinationListing>(
+      this.#store.list(this.#prefix),
+      0,
+    );
+    if (!res.ok) return res.err;
+    this.#asOf = res.value.asOf;
+    this.#listener.onListing(res.value.items);
+    this.#listener.onConfirmed(askedAt);
+    return undefined;
+  }
+
+  async #change(
+    after: number,
+    askedAt: Age,
+  ): Promise<CoordinationError | undefined> {
+    const { waitMs } = this.#pace;
+    const res = await this.#limited(
+      this.#store.changes(this.#prefix, after, waitMs),
+      waitMs,
+    );
+    if (!res.ok) return res.err;
+    this.#asOf = Math.max(after, res.value.asOf);
+    if (res.value.events.length > 0) this.#listener.onEvents(res.value.events);
+    this.#listener.onConfirmed(askedAt);
+    return undefined;
+  }
+
+  async #limited<T>(
+    call: Promise<Outcome<T, CoordinationError>>,
+    waitMs: number,
+  ): Promise<Outcome<T, CoordinationError>> {
+    const limitMs = waitMs + CALL_LIMIT_MS;
+    const res = await withTimeout(this.#timers, call, limitMs);
+    if (res !== TIMED_OUT) return res;
+    return { ok: false, err: { kind: "unavailable", detail: "silent" } };
+  }
+
+  async #failed(err: CoordinationError): Promise<void> {
+    if (err.kind === "compacted") {
+      this.#asOf = undefined;
+      return;
+    }
+    this.#listener.onLost(err.detail);
+    await sleep(this.#timers, this.#retryMs);
+    this.#retryMs = Math.min(this.#retryMs * 2, RETRY_MAX_MS);
+  }
+}
--- /dev/null
+++ b/src/core/fleet/evidence.ts
@@ -0,0 +1,63 @@
+/**
+ * What traffic and probes say against upstreams, before the store does.
+ *
+ * @module
+ */
+
+/** Why an upstream is doubted. */
+export type DoubtKind = "silent" | "reset" | "unreachable";
+
+/** A doubt about an upstream. */
+export interface Doubt {
+  readonly key: string;
+  readonly kind: DoubtKind;
+  /** Monotonic time of the observation. */
+  readonly at: number;
+}
+
+/** A doubt that nothing confirms ends after this time. */
+const DOUBT_TTL_MS = 1_500;
+
+/** Keeps the doubts of this process and of its peers. */
+export class Evidence {
+  readonly #doubts = new Map<string, Doubt>();
+  readonly #listeners: ((doubt: Doubt) => void)[] = [];
+
+  /** Calls back for each new doubt. */
+  onDoubt(listener: (doubt: Doubt) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Takes a doubt. Returns whether it is news. */
+  doubt(doubt: Doubt): boolean {
+    const known = this.#doubts.get(doubt.key);
+    if (known !== undefined && doubt.at <= known.at + 100) return false;
+    this.#doubts.set(doubt.key, doubt);
+    if (known !== undefined) return false;
+    for (const listener of this.#listeners) listener(doubt);
+    return true;
+  }
+
+  /** Ends a doubt: the upstream was seen to work after it. */
+  trust(key: string, seenAt: number): void {
+    const known = this.#doubts.get(key);
+    if (known !== undefined && seenAt > known.at) this.#doubts.delete(key);
+  }
+
+  /** Tells whether an upstream is doubted. */
+  isDoubted(key: string): boolean {
+    return this.#doubts.has(key);
+  }
+
+  /** Doubts of late, for peers. */
+  recent(since: number): Doubt[] {
+    return [...this.#doubts.values()].filter((doubt) => doubt.at >= since);
+  }
+
+  /** Drops doubts that nothing has renewed. */
+  expire(now: number): void {
+    for (const [key, doubt] of this.#doubts) {
+      if (now - doubt.at > DOUBT_TTL_MS) this.#doubts.delete(key);
+    }
+  }
+}
--- /dev/null
+++ b/src/core/fleet/host_registry.ts
@@ -0,0 +1,178 @@
+/**
+ * Hosts as announced, and the replica groups that follow from it.
+ *
+ * @module
+ */
+import type { ServingHost } from "../../world/serving_host.ts";
+import type { ReplicaGroupView } from "./replica.ts";
+import { groupKey } from "./replica.ts";
+
+/** Announcements that lapsed during an outage are back within this time. */
+export const RELIST_GRACE_MS = 2_300;
+
+interface Known {
+  readonly host: ServingHost;
+  readonly coldUntil: number;
+  /** Since when the host is missing from a listing after an outage. */
+  missingSince: number | undefined;
+}
+
+/** Keeps hosts by id. */
+export class HostRegistry {
+  readonly #known = new Map<string, Known>();
+  readonly #listeners: (() => void)[] = [];
+  readonly #removed = new Map<string, number>();
+  #groups: Map<string, ReplicaGroupView> | undefined;
+  #byService: Map<string, ServingHost[]> | undefined;
+
+  /** Calls back after each change. */
+  onChange(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Number of hosts. */
+  get size(): number {
+    return this.#known.size;
+  }
+
+  /** All hosts. */
+  *hosts(): Iterable<ServingHost> {
+    for (const { host } of this.#known.values()) yield host;
+  }
+
+  /** A host by id. */
+  get(id: string): ServingHost | undefined {
+    return this.#known.get(id)?.host;
+  }
+
+  /** When a host's announcement went away; undefined while it stands. */
+  removedAt(id: string): number | undefined {
+    return this.#removed.get(id);
+  }
+
+  /** Monotonic time until which a host is cold. */
+  coldUntil(id: string): number {
+    return this.#known.get(id)?.coldUntil ?? 0;
+  }
+
+  /**
+   * Takes a complete listing. After an outage, hosts that are missing stay for
+   * a grace period: their announcements may only have lapsed.
+   */
+  replaceAll(
+    hosts: readonly ServingHost[],
+    now: number,
+    afterOutage: boolean,
+  ): void {
+    const listed = new Set(hosts.map((host) => host.id));
+    for (const [id, known] of this.#known) {
+      if (listed.has(id)) continue;
+      if (afterOutage) known.missingSince ??= now;
+      else this.#drop(id, now);
+    }
+    for (const host of hosts) this.#put(host, now);
+    this.#changed();
+  }
+
+  /** Takes one announcement. */
+  announce(host: ServingHost, now: number): void {
+    this.#put(host, now);
+    this.#changed();
+  }
+
+  /** Takes the end of an announcement. */
+  withdraw(id: string, now: number, afterOutage: boolean): void {
+    const known = this.#known.get(id);
+    if (known === undefined) return;
+    if (afterOutage) known.missingSince ??= now;
+    else this.#drop(id, now);
+    this.#changed();
+  }
+
+  /** Drops hosts whose grace is over. */
+  expire(now: number): void {
+    let changed = false;
+    for (const [id, known] of this.#known) {
+      const since = known.missingSince;
+      if (since === undefined || now - since < RELIST_GRACE_MS) continue;
+      this.#drop(id, now);
+      changed = true;
+    }
+    for (const [id, at] of this.#removed) {
+      if (now - at > 60_000) this.#removed.delete(id);
+    }
+    if (changed) this.#changed();
+  }
+
+  /** Hosts of a service. */
+  ofService(service: string): readonly ServingHost[] {
+    if (this.#byService === undefined) {
+      this.#byService = new Map();
+      for (const { host } of this.#known.values()) {
+        const hosts = this.#byService.get(host.service) ?? [];
+        hosts.push(host);
+        this.#byService.set(host.service, hosts);
+      }
+    }
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** Replica groups by key. */
+  get groups(): ReadonlyMap<string, ReplicaGroupView> {
+    this.#groups ??= collectGroups(this.hosts());
+    return this.#groups;
+  }
+
+  #put(host: ServingHost, now: number): void {
+    this.#removed.delete(host.id);
+    this.#known.set(host.id, {
+      host,
+      coldUntil: host.coldLeftMs > 0 ? now + host.coldLeftMs : 0,
+      missingSince: undefined,
+    });
+  }
+
+  #drop(id: string, now: number): void {
+    this.#known.delete(id);
+    this.#removed.set(id, now);
+  }
+
+  #changed(): void {
+    this.#groups = undefined;
+    this.#byService = undefined;
+    for (const listener of this.#listeners) listener();
+  }
+}
+
+function collectGroups(
+  hosts: Iterable<ServingHost>,
+): Map<string, ReplicaGroupView> {
+  const members = new Map<string, ServingHost[]>();
+  for (const host of hosts) {
+    if (host.membership === undefined) continue;
+    const key = groupKey(host.membership.group, host.membership.epoch);
+    const list = members.get(key) ?? [];
+    list.push(host);
+    members.set(key, list);
+  }
+  const groups = new Map<string, ReplicaGroupView>();
+  for (const [key, list] of members) {
+    list.sort((a, b) =>
+      (a.membership?.rank ?? 0) - (b.membership?.rank ?? 0)
+    );
+    const [first] = list;
+    if (first.membership === undefined) continue;
+    const head = first.membership.rank === 0 ? first : undefined;
+    groups.set(key, {
+      key,
+      name: first.membership.group,
+      epoch: first.membership.epoch,
+      service: first.service,
+      model: (head ?? first).models[0] ?? "",
+      state: head?.membership?.state ?? "broken",
+      head,
+      members: list,
+    });
+  }
+  return groups;
+}
--- /dev/null
+++ b/src/core/fleet/registration.ts
@@ -0,0 +1,99 @@
+/**
+ * Keeps this process listed in the store while it lives.
+ *
+ * @module
+ */
+import type { Timers } from "../../base/timers.ts";
+import { sleep, TIMED_OUT, withTimeout } from "../../base/timers.ts";
+import type { CoordinationStore } from "../../ports/coordination_store.ts";
+
+/** Prefix of everything that the fleet itself keeps in the store. */
+export const FLEET_PREFIX = "oleander/";
+const NODE_PREFIX = `${FLEET_PREFIX}nodes/`;
+const LEASE_TTL_MS = 6_000;
+const RENEW_MS = 2_000;
+const RETRY_MS = 500;
+const CALL_LIMIT_MS = 1_500;
+
+/** Registers under a lease and renews it. */
+export class Registration {
+  readonly #timers: Timers;
+  readonly #store: CoordinationStore;
+  readonly #key: string;
+  readonly #value: string;
+  #lease: number | undefined;
+  #stopped = false;
+
+  constructor(
+    timers: Timers,
+    store: CoordinationStore,
+    nodeId: string,
+    internalAddress: string,
+  ) {
+    this.#timers = timers;
+    this.#store = store;
+    this.#key = `${NODE_PREFIX}${nodeId}`;
+    this.#value = internalAddress;
+  }
+
+  /** Begins to register and renew. */
+  start(): void {
+    this.#run();
+  }
+
+  /** Ends the registration. */
+  async leave(): Promise<void> {
+    this.#stopped = true;
+    if (this.#lease === undefined) return;
+    await withTimeout(
+      this.#timers,
+      this.#store.endLease(this.#lease),
+      CALL_LIMIT_MS,
+    );
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#stopped) {
+      const held = this.#lease === undefined
+        ? await this.#register()
+        : await this.#renew(this.#lease);
+      await sleep(this.#timers, held ? RENEW_MS : RETRY_MS);
+    }
+  }
+
+  async #register(): Promise<boolean> {
+    const lease = await this.#limited(this.#store.grantLease(LEASE_TTL_MS));
+    if (lease === TIMED_OUT || !lease.ok) return false;
+    const leaseId = lease.value.id;
+    const put = { key: this.#key, value: this.#value, leaseId };
+    const res = await this.#limited(this.#store.write([], [put], []));
+    if (res === TIMED_OUT || !res.ok || res.value.kind !== "written") {
+      return false;
+    }
+    this.#lease = leaseId;
+    return true;
+  }
+
+  async #renew(lease: number): Promise<boolean> {
+    const res = await this.#limited(this.#store.renewLease(lease));
+    if (res === TIMED_OUT || !res.ok) return false;
+    if (!res.value) this.#lease = undefined;
+    return res.value;
+  }
+
+  #limited<T>(call: Promise<T>): Promise<T | typeof TIMED_OUT> {
+    return withTimeout(this.#timers, call, CALL_LIMIT_MS);
+  }
+}
+
+/**
+ * Tells whether a key registers a process.
+ *
+ * @example
+ * ```ts
+ * if (isNodeKey(item.key)) addresses.push(text(item.value));
+ * ```
+ */
+export function isNodeKey(key: string): boolean {
+  return key.startsWith(NODE_PREFIX);
+}
--- /dev/null
+++ b/src/core/fleet/replica.ts
@@ -0,0 +1,42 @@
+/**
+ * Upstreams as requests see them: replica groups and plain hosts.
+ *
+ * @module
+ */
+import type { MembershipState, ServingHost } from "../../world/serving_host.ts";
+
+/** A replica group as its members announce it. */
+export interface ReplicaGroupView {
+  /** Group name and epoch; identifies the upstream. */
+  readonly key: string;
+  readonly name: string;
+  readonly epoch: number;
+  readonly service: string;
+  readonly model: string;
+  readonly state: MembershipState;
+  readonly head: ServingHost | undefined;
+  readonly members: readonly ServingHost[];
+}
+
+/** Somewhere that a request may be sent. */
+export interface Replica {
+  readonly key: string;
+  readonly service: string;
+  /** Model served; undefined for a plain service. */
+  readonly model: string | undefined;
+  /** Host that takes the requests. */
+  readonly host: ServingHost;
+  readonly members: readonly string[];
+}
+
+/**
+ * Identifies a group at one epoch.
+ *
+ * @example
+ * ```ts
+ * groupKey("g-17", 40960); // "g-17@40960"
+ * ```
+ */
+export function groupKey(name: string, epoch: number): string {
+  return `${name}@${epoch}`;
+}
--- /dev/null
+++ b/src/core/keeper/group_keeper.ts
@@ -0,0 +1,474 @@
+/**
+ * Forms, opens, repairs and dissolves replica groups on the acting node.
+ *
+ * @module
+ */
+import type { EventLog } from "../../base/event_log.ts";
+import type { Timers } from "../../base/timers.ts";
+import type { HostControl } from "../../ports/host_control.ts";
+import type {
+  EngineModel,
+  EngineSpec,
+  ServiceSpec,
+} from "../../world/catalog.ts";
+import type { ServingHost } from "../../world/serving_host.ts";
+import type { CatalogHolder } from "../catalog/catalog_holder.ts";
+import type { Doubt, Evidence } from "../fleet/evidence.ts";
+import type { HostRegistry } from "../fleet/host_registry.ts";
+import { groupKey } from "../fleet/replica.ts";
+import { CommandDesk } from "./command_desk.ts";
+import type { HostBelief } from "./host_ledger.ts";
+import { HostLedger } from "./host_ledger.ts";
+import type { FreeHost, LayoutStep } from "./layout.ts";
+import { planLayout } from "./layout.ts";
+import { LoadCeiling } from "./load_ceiling.ts";
+
+const TICK_MS = 100;
+/** Changes that come together are looked at together. */
+const SETTLE_MS = 10;
+/** Epochs of one term; later terms have larger ones. */
+const EPOCHS_PER_TERM = 4_096;
+/** Time beyond a load after which a group that does not form is given up. */
+const FORM_MARGIN_MS = 6_000;
+/** Longest time for the work of a group that is closed to be finished. */
+const FINISH_MS = 1_500;
+/** Pause between two attempts at the same step. */
+const RETRY_MS = 400;
+/** Part of an engine's time that demand may fill. */
+const USABLE_SHARE = 0.7;
+/** Silence of an unlisted head, to all nodes, after which it counts as gone. */
+const HEAD_GONE_MS = 1_500;
+/** Names of groups that only keep a spare ready. */
+const SPARE_PREFIX = "s-";
+
+/** What the keeper works with. */
+export interface GroupKeeperParts {
+  readonly timers: Timers;
+  readonly control: HostControl;
+  readonly hosts: HostRegistry;
+  readonly evidence: Evidence;
+  readonly catalog: CatalogHolder;
+  readonly zonesOut: ReadonlySet<string>;
+  readonly log: EventLog;
+  readonly isActing: () => boolean;
+  /** Engine milliseconds asked for per second, by model, by all callers. */
+  readonly demand: () => ReadonlyMap<string, number>;
+  /** When any node last saw an event from an upstream. */
+  readonly lastEventAt: (key: string) => number | undefined;
+  readonly loadWindowMs: number;
+}
+
+/** A group as its members' beliefs show it. */
+interface KeptGroup {
+  readonly key: string;
+  readonly name: string;
+  readonly epoch: number;
+  readonly members: readonly HostBelief[];
+  readonly head: HostBelief | undefined;
+  readonly model: EngineModel | undefined;
+}
+
+/** Keeps the replica groups of all services with engines. */
+export class GroupKeeper {
+  readonly #parts: GroupKeeperParts;
+  readonly #ledger = new HostLedger();
+  readonly #desk: CommandDesk;
+  readonly #ceiling: LoadCeiling;
+  readonly #formedAt = new Map<string, { model: string; at: number }>();
+  /** Groups whose members may be used: the head has left or is gone. */
+  readonly #dissolved = new Set<string>();
+  readonly #closedAt = new Map<string, number>();
+  readonly #triedAt = new Map<string, number>();
+  #term = 0;
+  #nextEpoch = 0;
+  #isLearned = false;
+  #lookScheduled = false;
+
+  constructor(parts: GroupKeeperParts) {
+    this.#parts = parts;
+    const { timers, control, log, isActing } = parts;
+    this.#desk = new CommandDesk({
+      timers,
+      control,
+      ledger: this.#ledger,
+      log,
+      isActing,
+    });
+    this.#ceiling = new LoadCeiling(parts.loadWindowMs);
+  }
+
+  /** Begins to look; nothing is done while another node acts. */
+  start(): void {
+    this.#parts.hosts.onChange(() => this.#lookSoon());
+    this.#parts.timers.subscribe(TICK_MS, () => this.#look());
+  }
+
+  /** This node acts from now on: learns every host's state first. */
+  async gained(term: number): Promise<void> {
+    this.#term = term;
+    this.#nextEpoch = term * EPOCHS_PER_TERM;
+    this.#isLearned = false;
+    this.#dissolved.clear();
+    this.#closedAt.clear();
+    const hosts = this.#engineHosts();
+    await Promise.all(hosts.map((host) => this.#desk.refresh(host)));
+    if (this.#term !== term) return;
+    this.#isLearned = true;
+    this.#lookSoon();
+  }
+
+  /** Looks into a doubt about a group. */
+  async doubted(doubt: Doubt): Promise<void> {
+    if (!this.#parts.isActing()) return;
+    const group = this.#parts.hosts.groups.get(doubt.key);
+    if (group === undefined) return;
+    const answers = await Promise.all(
+      group.members.map((host) => this.#desk.refresh(host)),
+    );
+    this.#parts.log.info("group_probed", {
+      upstream: doubt.key,
+      why: doubt.kind,
+      members: group.members.map((host) => host.id),
+      answers,
+    });
+    this.#look();
+  }
+
+  #engineHosts(): ServingHost[] {
+    return [...this.#parts.hosts.hosts()].filter((host) =>
+      this.#engineOf(host.service) !== undefined
+    );
+  }
+
+  #engineOf(service: string): EngineSpec | undefined {
+    return this.#parts.catalog.inForce?.services.get(service)?.engine;
+  }
+
+  #lookSoon(): void {
+    if (this.#lookScheduled || !this.#parts.isActing()) return;
+    this.#lookScheduled = true;
+    this.#parts.timers.after(SETTLE_MS, () => {
+      this.#lookScheduled = false;
+      this.#look();
+    });
+  }
+
+  #look(): void {
+    if (!this.#parts.isActing() || !this.#isLearned) return;
+    const inForce = this.#parts.catalog.inForce;
+    if (inForce === undefined) return;
+    this.#ledger.retain(new Set([...this.#parts.hosts.hosts()].map((h) => h.id)));
+    for (const service of inForce.services.values()) {
+      if (service.engine !== undefined) this.#lookAt(service, service.engine);
+    }
+  }
+
+  #lookAt(service: ServiceSpec, engine: EngineSpec): void {
+    const now = this.#parts.timers.now();
+    const beliefs = this.#parts.hosts.ofService(service.name).map((host) =>
+      this.#ledger.belief(host, now)
+    );
+    const groups = this.#collect(beliefs, engine);
+    const kept = new Set<string>();
+    for (const group of groups) {
+      if (this.#tend(group, now)) {
+        for (const { host } of group.members) kept.add(host.id);
+      }
+    }
+    const free = beliefs.filter((belief) =>
+      !kept.has(belief.host.id) && this.#isUsable(belief)
+    );
+    const steps = planLayout({
+      models: engine.models,
+      free: free.map((belief) => toFree(belief, this.#desk, this.#hosts, now)),
+      groups: groups.filter((g) => g.model && this.#counts(g)).map((group) => ({
+        model: group.model?.name ?? "",
+        domain: group.members[0].host.domain,
+      })),
+      needed: this.#needed(engine),
+      hostsOf: domainSizes(beliefs.filter((b) => this.#isUsable(b))),
+      loadsAreCheap: !this.#hasTraffic,
+      loadRoom: this.#ceiling.room(engine, now),
+    });
+    for (const step of steps) this.#execute(step, engine, now);
+  }
+
+  get #hosts(): HostRegistry {
+    return this.#parts.hosts;
+  }
+
+  get #hasTraffic(): boolean {
+    for (const ms of this.#parts.demand().values()) if (ms > 0) return true;
+    return false;
+  }
+
+  /** Groups that the measured demand fills, or by declared shares before it. */
+  #needed(engine: EngineSpec): Map<string, number> {
+    const demand = this.#parts.demand();
+    const needed = new Map<string, number>();
+    for (const model of engine.models) {
+      const measured = (demand.get(model.name) ?? 0) / 1_000 / USABLE_SHARE;
+      const declared = model.share / model.size;
+      needed.set(model.name, this.#hasTraffic ? measured : declared);
+    }
+    return needed;
+  }
+
+  #isUsable(belief: HostBelief): boolean {
+    const { host } = belief;
+    return !belief.isDead && !host.draining &&
+      !this.#parts.zonesOut.has(host.zone);
+  }
+
+  #collect(beliefs: readonly HostBelief[], engine: EngineSpec): KeptGroup[] {
+    const members = new Map<string, HostBelief[]>();
+    for (const belief of beliefs) {
+      const { membership } = belief;
+      if (membership === undefined) continue;
+      if (membership.group.startsWith(SPARE_PREFIX)) continue;
+      const key = groupKey(membership.group, membership.epoch);
+      const list = members.get(key) ?? [];
+      list.push(belief);
+      members.set(key, list);
+    }
+    return [...members].map(([key, list]) => {
+      const [{ membership }] = list;
+      const head = list.find((belief) => belief.membership?.rank === 0);
+      const modelName = this.#formedAt.get(key)?.model ??
+        (head ?? list[0]).host.models[0];
+      return {
+        key,
+        name: membership?.group ?? "",
+        epoch: membership?.epoch ?? 0,
+        members: list,
+        head,
+        model: engine.models.find((model) => model.name === modelName),
+      };
+    });
+  }
+
+  /** Whether a group counts as one that serves or will. */
+  #counts(group: KeptGroup): boolean {
+    return !this.#dissolved.has(group.key) && this.#isSound(group);
+  }
+
+  #isSound(group: KeptGroup): boolean {
+    const { model, members, head } = group;
+    return model !== undefined && head !== undefined &&
+      members.length === model.size &&
+      members.every((belief) => !belief.isDead && !belief.host.draining) &&
+      !["closing", "broken"].includes(head.membership?.state ?? "broken");
+  }
+
+  /** Does what a group needs. Returns whether its members stay with it. */
+  #tend(group: KeptGroup, now: number): boolean {
+    if (this.#dissolved.has(group.key)) return false;
+    if (group.members.some(({ host }) => this.#desk.isBusy(host.id))) return true;
+    if (!this.#isSound(group)) return this.#dissolve(group, now);
+    const states = group.members.map((belief) => belief.membership?.state);
+    const head = group.head;
+    if (head === undefined || head.membership?.state === "open") return true;
+    if (states.every((state) => state === "ready")) {
+      this.#open(group, head, now);
+      return true;
+    }
+    return this.#stillForms(group, now) || this.#dissolve(group, now);
+  }
+
+  #stillForms(group: KeptGroup, now: number): boolean {
+    const formed = this.#formedAt.get(group.key) ??
+      { model: group.model?.name ?? "", at: now };
+    this.#formedAt.set(group.key, formed);
+    const loadMs = group.model?.loadMs ?? 0;
+    return now - formed.at < loadMs * 2 + FORM_MARGIN_MS;
+  }
+
+  async #open(group: KeptGroup, head: HostBelief, now: number): Promise<void> {
+    if (!this.#mayTry(`open ${group.key}`, now)) return;
+    const { name, epoch } = group;
+    await this.#desk.send(head.host, { kind: "open", group: name, epoch });
+    this.#lookSoon();
+  }
+
+  /** Ends a group through its head. Returns whether its members must wait. */
+  #dissolve(group: KeptGroup, now: number): boolean {
+    const { head, key } = group;
+    if (head === undefined) {
+      if (!this.#headIsGone(group, now)) return true;
+      this.#release(group, "head gone");
+      return false;
+    }
+    if (head.isDead) return true;
+    if (head.membership?.state !== "open" &&
+      head.membership?.state !== "closing") {
+      this.#leave(group, head, now);
+      return true;
+    }
+    if (!this.#isOnlyDraining(group)) {
+      this.#leave(group, head, now);
+      return true;
+    }
+    const closedAt = this.#closedAt.get(key);
+    if (closedAt === undefined) {
+      this.#closedAt.set(key, now);
+      this.#close(group, head);
+    } else if (now - closedAt > FINISH_MS) {
+      this.#leave(group, head, now);
+    }
+    return true;
+  }
+
+  #isOnlyDraining(group: KeptGroup): boolean {
+    return group.members.length === group.model?.size &&
+      group.members.every((belief) => !belief.isDead) &&
+      group.head?.membership?.state !== "broken";
+  }
+
+  async #close(group: KeptGroup, head: HostBelief): Promise<void> {
+    const { name, epoch } = group;
+    const command = { kind: "close", group: name, epoch, mode: "finish" } as const;
+    await this.#desk.send(head.host, command);
+    this.#lookSoon();
+  }
+
+  async #leave(group: KeptGroup, head: HostBelief, now: number): Promise<void> {
+    if (!this.#mayTry(`leave ${group.key}`, now)) return;
+    const { name, epoch } = group;
+    const command = { kind: "leave", group: name, epoch } as const;
+    const outcome = await this.#desk.send(head.host, command);
+    if (outcome === "done") this.#release(group, "head left");
+    this.#look();
+  }
+
+  #release(group: KeptGroup, why: string): void {
+    this.#dissolved.add(group.key);
+    this.#parts.log.info("group_dissolved", {
+      upstream: group.key,
+      why,
+      members: group.members.map(({ host }) => host.id),
+    });
+  }
+
+  /** Whether the head, known by the group's name, can't serve any more. */
+  #headIsGone(group: KeptGroup, now: number): boolean {
+    const headId = headIdOf(group.name);
+    if (headId === undefined) return true;
+    const announced = this.#parts.hosts.get(headId);
+    if (announced !== undefined) {
+      const { membership } = this.#ledger.belief(announced, now);
+      return membership === undefined ||
+        groupKey(membership.group, membership.epoch) !== group.key;
+    }
+    const lastEventAt = this.#parts.lastEventAt(group.key) ?? -Infinity;
+    return now - lastEventAt > HEAD_GONE_MS;
+  }
+
+  #execute(step: LayoutStep, engine: EngineSpec, now: number): void {
+    const model = engine.models.find((spec) => spec.name === step.model);
+    if (model === undefined) return;
+    if (step.kind === "form") this.#form(model, step.members, now);
+    if (step.kind === "warm") this.#warm(model, step.host, now);
+    if (step.kind === "stage") this.#stage(model, step.host, now);
+  }
+
+  async #form(
+    model: EngineModel,
+    memberIds: readonly string[],
+    now: number,
+  ): Promise<void> {
+    const hosts = memberIds.flatMap((id) => this.#parts.hosts.get(id) ?? []);
+    if (hosts.length !== memberIds.length) return;
+    const epoch = this.#takeEpoch();
+    const group = `g-${memberIds[0]}-${epoch}`;
+    this.#formedAt.set(groupKey(group, epoch), { model: model.name, at: now });
+    this.#parts.log.info("group_forming", {
+      group,
+      epoch,
+      model: model.name,
+      domain: hosts[0].domain,
+      members: memberIds,
+    });
+    for (const host of hosts) {
+      const needsLoad = !host.staged.includes(model.name);
+      if (needsLoad && this.#hasTraffic) this.#ceiling.begun(now, model.loadMs);
+    }
+    const outcomes = await Promise.all(hosts.map((host) =>
+      this.#desk.send(host, {
+        kind: "join",
+        group,
+        epoch,
+        model: model.name,
+        members: memberIds,
+      })
+    ));
+    if (outcomes.some((outcome) => outcome !== "done")) {
+      this.#dissolved.add(groupKey(group, epoch));
+    }
+    this.#lookSoon();
+  }
+
+  async #warm(model: EngineModel, hostId: string, now: number): Promise<void> {
+    const host = this.#parts.hosts.get(hostId);
+    if (host === undefined || !this.#mayTry(`warm ${hostId}`, now)) return;
+    const epoch = this.#takeEpoch();
+    const group = `${SPARE_PREFIX}${hostId}-${epoch}`;
+    await this.#desk.send(host, {
+      kind: "join",
+      group,
+      epoch,
+      model: model.name,
+      members: [hostId],
+    });
+  }
+
+  async #stage(model: EngineModel, hostId: string, now: number): Promise<void> {
+    const host = this.#parts.hosts.get(hostId);
+    if (host === undefined || !this.#mayTry(`stage ${hostId}`, now)) return;
+    this.#ceiling.begun(now, model.loadMs);
+    this.#ledger.staging(host, model.name, now + model.loadMs * 2);
+    await this.#desk.send(host, { kind: "stage", model: model.name });
+  }
+
+  #takeEpoch(): number {
+    this.#nextEpoch += 1;
+    return this.#nextEpoch;
+  }
+
+  #mayTry(step: string, now: number): boolean {
+    const last = this.#triedAt.get(step);
+    if (last !== undefined && now - last < RETRY_MS) return false;
+    this.#triedAt.set(step, now);
+    return true;
+  }
+}
+
+function toFree(
+  belief: HostBelief,
+  desk: CommandDesk,
+  hosts: HostRegistry,
+  now: number,
+): FreeHost {
+  const { host, membership, staging } = belief;
+  const isJoining = membership?.state === "joining";
+  return {
+    id: host.id,
+    domain: host.domain,
+    hotModel: isJoining ? undefined : belief.lastModel,
+    staged: staging === undefined ? host.staged : [staging],
+    isBusy: desk.isBusy(host.id) || staging !== undefined || isJoining,
+    isCold: hosts.coldUntil(host.id) > now,
+  };
+}
+
+function domainSizes(beliefs: readonly HostBelief[]): Map<string, number> {
+  const sizes = new Map<string, number>();
+  for (const { host } of beliefs) {
+    sizes.set(host.domain, (sizes.get(host.domain) ?? 0) + 1);
+  }
+  return sizes;
+}
+
+/** The head's id, which the group's name carries between prefix and epoch. */
+function headIdOf(name: string): string | undefined {
+  return /^g-(.+)-\d+$/.exec(name)?.[1];
+}
--- /dev/null
+++ b/src/core/keeper/host_ledger.ts
@@ -0,0 +1,151 @@
+/**
+ * What the acting node believes of each engine host, newer than announcements.
+ *
+ * @module
+ */
+import type {
+  HostReport,
+  Membership,
+  ServingHost,
+} from "../../world/serving_host.ts";
+
+/** A host that did not answer is left out of plans for this time. */
+const DEAD_MS = 6_000;
+
+/** An announcement that contradicts a command may be older for this time. */
+const ANNOUNCE_LAG_MS = 1_500;
+
+interface Record {
+  born: number;
+  /** Commands accepted; undefined until a report tells. */
+  seq: number | undefined;
+  /** Membership by a command or report that no announcement shows yet. */
+  newer: { membership: Membership | undefined; at: number } | undefined;
+  /** Model of the last group since the host's start. */
+  lastModel: string | undefined;
+  /** Model that is being staged, and until when that takes at most. */
+  staging: { model: string; until: number } | undefined;
+  deadUntil: number;
+}
+
+/** A host with everything believed of it. */
+export interface HostBelief {
+  readonly host: ServingHost;
+  /** Commands accepted; undefined when the host must be asked first. */
+  readonly seq: number | undefined;
+  readonly membership: Membership | undefined;
+  readonly lastModel: string | undefined;
+  readonly staging: string | undefined;
+  readonly isDead: boolean;
+}
+
+/** Overlays announcements with the outcome of commands and reports. */
+export class HostLedger {
+  readonly #records = new Map<string, Record>();
+
+  /** What is believed of an announced host. */
+  belief(host: ServingHost, now: number): HostBelief {
+    const record = this.#record(host);
+    const { newer } = record;
+    if (newer !== undefined) {
+      const isShown = isSameGroup(newer.membership, host.membership);
+      if (isShown || now - newer.at > ANNOUNCE_LAG_MS) record.newer = undefined;
+    }
+    if (host.membership !== undefined && host.models.length > 0) {
+      record.lastModel ??= host.models[0];
+    }
+    const { staging } = record;
+    const isStaging = staging !== undefined && staging.until > now &&
+      !host.staged.includes(staging.model);
+    return {
+      host,
+      seq: record.seq,
+      membership: record.newer === undefined
+        ? host.membership
+        : record.newer.membership,
+      lastModel: record.lastModel,
+      staging: isStaging ? staging.model : undefined,
+      isDead: record.deadUntil > now,
+    };
+  }
+
+  /** Takes a report on request. */
+  reported(host: ServingHost, report: HostReport, now: number): void {
+    const record = this.#record(host);
+    record.deadUntil = 0;
+    if (report.born !== 0 && report.born !== record.born) {
+      record.born = report.born;
+      record.lastModel = undefined;
+      record.seq = undefined;
+    }
+    if (record.seq !== undefined && report.seq < record.seq) return;
+    record.seq = report.seq;
+    record.newer = { membership: report.membership, at: now };
+    if (report.membership !== undefined && report.models.length > 0) {
+      record.lastModel = report.models[0];
+    }
+  }
+
+  /** Takes the acceptance of a command that gave this membership. */
+  accepted(
+    host: ServingHost,
+    expectedSeq: number,
+    membership: Membership | undefined,
+    now: number,
+  ): void {
+    const record = this.#record(host);
+    record.seq = Math.max(record.seq ?? 0, expectedSeq + 1);
+    record.newer = { membership, at: now };
+  }
+
+  /** Notes the model that a host was told to join with. */
+  joined(host: ServingHost, model: string): void {
+    this.#record(host).lastModel = model;
+  }
+
+  /** Notes a load to the host's own store. */
+  staging(host: ServingHost, model: string, until: number): void {
+    this.#record(host).staging = { model, until };
+  }
+
+  /** Notes that a host did not answer. */
+  silent(host: ServingHost, now: number): void {
+    this.#record(host).deadUntil = now + DEAD_MS;
+  }
+
+  /** Notes that a host answered. */
+  answered(host: ServingHost): void {
+    this.#record(host).deadUntil = 0;
+  }
+
+  /** Forgets hosts that are not announced any more. */
+  retain(ids: ReadonlySet<string>): void {
+    for (const id of this.#records.keys()) {
+      if (!ids.has(id)) this.#records.delete(id);
+    }
+  }
+
+  #record(host: ServingHost): Record {
+    let record = this.#records.get(host.id);
+    if (record === undefined || record.born < host.born) {
+      record = {
+        born: host.born,
+        seq: undefined,
+        newer: undefined,
+        lastModel: undefined,
+        staging: undefined,
+        deadUntil: 0,
+      };
+      this.#records.set(host.id, record);
+    }
+    return record;
+  }
+}
+
+function isSameGroup(
+  a: Membership | undefined,
+  b: Membership | undefined,
+): boolean {
+  if (a === undefined || b === undefined) return a === b;
+  return a.group === b.group && a.epoch === b.epoch;
+}
--- /dev/null
+++ b/src/core/relay/request_contract.ts
@@ -0,0 +1,51 @@
+/**
+ * What may be done with one request, by its route and its caller's deadline.
+ *
+ * @module
+ */
+import type { Route } from "../../world/catalog.ts";
+import type { RelayCall } from "./relay_call.ts";
+
+/** Attempts at upstreams that died or refused don't count, up to this many. */
+const MAX_FREE_ATTEMPTS = 3;
+/** Least time left for which a request is sent again. */
+const MIN_LEFT_MS = 30;
+
+/** The contract of one request. */
+export class RequestContract {
+  readonly route: Route;
+  /** Monotonic time at which the caller gives up or the route's time is up. */
+  readonly until: number;
+  /** Attempts that may have run on an upstream that lives. */
+  #counted = 0;
+  #free = 0;
+
+  constructor(route: Route, call: RelayCall, arrivedAt: number) {
+    this.route = route;
+    const limitMs = Math.min(call.deadlineMs ?? Infinity, route.timeoutMs);
+    this.until = arrivedAt + limitMs;
+  }
+
+  /** Whether the request may run again after it may have run. */
+  get repeatable(): boolean {
+    if (this.route.kind === "idempotent") return true;
+    return this.route.kind === "streaming" && this.route.resumable;
+  }
+
+  /** Notes how an attempt ended that did not give the answer. */
+  attemptEnded(counts: boolean): void {
+    if (counts) this.#counted += 1;
+    else this.#free += 1;
+  }
+
+  /** Whether the request may be sent once more. */
+  maySendAgain(now: number): boolean {
+    return this.#counted < this.route.attempts &&
+      this.#free < MAX_FREE_ATTEMPTS && this.leftMs(now) > MIN_LEFT_MS;
+  }
+
+  /** Time left, in milliseconds. */
+  leftMs(now: number): number {
+    return this.until - now;
+  }
+}
--- /dev/null
+++ b/src/core/relay/retry_allowance.ts
@@ -0,0 +1,87 @@
+/**
+ * Repeats of requests, kept to this process's part of the fleet's budget.
+ *
+ * @module
+ */
+
+/** Bounds that the deployment sets for the whole fleet. */
+export interface RetryBounds {
+  /** Repeats allowed for each request. */
+  readonly ratio: number;
+  readonly windowMs: number;
+  /** Repeats allowed beyond the ratio, in one window of the whole fleet. */
+  readonly slack: number;
+}
+
+/** Part of the bounds that is used; the rest covers windows that slide. */
+const USED_SHARE = 0.7;
+const BUCKETS = 20;
+
+class Window {
+  requests = 0;
+  repeats = 0;
+  readonly #buckets: { at: number; requests: number; repeats: number }[] = [];
+
+  add(at: number, bucketMs: number, requests: number, repeats: number): void {
+    const start = Math.floor(at / bucketMs) * bucketMs;
+    let last = this.#buckets.at(-1);
+    if (last === undefined || last.at !== start) {
+      last = { at: start, requests: 0, repeats: 0 };
+      this.#buckets.push(last);
+    }
+    last.requests += requests;
+    last.repeats += repeats;
+    this.requests += requests;
+    this.repeats += repeats;
+  }
+
+  expire(before: number): void {
+    while (this.#buckets.length > 0 && this.#buckets[0].at < before) {
+      const gone = this.#buckets.shift();
+      this.requests -= gone?.requests ?? 0;
+      this.repeats -= gone?.repeats ?? 0;
+    }
+  }
+}
+
+/** Counts requests and repeats of each service in a sliding window. */
+export class RetryAllowance {
+  readonly #bounds: RetryBounds;
+  readonly #fleetSize: () => number;
+  readonly #windows = new Map<string, Window>();
+
+  constructor(bounds: RetryBounds, fleetSize: () => number) {
+    this.#bounds = bounds;
+    this.#fleetSize = fleetSize;
+  }
+
+  /** Counts a request of a caller. */
+  request(service: string, now: number): void {
+    this.#window(service, now).add(now, this.#bucketMs, 1, 0);
+  }
+
+  /** Takes one repeat if the budget has one. */
+  spend(service: string, now: number): boolean {
+    const window = this.#window(service, now);
+    const { ratio, slack } = this.#bounds;
+    const allowed = USED_SHARE *
+      (ratio * window.requests + slack / this.#fleetSize());
+    if (window.repeats + 1 > allowed) return false;
+    window.add(now, this.#bucketMs, 0, 1);
+    return true;
+  }
+
+  get #bucketMs(): number {
+    return this.#bounds.windowMs / BUCKETS;
+  }
+
+  #window(service: string, now: number): Window {
+    let window = this.#windows.get(service);
+    if (window === undefined) {
+      window = new Window();
+      this.#windows.set(service, window);
+    }
+    window.expire(now - this.#bounds.windowMs);
+    return window;
+  }
+}
--- /dev/null
+++ b/src/logging/event_log.ts
@@ -0,0 +1,43 @@
+/**
+ * Structured events of the node: decisions, beliefs, dependencies.
+ *
+ * @module
+ */
+import type { LogObject } from "consola";
+import { createConsola, LogLevels } from "consola";
+import type { EventFields, EventLog } from "../base/event_log.ts";
+import type { LineBuffer } from "./line_buffer.ts";
+
+/**
+ * Makes an event log that writes JSON lines into a buffer.
+ *
+ * @example
+ * ```ts
+ * const log = createEventLog("info", "node-1", new LineBuffer(timers));
+ * log.info("start", { version });
+ * ```
+ */
+export function createEventLog(
+  level: "error" | "warn" | "info" | "debug",
+  node: string,
+  buffer: LineBuffer,
+): EventLog {
+  const logger = createConsola({
+    level: LogLevels[level],
+    throttle: 0,
+    reporters: [{ log: (entry: LogObject) => write(entry, node, buffer) }],
+  });
+  return {
+    info: (event, fields) => logger.info({ event, fields }),
+    warn: (event, fields) => logger.warn({ event, fields }),
+    debug: (event, fields) => logger.debug({ event, fields }),
+  };
+}
+
+function write(entry: LogObject, node: string, buffer: LineBuffer): void {
+  const [{ event, fields }] = entry.args as [
+    { event: string; fields: EventFields },
+  ];
+  const at = entry.date.toISOString();
+  buffer.push(JSON.stringify({ at, level: entry.type, node, event, ...fields }));
+}
--- /dev/null
+++ b/src/node/node.ts
@@ -0,0 +1,304 @@
+/**
+ * What one host of the fleet decides and believes, without sockets.
+ *
+ * @module
+ */
+import type { Random } from "../base/random.ts";
+import type { Timers } from "../base/timers.ts";
+import { CatalogHolder } from "../core/catalog/catalog_holder.ts";
+import { ActingLease } from "../core/fleet/acting_lease.ts";
+import { Evidence } from "../core/fleet/evidence.ts";
+import { FleetState } from "../core/fleet/fleet_state.ts";
+import { HostRegistry } from "../core/fleet/host_registry.ts";
+import { Registration } from "../core/fleet/registration.ts";
+import { ReplicaView } from "../core/fleet/replica_view.ts";
+import type { StatusMessage } from "../core/gossip/messages.ts";
+import { PeerGossip } from "../core/gossip/peer_gossip.ts";
+import { GroupKeeper } from "../core/keeper/group_keeper.ts";
+import { Relay } from "../core/relay/relay.ts";
+import type { EventLog } from "../base/event_log.ts";
+import type { CoordinationStore } from "../ports/coordination_store.ts";
+import type { Datagrams } from "../ports/datagrams.ts";
+import type { FleetSchema } from "../ports/fleet_schema.ts";
+import type { HostControl } from "../ports/host_control.ts";
+import type { RelayClient } from "../ports/relay_client.ts";
+import type { NodeSettings } from "../settings/node_settings.ts";
+import type { CallerLimits } from "../world/catalog.ts";
+import { NodeMetrics } from "./node_metrics.ts";
+import { RequestLog } from "./request_log.ts";
+
+const GOSSIP_PERIOD_MS = 100;
+/** Part of the bound on lost keys for which a confirmation is trusted. */
+const KEY_TRUST_SHARE = 0.85;
+/** Doubts and strikes told to peers are at most this old. */
+const NEWS_MS = 400;
+
+/** What a node is made of. */
+export interface NodeParts {
+  readonly settings: NodeSettings;
+  readonly timers: Timers;
+  readonly wall: () => number;
+  readonly random: Random;
+  readonly incarnation: string;
+  readonly store: CoordinationStore;
+  readonly schema: FleetSchema;
+  readonly control: HostControl;
+  readonly client: RelayClient;
+  readonly datagrams: Datagrams;
+  readonly log: EventLog;
+  readonly addressTtlMs: number;
+  readonly onLimits: (limits: CallerLimits) => void;
+}
+
+/** One node of the fleet. */
+export class Node {
+  readonly relay: Relay;
+  readonly metrics: NodeMetrics;
+  readonly #parts: NodeParts;
+  readonly #catalog: CatalogHolder;
+  readonly #hosts = new HostRegistry();
+  readonly #evidence = new Evidence();
+  readonly #zonesOut = new Set<string>();
+  readonly #view: ReplicaView;
+  readonly #gossip: PeerGossip;
+  readonly #state: FleetState;
+  readonly #registration: Registration;
+  readonly #acting: ActingLease;
+  readonly #keeper: GroupKeeper;
+  readonly #internalAddress: string;
+  #leaving = false;
+
+  constructor(parts: NodeParts) {
+    this.#parts = parts;
+    const { timers, settings, store } = parts;
+    const { node, bounds } = settings;
+    this.#internalAddress = `${node.ip}:${node.internal_port}`;
+    this.#catalog = new CatalogHolder(() => timers.now(), parts.wall);
+    this.#view = new ReplicaView(
+      this.#hosts,
+      this.#evidence,
+      this.#catalog,
+      this.#zonesOut,
+    );
+    this.metrics = this.#makeMetrics();
+    this.relay = new Relay({
+      timers,
+      random: parts.random,
+      client: parts.client,
+      catalog: this.#catalog,
+      hosts: this.#hosts,
+      view: this.#view,
+      evidence: this.#evidence,
+      observer: new RequestLog(timers, parts.log, this.metrics),
+      zone: node.availability_zone,
+      retryBounds: {
+        ratio: bounds.retry_ratio,
+        windowMs: bounds.retry_window,
+        slack: bounds.retry_slack,
+      },
+      keyTrustMs: bounds.confirm_keys_within * KEY_TRUST_SHARE,
+      fleetSize: () => this.#gossip.fleetSize,
+    });
+    this.#gossip = new PeerGossip({
+      timers,
+      datagrams: parts.datagrams,
+      random: parts.random,
+      selfId: node.id,
+      selfAddress: this.#internalAddress,
+      seeds: node.seeds.map((seed) => this.#internalOf(seed)),
+      periodMs: GOSSIP_PERIOD_MS,
+      status: (peers) => this.#status(peers),
+      onStatus: (status) => this.#heard(status),
+    });
+    this.#state = this.#makeState();
+    this.#registration = new Registration(
+      timers,
+      store,
+      node.id,
+      this.#internalAddress,
+    );
+    this.#acting = new ActingLease({
+      timers,
+      store,
+      nodeId: node.id,
+      wall: parts.wall,
+      mayAct: () => !this.#leaving,
+      onGained: (term) => this.#actingGained(term),
+      onLost: (reason) => parts.log.warn("acting_lost", { reason }),
+    });
+    this.#keeper = new GroupKeeper({
+      timers,
+      control: parts.control,
+      hosts: this.#hosts,
+      evidence: this.#evidence,
+      catalog: this.#catalog,
+      zonesOut: this.#zonesOut,
+      log: parts.log,
+      isActing: () => this.#acting.isActing,
+      demand: () => this.#fleetDemand(),
+      lastEventAt: (key) => this.relay.board.lastEventAt(key),
+      loadWindowMs: bounds.load_window,
+    });
+    this.#evidence.onDoubt((doubt) => {
+      parts.log.info("upstream_doubted", { upstream: doubt.key, why: doubt.kind });
+      this.#gossip.tellAll();
+      this.#keeper.doubted(doubt);
+    });
+  }
+
+  /** Begins to follow the store, to tell peers and to relay. */
+  start(): void {
+    const { log, settings, incarnation } = this.#parts;
+    log.info("start", { incarnation, settings });
+    this.#state.start();
+    this.#registration.start();
+    this.#gossip.start();
+    this.relay.start();
+    this.#acting.start();
+    this.#keeper.start();
+  }
+
+  /** Leaves the directory; requests are taken on. */
+  withdraw(): void {
+    this.#leaving = true;
+    this.#gossip.tellAll();
+    this.#registration.leave();
+    this.#acting.resign();
+  }
+
+  /** Whether new callers should come here. */
+  isReady(): boolean {
+    return !this.#leaving && this.#catalog.inForce !== undefined &&
+      this.#isConfirmed;
+  }
+
+  /** Addresses of nodes that serve. */
+  addresses(_zone: string | undefined) {
+    const { node } = this.#parts.settings;
+    const serving = this.#gossip.live().filter((peer) =>
+      peer.status.state === "serving"
+    ).map((peer) => peer.status.callerAddress);
+    if (this.isReady()) serving.push(node.caller_address);
+    return { addresses: serving.slice(0, 64), ttlMs: this.#parts.addressTtlMs };
+  }
+
+  get #isConfirmed(): boolean {
+    const { confirm_keys_within } = this.#parts.settings.bounds;
+    return this.#catalog.confirmationAgeMs <
+      confirm_keys_within * KEY_TRUST_SHARE;
+  }
+
+  #makeMetrics(): NodeMetrics {
+    return new NodeMetrics({
+      inFlight: () => this.relay.inFlight,
+      waiting: () => this.relay.waiting,
+      peers: () => this.#gossip.live().length,
+      catalogVersion: () => this.#catalog.version,
+      confirmationAgeMs: () => Math.min(1e9, this.#catalog.confirmationAgeMs),
+      acting: () => this.#acting.isActing,
+    });
+  }
+
+  #makeState(): FleetState {
+    const { timers, store, schema, log, onLimits } = this.#parts;
+    return new FleetState({
+      timers,
+      store,
+      schema,
+      catalog: this.#catalog,
+      hosts: this.#hosts,
+      zonesOut: this.#zonesOut,
+      listener: {
+        catalogChanged: (version) => {
+          const catalog = this.#catalog.inForce?.catalog;
+          if (catalog !== undefined) onLimits(catalog.limits);
+          this.#view.changed();
+          log.info("catalog_in_force", {
+            version,
+            routes: catalog?.routes.length,
+          });
+        },
+        zonesChanged: (out) => {
+          this.#view.changed();
+          log.info("zones_out", { out });
+        },
+        nodesChanged: (addresses) => this.#gossip.registered(addresses),
+        actingIs: (nodeId) => {
+          this.#acting.holderIs(nodeId);
+          log.info("acting_node", { acting: nodeId });
+        },
+        feedLost: (feed, detail) => log.warn("store_lost", { feed, detail }),
+        feedRegained: (feed, silentMs) =>
+          log.info("store_regained", { feed, silentMs: Math.round(silentMs) }),
+      },
+    });
+  }
+
+  #actingGained(term: number): void {
+    this.#parts.log.info("acting_gained", { term });
+    this.#keeper.gained(term);
+  }
+
+  /** The internal port is the same on all hosts. */
+  #internalOf(address: string): string {
+    const ip = address.slice(0, address.lastIndexOf(":"));
+    return `${ip}:${this.#parts.settings.node.internal_port}`;
+  }
+
+  #status(peers: readonly string[]): StatusMessage {
+    const now = this.#parts.timers.now();
+    const { node } = this.#parts.settings;
+    const ageMs = this.#catalog.confirmationAgeMs;
+    return {
+      node: node.id,
+      incarnation: this.#parts.incarnation,
+      internalAddress: this.#internalAddress,
+      callerAddress: node.caller_address,
+      zone: node.availability_zone,
+      state: this.#leaving
+        ? "leaving"
+        : this.isReady()
+        ? "serving"
+        : "starting",
+      catalogVersion: this.#catalog.version,
+      confirmedMs: ageMs < 60_000 ? ageMs : -1,
+      loads: this.relay.board.news(now),
+      doubts: this.#evidence.recent(now - NEWS_MS).map((doubt) => ({
+        key: doubt.key,
+        kind: doubt.kind,
+        ageMs: now - doubt.at,
+      })),
+      strikes: this.relay.suspects.news(now).slice(0, 16),
+      demand: this.relay.demand.perSecond(now),
+      peers,
+    };
+  }
+
+  #heard(status: StatusMessage): void {
+    const now = this.#parts.timers.now();
+    this.relay.board.peerSays(status.node, status.loads, now);
+    for (const doubt of status.doubts) {
+      const { key, kind, ageMs } = doubt;
+      this.#evidence.doubt({ key, kind, at: now - ageMs });
+    }
+    for (const strike of status.strikes) {
+      this.relay.suspects.learn(strike, now);
+    }
+    if (status.confirmedMs >= 0) {
+      const { catalogVersion, confirmedMs } = status;
+      this.#catalog.confirmedByPeer(catalogVersion, confirmedMs);
+    }
+  }
+
+  #fleetDemand(): ReadonlyMap<string, number> {
+    const demand = new Map<string, number>();
+    const add = (part: Readonly<Record<string, number>>) => {
+      for (const [model, ms] of Object.entries(part)) {
+        demand.set(model, (demand.get(model) ?? 0) + ms);
+      }
+    };
+    add(this.relay.demand.perSecond(this.#parts.timers.now()));
+    for (const peer of this.#gossip.live()) add(peer.status.demand);
+    return demand;
+  }
+}
--- /dev/null
+++ b/src/node/request_log.ts
@@ -0,0 +1,53 @@
+/**
+ * The story of each request as log lines and counts.
+ *
+ * @module
+ */
+import type { Timers } from "../base/timers.ts";
+import type { Refusal, RelayCall } from "../core/relay/relay_call.ts";
+import type { RelayObserver } from "../core/relay/relay.ts";
+import type { RelayRun, RunEvent } from "../core/relay/relay_run.ts";
+import type { EventLog } from "../base/event_log.ts";
+import type { NodeMetrics } from "./node_metrics.ts";
+
+/** Writes one line for each decision that touches a request. */
+export class RequestLog implements RelayObserver {
+  readonly #timers: Timers;
+  readonly #log: EventLog;
+  readonly #metrics: NodeMetrics;
+
+  constructor(timers: Timers, log: EventLog, metrics: NodeMetrics) {
+    this.#timers = timers;
+    this.#log = log;
+    this.#metrics = metrics;
+  }
+
+  noted(run: RelayRun, event: RunEvent): void {
+    const tookMs = this.#timers.now() - run.arrivedAt;
+    this.#metrics.noted(run, event, tookMs);
+    if (event.event === "attempt_ended" && event.outcome === "answered") return;
+    this.#log.info(`request_${event.event}`, {
+      request: run.call.id,
+      afterMs: Math.round(tookMs),
+      upstream: event.replica?.key,
+      host: event.replica?.host.id,
+      expectedMs: event.expectedMs && Math.round(event.expectedMs),
+      considered: event.considered,
+      outcome: event.outcome,
+      detail: event.detail === "" ? undefined : event.detail,
+      ...(event.event === "ended"
+        ? { route: run.contract.route.name, sends: run.sends }
+        : {}),
+    });
+  }
+
+  turnedAway(call: RelayCall, refusal: Refusal, version: number): void {
+    this.#metrics.turnedAway(refusal.kind);
+    this.#log.info("request_turned_away", {
+      request: call.id,
+      outcome: refusal.kind,
+      detail: refusal.detail,
+      catalogVersion: version,
+    });
+  }
+}
--- /dev/null
+++ b/src/platform/front_door.ts
@@ -0,0 +1,278 @@
+/**
+ * Where clients' requests come in.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import type { Socket } from "node:net";
+import type { RawHeaders } from "../ports/relay_client.ts";
+import type { CallerLimits } from "../world/catalog.ts";
+import type {
+  Refusal,
+  RefusalKind,
+  RelayCall,
+  RelayReply,
+} from "../core/relay/relay_call.ts";
+import { forwardedHeaders, HEADER } from "./wire_names.ts";
+
+/** Limits until the first manifest is known. */
+const FIRST_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+/** The parser's own bound; the manifest's limit is checked on each request. */
+const PARSER_HEADER_BYTES = 131_072;
+const CHECK_CHANNELS_MS = 250;
+
+const STATUS: Readonly<Record<RefusalKind, number>> = {
+  no_catalog: 503,
+  unconfirmed: 503,
+  unknown_route: 404,
+  unknown_key: 401,
+  overloaded: 503,
+  no_replica: 503,
+  shutting_down: 503,
+  crashes_upstreams: 502,
+  expired: 503,
+  timed_out: 504,
+  upstream_failed: 502,
+};
+
+/** Takes a request; returns what ends it when its client leaves. */
+export type TakeCall = (
+  call: RelayCall,
+  reply: RelayReply,
+) => { callerGone(): void } | undefined;
+
+/** Reads requests, and writes answers. */
+export class FrontDoor {
+  readonly #server: Server;
+  readonly #take: TakeCall;
+  #limits = FIRST_LIMITS;
+  #closing = false;
+
+  constructor(take: TakeCall) {
+    this.#take = take;
+    this.#server = createServer({
+      maxHeaderSize: PARSER_HEADER_BYTES,
+      connectionsCheckingInterval: CHECK_CHANNELS_MS,
+      requestTimeout: 0,
+      noDelay: true,
+    }, (req, res) => this.#request(req, res));
+    this.#server.on("clientError", (err, socket) => {
+      answerBadRequest(err as NodeJS.ErrnoException, socket as Socket);
+    });
+    this.limits = FIRST_LIMITS;
+  }
+
+  /** Sets what clients may send, and how slowly. */
+  set limits(limits: CallerLimits) {
+    this.#limits = limits;
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
+  /** Begins to listen. */
+  listen(ip: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen({ host: ip, port, backlog: 2_048 }, resolve);
+    });
+  }
+
+  /** Ends each channel after its next answer. */
+  closeChannels(): void {
+    this.#closing = true;
+    this.#server.closeIdleConnections();
+  }
+
+  #request(req: IncomingMessage, res: ServerResponse): void {
+    const reply = new HttpReply(res, () => this.#closing);
+    if (headerBytes(req) > this.#limits.maxHeaderBytes) {
+      return reply.status(431, "The header is too large");
+    }
+    const target = req.url ?? "";
+    const requestId = header(req, HEADER.attemptId);
+    if (!target.startsWith("/") || requestId === undefined) {
+      return reply.status(400, "A path and a request id are needed");
+    }
+    const declared = Number(req.headers["content-length"] ?? 0);
+    if (declared > this.#limits.maxBodyBytes) {
+      return reply.status(413, "The body is too large");
+    }
+    this.#readBody(req, reply, (body) => {
+      const call = toCall(req, target, requestId, body);
+      const running = this.#take(call, reply);
+      if (running === undefined) return;
+      res.once("close", () => {
+        if (!reply.finished) running.callerGone();
+      });
+      if (res.destroyed) running.callerGone();
+    });
+  }
+
+  #readBody(
+    req: IncomingMessage,
+    reply: HttpReply,
+    onBody: (body: Uint8Array) => void,
+  ): void {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    req.on("data", (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > this.#limits.maxBodyBytes) {
+        req.removeAllListeners("data");
+        reply.status(413, "The body is too large");
+        return;
+      }
+      chunks.push(chunk);
+    });
+    req.on("end", () => {
+      if (reply.finished) return;
+      onBody(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
+    });
+    req.on("error", () => {});
+  }
+}
+
+/** The client's side of one request. */
+class HttpReply implements RelayReply {
+  readonly #res: ServerResponse;
+  readonly #closing: () => boolean;
+  #finished = false;
+
+  constructor(res: ServerResponse, closing: () => boolean) {
+    this.#res = res;
+    this.#closing = closing;
+    res.on("error", () => {});
+  }
+
+  /** Whether the answer has been ended or cut. */
+  get finished(): boolean {
+    return this.#finished;
+  }
+
+  head(status: number, headers: RawHeaders): void {
+    if (this.#res.destroyed) return;
+    const all = this.#closing() ? [...headers, "connection", "close"] : headers;
+    this.#res.writeHead(status, all as string[]);
+  }
+
+  data(chunk: Uint8Array): boolean {
+    if (this.#res.destroyed) return true;
+    return this.#res.write(chunk);
+  }
+
+  end(): void {
+    this.#finished = true;
+    if (!this.#res.destroyed) this.#res.end();
+  }
+
+  refuse(refusal: Refusal): void {
+    const { kind, detail, retryAfterMs } = refusal;
+    const headers: string[] = [];
+    if (retryAfterMs !== undefined) {
+      headers.push(HEADER.retryAfter, (retryAfterMs / 1_000).toFixed(2));
+    }
+    if (kind === "shutting_down") headers.push("connection", "close");
+    this.status(STATUS[kind], `${kind}: ${detail}`, headers);
+  }
+
+  cut(): void {
+    this.#finished = true;
+    this.#res.destroy();
+  }
+
+  onDrain(callback: () => void): void {
+    this.#res.once("drain", callback);
+  }
+
+  /** Answers with a status of the system's own. */
+  status(status: number, detail: string, headers: RawHeaders = []): void {
+    if (this.#finished) return;
+    this.#finished = true;
+    if (this.#res.destroyed) return;
+    const body = Buffer.from(JSON.stringify({ error: detail }));
+    const isTooLarge = status === 413 || status === 431;
+    const close = this.#closing() || isTooLarge ? ["connection", "close"] : [];
+    this.#res.writeHead(status, [
+      "content-type",
+      "application/json",
+      "content-length",
+      String(body.length),
+      ...headers,
+      ...(headers.includes("connection") ? [] : close),
+    ]);
+    this.#res.end(body);
+  }
+}
+
+function toCall(
+  req: IncomingMessage,
+  target: string,
+  requestId: string,
+  body: Uint8Array,
+): RelayCall {
+  const [prompt, most] = numbers(header(req, HEADER.tokenCount));
+  const [deadlineMs] = numbers(header(req, HEADER.deadlineMs));
+  const [expectedTokens] = numbers(header(req, HEADER.lengthHint));
+  const hostName = (req.headers.host ?? "").toLowerCase().replace(/:\d+$/, "");
+  return {
+    id: requestId,
+    method: req.method ?? "GET",
+    hostName,
+    target,
+    headers: forwardedHeaders(req.rawHeaders),
+    body,
+    apiKey: apiKeyOf(header(req, HEADER.authorization)),
+    deadlineMs,
+    lastEventId: header(req, HEADER.lastEventId),
+    model: header(req, HEADER.model),
+    promptTokens: prompt ?? 0,
+    maxTokens: most ?? 0,
+    expectedTokens,
+  };
+}
+
+function header(req: IncomingMessage, name: string): string | undefined {
+  const value = req.headers[name];
+  return typeof value === "string" ? value : undefined;
+}
+
+function numbers(text: string | undefined): (number | undefined)[] {
+  if (text === undefined) return [];
+  return text.split(",").map((part) => {
+    const value = Number(part.trim());
+    return Number.isFinite(value) && value >= 0 ? value : undefined;
+  });
+}
+
+function apiKeyOf(authorization: string | undefined): string | undefined {
+  return /^Token\s+(\S+)$/i.exec(authorization ?? "")?.[1];
+}
+
+/** Size of the request line and the header, in bytes. */
+function headerBytes(req: IncomingMessage): number {
+  let bytes = (req.method ?? "").length + (req.url ?? "").length + 12;
+  for (const text of req.rawHeaders) bytes += text.length + 2;
+  return bytes;
+}
+
+function answerBadRequest(err: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || err.code === "ECONNRESET") {
+    socket.destroy();
+    return;
+  }
+  const line = err.code === "HPE_HEADER_OVERFLOW"
+    ? "431 Request Header Fields Too Large"
+    : err.code === "ERR_HTTP_REQUEST_TIMEOUT"
+    ? "408 Request Timeout"
+    : "400 Bad Request";
+  socket.end(
+    `HTTP/1.1 ${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+  );
+}
--- /dev/null
+++ b/src/platform/json_calls.ts
@@ -0,0 +1,66 @@
+/**
+ * Calls with JSON bodies to the platform's store and to servers.
+ *
+ * @module
+ */
+import type { Agent } from "undici";
+import { request } from "undici";
+
+/** An answer, or why there is none. */
+export type JsonAnswer =
+  | { readonly kind: "answer"; readonly status: number; readonly body: unknown }
+  /** The call was never sent. */
+  | { readonly kind: "not_sent"; readonly detail: string }
+  /** The call was sent and may have been carried out. */
+  | { readonly kind: "lost"; readonly detail: string };
+
+/** Errors of a channel that could not be opened. */
+const NOT_SENT: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "UND_ERR_CONNECT_TIMEOUT",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+]);
+
+/**
+ * Makes one call.
+ *
+ * @example
+ * ```ts
+ * const res = await callJson(agent, "GET", "http://10.1.0.4:8080/report", 300);
+ * ```
+ */
+export async function callJson(
+  agent: Agent,
+  method: "GET" | "POST" | "DELETE",
+  url: string,
+  limitMs: number,
+  body?: unknown,
+): Promise<JsonAnswer> {
+  try {
+    const res = await request(url, {
+      dispatcher: agent,
+      method,
+      headers: body === undefined
+        ? undefined
+        : { "content-type": "application/json" },
+      body: body === undefined ? undefined : JSON.stringify(body),
+      headersTimeout: limitMs,
+      bodyTimeout: limitMs,
+    });
+    const text = await res.body.text();
+    return { kind: "answer", status: res.statusCode, body: parsed(text) };
+  } catch (err) {
+    const code = (err as { code?: string }).code ?? "";
+    const detail = code === "" ? (err as Error).message : code;
+    return { kind: NOT_SENT.has(code) ? "not_sent" : "lost", detail };
+  }
+}
+
+function parsed(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/platform/platform_store.ts
@@ -0,0 +1,199 @@
+/**
+ * The platform's metadata store.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { Agent } from "undici";
+import { z } from "zod";
+import type { Outcome } from "../base/outcome.ts";
+import { failure, success } from "../base/outcome.ts";
+import type {
+  Condition,
+  CoordinationChanges,
+  CoordinationError,
+  CoordinationItem,
+  CoordinationListing,
+  CoordinationPut,
+  CoordinationStore,
+  WriteResult,
+} from "../ports/coordination_store.ts";
+import type { JsonAnswer } from "./json_calls.ts";
+import { callJson } from "./json_calls.ts";
+
+const CONNECT_LIMIT_MS = 700;
+/** Answers take longer than this only when the store is in trouble. */
+const CALL_LIMIT_MS = 1_000;
+
+const Item = z.object({ key: z.string(), value: z.string(), rev: z.number() });
+const Listing = z.object({
+  items: z.array(Item),
+  has_more: z.boolean(),
+  as_of: z.number(),
+});
+const Change = z.object({
+  key: z.string(),
+  rev: z.number(),
+  value: z.string().optional(),
+  tombstone: z.boolean().optional(),
+});
+const Changes = z.object({ events: z.array(Change), as_of: z.number() });
+const Written = z.object({ rev: z.number() });
+const Conflict = z.object({ items: z.array(Item) });
+const Lease = z.object({ lease: z.number(), ttl_ms: z.number() });
+
+type Result<T> = Promise<Outcome<T, CoordinationError>>;
+
+/** {@linkcode CoordinationStore} over the platform's HTTP calls. */
+export class PlatformStore implements CoordinationStore {
+  readonly #base: string;
+  readonly #agent = new Agent({
+    connections: 16,
+    pipelining: 1,
+    connectTimeout: CONNECT_LIMIT_MS,
+    keepAliveTimeout: 10_000,
+  });
+
+  constructor(address: string) {
+    this.#base = `http://${address}`;
+  }
+
+  async list(prefix: string): Result<CoordinationListing> {
+    const items: CoordinationItem[] = [];
+    let asOf: number | undefined;
+    for (let after = "";;) {
+      const query = new URLSearchParams({ path_prefix: prefix });
+      if (after !== "") query.set("after", after);
+      const res = await this.#call("GET", `/kv-range?${query}`);
+      const page = answered(res, 200, Listing);
+      if (!page.ok) return page;
+      // Pages are no snapshot: changes are followed from the first one.
+      asOf ??= page.value.as_of;
+      for (const item of page.value.items) items.push(toItem(item));
+      const last = page.value.items.at(-1);
+      if (!page.value.has_more || last === undefined) break;
+      after = last.key;
+    }
+    return success({ items, asOf });
+  }
+
+  async changes(
+    prefix: string,
+    after: number,
+    waitMs: number,
+  ): Result<CoordinationChanges> {
+    const query = new URLSearchParams({
+      path_prefix: prefix,
+      after: String(after),
+      wait_ms: String(Math.round(waitMs)),
+    });
+    const path = `/kv-watch?${query}`;
+    const res = await this.#call("GET", path, undefined, waitMs);
+    if (res.kind === "answer" && res.status === 410) {
+      return failure({ kind: "compacted" });
+    }
+    const changes = answered(res, 200, Changes);
+    if (!changes.ok) return changes;
+    return success({
+      asOf: changes.value.as_of,
+      events: changes.value.events.map((event) => ({
+        key: event.key,
+        revision: event.rev,
+        value: event.tombstone || event.value === undefined
+          ? undefined
+          : Buffer.from(event.value, "base64"),
+      })),
+    });
+  }
+
+  async write(
+    conditions: readonly Condition[],
+    puts: readonly CoordinationPut[],
+    removes: readonly string[],
+  ): Result<WriteResult> {
+    const res = await this.#call("POST", "/kv-txn", {
+      expected: conditions.map((c) => ({ key: c.key, rev: c.revision })),
+      puts: puts.map((put) => ({
+        key: put.key,
+        value: Buffer.from(put.value).toString("base64"),
+        ...(put.leaseId === undefined ? {} : { lease: put.leaseId }),
+      })),
+      remove: removes,
+    });
+    if (res.kind === "answer" && res.status === 412) {
+      const conflict = answered(res, 412, Conflict);
+      if (!conflict.ok) return conflict;
+      const current = conflict.value.items.map(toItem);
+      return success({ kind: "conflict", current });
+    }
+    if (res.kind === "answer" && res.status === 404) {
+      return success({ kind: "lease_ended" });
+    }
+    const written = answered(res, 200, Written);
+    if (!written.ok) return written;
+    return success({ kind: "written", revision: written.value.rev });
+  }
+
+  async grantLease(ttlMs: number): Result<{ id: number; ttlMs: number }> {
+    const res = await this.#call("POST", "/kv-lease", { ttl_ms: ttlMs });
+    const lease = answered(res, 200, Lease);
+    if (!lease.ok) return lease;
+    return success({ id: lease.value.lease, ttlMs: lease.value.ttl_ms });
+  }
+
+  async renewLease(id: number): Result<boolean> {
+    const res = await this.#call("POST", `/kv-keep/${id}`);
+    if (res.kind === "answer" && res.status === 404) return success(false);
+    const renewed = answered(res, 200, z.unknown());
+    return renewed.ok ? success(true) : renewed;
+  }
+
+  async endLease(id: number): Result<true> {
+    const res = await this.#call("DELETE", `/kv-lease-end/${id}`);
+    const ended = answered(res, undefined, z.unknown());
+    return ended.ok ? success(true) : ended;
+  }
+
+  #call(
+    method: "GET" | "POST" | "DELETE",
+    path: string,
+    body?: unknown,
+    waitMs = 0,
+  ): Promise<JsonAnswer> {
+    const limitMs = waitMs + CALL_LIMIT_MS;
+    return callJson(this.#agent, method, this.#base + path, limitMs, body);
+  }
+}
+
+/** Reads an answer of the expected status; without one, any success is taken. */
+function answered<T extends z.ZodType>(
+  res: JsonAnswer,
+  status: number | undefined,
+  schema: T,
+): Outcome<z.infer<T>, CoordinationError> {
+  if (res.kind === "not_sent") {
+    return failure({ kind: "unavailable", detail: res.detail });
+  }
+  if (res.kind === "lost") {
+    return failure({ kind: "ambiguous", detail: res.detail });
+  }
+  const isExpected = status === undefined
+    ? res.status < 300
+    : res.status === status;
+  if (!isExpected) {
+    return failure({ kind: "unavailable", detail: `status ${res.status}` });
+  }
+  const body = schema.safeParse(res.body);
+  if (!body.success) {
+    return failure({ kind: "ambiguous", detail: "unreadable answer" });
+  }
+  return success(body.data);
+}
+
+function toItem(item: z.infer<typeof Item>): CoordinationItem {
+  return {
+    key: item.key,
+    value: Buffer.from(item.value, "base64"),
+    revision: item.rev,
+  };
+}
--- /dev/null
+++ b/src/platform/server_channels.ts
@@ -0,0 +1,196 @@
+/**
+ * Channels to servers, over which clients' requests are forwarded.
+ *
+ * @module
+ */
+import type { Dispatcher } from "undici";
+import { Agent } from "undici";
+import type { HostRef } from "../ports/host_control.ts";
+import type {
+  RelayAttempt,
+  RelayClient,
+  RelayEnd,
+  RelayHandle,
+  RelayHead,
+  RelayListener,
+} from "../ports/relay_client.ts";
+import { answeredHeaders, HEADER } from "./wire_names.ts";
+
+const CONNECT_LIMIT_MS = 600;
+/** Beyond every route's time; the request's own deadline comes first. */
+const ANSWER_LIMIT_MS = 600_000;
+const KEEP_CHANNEL_MS = 4_000;
+/**
+ * A request that must not run twice only uses channels that were in use a
+ * moment ago: a server may have dropped an older one.
+ */
+const KEEP_FRESH_CHANNEL_MS = 300;
+const EVENT_STREAM = "text/event-stream";
+
+/** {@linkcode RelayClient} over HTTP/1.1, one request at a time on a channel. */
+export class ServerChannels implements RelayClient {
+  readonly #kept = makeAgent(KEEP_CHANNEL_MS);
+  readonly #fresh = makeAgent(KEEP_FRESH_CHANNEL_MS);
+
+  send(
+    host: HostRef,
+    attempt: RelayAttempt,
+    listener: RelayListener,
+  ): RelayHandle {
+    const exchange = new Exchange(host.id, attempt.requestId, listener);
+    const agent = attempt.idempotent ? this.#kept : this.#fresh;
+    agent.dispatch({
+      origin: `http://${host.address}`,
+      path: attempt.path,
+      method: attempt.method as Dispatcher.HttpMethod,
+      headers: requestHeaders(host, attempt),
+      body: attempt.body.byteLength > 0 ? attempt.body as never : null,
+    }, exchange);
+    return exchange;
+  }
+}
+
+function makeAgent(keepMs: number): Agent {
+  return new Agent({
+    pipelining: 1,
+    connectTimeout: CONNECT_LIMIT_MS,
+    headersTimeout: ANSWER_LIMIT_MS,
+    bodyTimeout: ANSWER_LIMIT_MS,
+    keepAliveTimeout: keepMs,
+    keepAliveMaxTimeout: keepMs,
+  });
+}
+
+function requestHeaders(host: HostRef, attempt: RelayAttempt): string[] {
+  const headers = [
+    ...attempt.headers,
+    HEADER.deadlineMs,
+    String(attempt.deadlineMs),
+    HEADER.expectInstance,
+    host.id,
+    HEADER.priority,
+    String(attempt.urgency),
+  ];
+  if (attempt.customer !== undefined) {
+    headers.push(HEADER.tenant, attempt.customer);
+  }
+  if (attempt.lastEventId !== undefined) {
+    headers.push(HEADER.lastEventId, attempt.lastEventId);
+  }
+  return headers;
+}
+
+type Headers = Record<string, string | string[] | undefined>;
+
+/** One request on one channel. */
+class Exchange implements RelayHandle, Dispatcher.DispatchHandler {
+  readonly #hostId: string;
+  readonly #requestId: string;
+  readonly #listener: RelayListener;
+  #controller: Dispatcher.DispatchController | undefined;
+  #ended = false;
+  #badAnswer: string | undefined;
+
+  constructor(hostId: string, requestId: string, listener: RelayListener) {
+    this.#hostId = hostId;
+    this.#requestId = requestId;
+    this.#listener = listener;
+  }
+
+  cancel(): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#controller?.abort(new Error("Cancelled"));
+  }
+
+  pause(): void {
+    this.#controller?.pause();
+  }
+
+  resume(): void {
+    this.#controller?.resume();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#ended) controller.abort(new Error("Cancelled"));
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Headers,
+  ): void {
+    if (status < 200 || this.#ended) return;
+    this.#badAnswer = this.#problemOf(status, headers);
+    if (this.#badAnswer !== undefined) {
+      controller.abort(new Error(this.#badAnswer));
+      return;
+    }
+    this.#listener.onHead(this.#headOf(status, headers));
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Uint8Array,
+  ): void {
+    if (!this.#ended) this.#listener.onData(chunk);
+  }
+
+  onResponseEnd(): void {
+    this.#end({ kind: "ended" });
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController | undefined,
+    err: Error,
+  ): void {
+    const code = (err as { code?: string }).code ?? "";
+    const detail = `${code} ${err.message}`.trim();
+    if (this.#badAnswer !== undefined || code.startsWith("HPE_")) {
+      return this.#end({ kind: "malformed", detail });
+    }
+    // Without a channel the request was never begun.
+    const isSent = this.#controller !== undefined;
+    this.#end({ kind: isSent ? "reset" : "not_sent", detail });
+  }
+
+  /** What shows that an answer is not this request's. */
+  #problemOf(status: number, headers: Headers): string | undefined {
+    const echoed = headers[HEADER.attemptId];
+    if (echoed !== undefined && echoed !== this.#requestId) {
+      return "The answer belongs to another request";
+    }
+    const isSuccess = status < 300;
+    if (isSuccess && (echoed === undefined || !headers[HEADER.stamp])) {
+      return "The answer is not signed";
+    }
+    return undefined;
+  }
+
+  #headOf(status: number, headers: Headers): RelayHead {
+    const raw: string[] = [];
+    for (const [name, value] of Object.entries(headers)) {
+      for (const one of Array.isArray(value) ? value : [value]) {
+        if (one !== undefined) raw.push(name, one);
+      }
+    }
+    const fault = headers[HEADER.atServer];
+    const atFault = typeof fault === "string" ? fault : undefined;
+    const type = String(headers["content-type"] ?? "");
+    return {
+      status,
+      headers: answeredHeaders(raw),
+      notRun: headers[HEADER.notExecuted] !== undefined,
+      wrongHost: status === 421 && (atFault ?? this.#hostId) === this.#hostId,
+      atFault,
+      isStream: type.startsWith(EVENT_STREAM),
+    };
+  }
+
+  #end(end: RelayEnd): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#listener.onEnd(end);
+  }
+}
--- /dev/null
+++ b/src/platform/server_orders.ts
@@ -0,0 +1,96 @@
+/**
+ * Orders to servers, and their reports.
+ *
+ * @module
+ */
+import { Agent } from "undici";
+import type { Outcome } from "../base/outcome.ts";
+import { failure, success } from "../base/outcome.ts";
+import type {
+  CommandAnswer,
+  HostCommand,
+  HostControl,
+  HostControlError,
+  HostRef,
+} from "../ports/host_control.ts";
+import type { HostReport } from "../world/serving_host.ts";
+import type { JsonAnswer } from "./json_calls.ts";
+import { callJson } from "./json_calls.ts";
+import { parseServerReport } from "./server_entry.ts";
+
+const CONNECT_LIMIT_MS = 300;
+const REPORT_LIMIT_MS = 300;
+const ORDER_LIMIT_MS = 700;
+/** Servers close channels that stay idle; a new one costs a millisecond. */
+const KEEP_CHANNEL_MS = 500;
+
+const ANSWERS: Readonly<Record<number, CommandAnswer>> = {
+  200: "done",
+  202: "begun",
+  400: "unknown",
+  409: "conflict",
+  412: "stale",
+  421: "wrong_host",
+};
+
+/** {@linkcode HostControl} by orders and reports. */
+export class ServerOrders implements HostControl {
+  readonly #agent = new Agent({
+    connections: 2,
+    pipelining: 1,
+    connectTimeout: CONNECT_LIMIT_MS,
+    keepAliveTimeout: KEEP_CHANNEL_MS,
+    keepAliveMaxTimeout: KEEP_CHANNEL_MS,
+  });
+
+  async report(host: HostRef): Promise<Outcome<HostReport, HostControlError>> {
+    const url = `http://${host.address}/report`;
+    const res = await callJson(this.#agent, "GET", url, REPORT_LIMIT_MS);
+    if (res.kind !== "answer") return failure(lost(res));
+    const report = res.status === 200 ? parseServerReport(res.body) : undefined;
+    if (report !== undefined) return success(report);
+    return failure({ kind: "malformed", detail: `status ${res.status}` });
+  }
+
+  async command(
+    host: HostRef,
+    command: HostCommand,
+    expectedSeq: number | undefined,
+  ): Promise<Outcome<CommandAnswer, HostControlError>> {
+    const url = `http://${host.address}/order`;
+    const body = {
+      ...orderOf(command),
+      ...(expectedSeq === undefined ? {} : { expected: expectedSeq }),
+    };
+    const res = await callJson(this.#agent, "POST", url, ORDER_LIMIT_MS, body);
+    if (res.kind !== "answer") return failure(lost(res));
+    const answer = ANSWERS[res.status];
+    if (answer !== undefined) return success(answer);
+    return failure({ kind: "malformed", detail: `status ${res.status}` });
+  }
+}
+
+function orderOf(command: HostCommand): Record<string, unknown> {
+  switch (command.kind) {
+    case "join": {
+      const { group, epoch, model, members } = command;
+      return { operation: "join", group, epoch, model, members };
+    }
+    case "close": {
+      const { group, epoch } = command;
+      const mode = command.mode === "finish" ? "queue" : "preempt";
+      return { operation: "close", group, epoch, close_mode: mode };
+    }
+    case "stage":
+      return { operation: "stage", model: command.model };
+    default: {
+      const { kind, group, epoch } = command;
+      return { operation: kind, group, epoch };
+    }
+  }
+}
+
+function lost(res: JsonAnswer & { detail: string }): HostControlError {
+  const isRefused = res.detail === "ECONNREFUSED" || res.detail === "ECONNRESET";
+  return { kind: isRefused ? "refused" : "silent", detail: res.detail };
+}
--- /dev/null
+++ b/src/platform/store_schema.ts
@@ -0,0 +1,45 @@
+/**
+ * What lies where in the platform's store.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { FleetSchema } from "../ports/fleet_schema.ts";
+import type { Catalog } from "../world/catalog.ts";
+import type { ServingHost } from "../world/serving_host.ts";
+import { parseManifest } from "./manifest.ts";
+import { parseServerEntry } from "./server_entry.ts";
+import { STORE_KEY } from "./wire_names.ts";
+
+/** {@linkcode FleetSchema} of the platform. */
+export class StoreSchema implements FleetSchema {
+  readonly hostPrefix = STORE_KEY.servers;
+  readonly operatorPrefix = STORE_KEY.operator;
+
+  parseHost(key: string, value: Uint8Array): ServingHost | undefined {
+    const id = key.slice(STORE_KEY.servers.length);
+    return parseServerEntry(id, parseJson(value));
+  }
+
+  isCatalog(key: string): boolean {
+    return key === STORE_KEY.config;
+  }
+
+  parseCatalog(value: Uint8Array): Catalog | undefined {
+    return parseManifest(parseJson(value));
+  }
+
+  zoneTakenOut(key: string): string | undefined {
+    return key.startsWith(STORE_KEY.evacuate)
+      ? key.slice(STORE_KEY.evacuate.length)
+      : undefined;
+  }
+}
+
+function parseJson(value: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(value).toString("utf8"));
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/ports/coordination_store.ts
@@ -0,0 +1,83 @@
+/**
+ * The platform's store as the fleet uses it: conditions, leases, change feeds.
+ *
+ * @module
+ */
+import type { Outcome } from "../base/outcome.ts";
+
+/** Why a call of the store gave no answer. */
+export type CoordinationError =
+  /** The call certainly had no effect. */
+  | { readonly kind: "unavailable"; readonly detail: string }
+  /** The call may have had, or may yet have, its effect. */
+  | { readonly kind: "ambiguous"; readonly detail: string }
+  /** The history asked for is gone. */
+  | { readonly kind: "compacted" };
+
+/** A key with its value. */
+export interface CoordinationItem {
+  readonly key: string;
+  readonly value: Uint8Array;
+  readonly revision: number;
+}
+
+/** One change of a key; no value when it was removed. */
+export interface CoordinationEvent {
+  readonly key: string;
+  readonly revision: number;
+  readonly value: Uint8Array | undefined;
+}
+
+/** Keys under a prefix, as of a revision. */
+export interface CoordinationListing {
+  readonly items: readonly CoordinationItem[];
+  readonly asOf: number;
+}
+
+/** Changes up to a revision. */
+export interface CoordinationChanges {
+  readonly events: readonly CoordinationEvent[];
+  readonly asOf: number;
+}
+
+/** A key whose revision must be this for a write; 0 when it must be absent. */
+export interface Condition {
+  readonly key: string;
+  readonly revision: number;
+}
+
+/** One key to write. */
+export interface CoordinationPut {
+  readonly key: string;
+  readonly value: string;
+  readonly leaseId?: number;
+}
+
+/** All conditions held and everything was written, or nothing was. */
+export type WriteResult =
+  | { readonly kind: "written"; readonly revision: number }
+  | { readonly kind: "conflict"; readonly current: readonly CoordinationItem[] }
+  | { readonly kind: "lease_ended" };
+
+type Result<T> = Promise<Outcome<T, CoordinationError>>;
+
+/** The operations used. */
+export interface CoordinationStore {
+  /** Lists all keys under a prefix. */
+  list(prefix: string): Result<CoordinationListing>;
+  /** Waits until something under the prefix changes, or `waitMs`. */
+  changes(
+    prefix: string,
+    after: number,
+    waitMs: number,
+  ): Result<CoordinationChanges>;
+  write(
+    conditions: readonly Condition[],
+    puts: readonly CoordinationPut[],
+    removes: readonly string[],
+  ): Result<WriteResult>;
+  grantLease(ttlMs: number): Result<{ id: number; ttlMs: number }>;
+  /** Succeeds with false when the lease has ended. */
+  renewLease(id: number): Result<boolean>;
+  endLease(id: number): Result<true>;
+}
--- /dev/null
+++ b/target/base/event_log.js
@@ -0,0 +1,6 @@
+/**
+ * Structured events: decisions, beliefs, dependencies.
+ *
+ * @module
+ */
+export {};
--- /dev/null
+++ b/target/base/hash.js
@@ -0,0 +1,45 @@
+/**
+ * Hashing: fast non-cryptographic for placement, SHA-256 for secrets and bodies.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import xxhash from "xxhash-wasm";
+const { h32 } = await xxhash();
+/**
+ * Hashes text to an unsigned 32-bit integer.
+ *
+ * @example
+ * ```ts
+ * const shard = hash32(key) % shards;
+ * ```
+ */
+export function hash32(text) {
+    return h32(text) >>> 0;
+}
+/**
+ * Returns the hexadecimal SHA-256 digest.
+ *
+ * @example
+ * ```ts
+ * const stored = sha256(apiKey);
+ * ```
+ */
+export function sha256(data) {
+    return createHash("sha256").update(data).digest("hex");
+}
+/**
+ * Orders nodes for a key by rendezvous hashing: removing one node moves only
+ * the keys that it was first for.
+ *
+ * @example
+ * ```ts
+ * const [owner] = rendezvousOrder("upstream-7", ["gw-1", "gw-2"]);
+ * ```
+ */
+export function rendezvousOrder(key, nodes) {
+    return nodes
+        .map((node) => ({ node, rank: hash32(`${key}|${node}`) }))
+        .sort((a, b) => b.rank - a.rank || (a.node < b.node ? -1 : 1))
+        .map((entry) => entry.node);
+}
--- /dev/null
+++ b/target/bin/oleander_node.js
@@ -0,0 +1,41 @@
+/**
+ * The node: relay, directory and controller of one host.
+ *
+ * @module
+ */
+import process from "node:process";
+import { cac } from "cac";
+import { NodeProcess } from "../node/node_process.js";
+import { platformSettingsPath } from "../platform/settings_path.js";
+import { NodeSettingsSchema } from "../settings/node_settings.js";
+import { EXIT_BAD_SETTINGS, formatProblem, loadSettings, } from "../settings/settings_file.js";
+import { VERSION } from "./version.js";
+const cli = cac("oleander-node");
+cli.command("[settings]", "Run with the settings in an INI file")
+    .option("--check", "Check the settings and leave")
+    .action((file, options) => run(file ?? platformSettingsPath(), options.check === true));
+cli.help();
+cli.version(VERSION);
+cli.parse();
+async function run(file, checkOnly) {
+    if (file === undefined)
+        return fail("no settings file is named");
+    const settings = loadSettings(file, NodeSettingsSchema);
+    if (!settings.ok)
+        return fail(settings.err.map(formatProblem).join("\n"));
+    if (checkOnly) {
+        process.stdout.write(`${file}: settings are valid\n`);
+        return;
+    }
+    const node = new NodeProcess(settings.value);
+    process.on("SIGHUP", () => { });
+    process.on("SIGTERM", async () => {
+        await node.shutdown("SIGTERM");
+        process.exit(0);
+    });
+    await node.start();
+}
+function fail(message) {
+    process.stderr.write(`oleander-node: ${message}\n`);
+    process.exitCode = EXIT_BAD_SETTINGS;
+}
--- /dev/null
+++ b/target/core/fleet/acting_lease.js
@@ -0,0 +1,133 @@
+import { sleep, TIMED_OUT, withTimeout } from "../../base/timers.js";
+import { Confirmation } from "../catalog/confirmation.js";
+import { FLEET_PREFIX } from "./registration.js";
+/** Key that the acting process holds under its lease. */
+export const ACTING_KEY = `${FLEET_PREFIX}acting`;
+const LEASE_TTL_MS = 1_500;
+const RENEW_MS = 400;
+const CALL_LIMIT_MS = 700;
+/** The holder stops acting this long before its lease can end. */
+const SAFETY_MS = 300;
+/** Pause between looks while another process holds the key. */
+const LOOK_MS = 150;
+/** A key that has not been looked at for this long is tried again. */
+const RETRY_MS = 3_000;
+/** Campaigns for the acting key, and holds it by renewals. */
+export class ActingLease {
+    #parts;
+    #held;
+    #lease;
+    #term = 0;
+    #holder;
+    #triedAt = -Infinity;
+    #acting = false;
+    #stopped = false;
+    constructor(parts) {
+        this.#parts = parts;
+        this.#held = new Confirmation(() => parts.timers.now(), parts.wall);
+    }
+    /** Grows with each holder; the store's revision at which the key was taken. */
+    get term() {
+        return this.#term;
+    }
+    /** Checks, by both clocks, that the lease can't have ended. */
+    get isActing() {
+        return this.#acting && this.#held.ageMs < LEASE_TTL_MS - SAFETY_MS;
+    }
+    /** Begins to campaign. */
+    start() {
+        this.#run();
+    }
+    /** Gives the lease back. */
+    async resign() {
+        this.#stopped = true;
+        this.#lose("resigned");
+        const lease = this.#lease;
+        this.#lease = undefined;
+        if (lease !== undefined)
+            await this.#limited(this.#parts.store.endLease(lease));
+    }
+    /** Takes what the store says of the key; undefined when nobody holds it. */
+    holderIs(nodeId) {
+        this.#holder = nodeId;
+        if (nodeId === undefined)
+            this.#triedAt = -Infinity;
+    }
+    async #run() {
+        const { timers } = this.#parts;
+        while (!this.#stopped) {
+            if (this.#acting)
+                await this.#renew();
+            else if (this.#shouldTry())
+                await this.#campaign();
+            if (this.#acting && !this.isActing)
+                this.#lose("lease not renewed");
+            await sleep(timers, this.#acting ? RENEW_MS : LOOK_MS);
+        }
+    }
+    #shouldTry() {
+        if (!this.#parts.mayAct())
+            return false;
+        const now = this.#parts.timers.now();
+        return this.#holder === undefined || now - this.#triedAt > RETRY_MS;
+    }
+    async #campaign() {
+        const { store, timers, nodeId } = this.#parts;
+        this.#triedAt = timers.now();
+        if (this.#lease === undefined) {
+            const granted = await this.#limited(store.grantLease(LEASE_TTL_MS));
+            if (granted === TIMED_OUT || !granted.ok)
+                return;
+            this.#lease = granted.value.id;
+        }
+        const askedAt = this.#held.now();
+        const renewed = await this.#limited(store.renewLease(this.#lease));
+        if (renewed === TIMED_OUT || !renewed.ok)
+            return;
+        if (!renewed.value) {
+            this.#lease = undefined;
+            return;
+        }
+        await this.#take(this.#lease, nodeId, askedAt);
+    }
+    async #take(leaseId, value, askedAt) {
+        const condition = { key: ACTING_KEY, revision: 0 };
+        const put = { key: ACTING_KEY, value, leaseId };
+        const res = await this.#limited(this.#parts.store.write([condition], [put], []));
+        if (res === TIMED_OUT || !res.ok)
+            return;
+        if (res.value.kind === "lease_ended")
+            this.#lease = undefined;
+        if (res.value.kind === "conflict")
+            this.#holder = "another";
+        if (res.value.kind !== "written" || this.#stopped)
+            return;
+        this.#held.confirmed(askedAt);
+        this.#term = res.value.revision;
+        this.#holder = value;
+        this.#acting = true;
+        this.#parts.onGained(this.#term);
+    }
+    async #renew() {
+        if (this.#lease === undefined)
+            return this.#lose("no lease");
+        const askedAt = this.#held.now();
+        const res = await this.#limited(this.#parts.store.renewLease(this.#lease));
+        if (res === TIMED_OUT || !res.ok)
+            return;
+        if (res.value)
+            return this.#held.confirmed(askedAt);
+        this.#lease = undefined;
+        this.#lose("lease ended");
+    }
+    #lose(reason) {
+        if (!this.#acting)
+            return;
+        this.#acting = false;
+        this.#holder = undefined;
+        this.#parts.onLost(reason);
+    }
+    #limited(call) {
+        return withTimeout(this.#parts.timers, call, CALL_LIMIT_MS);
+    }
+}
--- /dev/null
+++ b/target/core/fleet/evidence.js
@@ -0,0 +1,49 @@
+/**
+ * What traffic and probes say against upstreams, before the store does.
+ *
+ * @module
+ */
+/** A doubt that nothing confirms ends after this time. */
+const DOUBT_TTL_MS = 1_500;
+/** Keeps the doubts of this process and of its peers. */
+export class Evidence {
+    #doubts = new Map();
+    #listeners = [];
+    /** Calls back for each new doubt. */
+    onDoubt(listener) {
+        this.#listeners.push(listener);
+    }
+    /** Takes a doubt. Returns whether it is news. */
+    doubt(doubt) {
+        const known = this.#doubts.get(doubt.key);
+        if (known !== undefined && doubt.at <= known.at + 100)
+            return false;
+        this.#doubts.set(doubt.key, doubt);
+        if (known !== undefined)
+            return false;
+        for (const listener of this.#listeners)
+            listener(doubt);
+        return true;
+    }
+    /** Ends a doubt: the upstream was seen to work after it. */
+    trust(key, seenAt) {
+        const known = this.#doubts.get(key);
+        if (known !== undefined && seenAt > known.at)
+            this.#doubts.delete(key);
+    }
+    /** Tells whether an upstream is doubted. */
+    isDoubted(key) {
+        return this.#doubts.has(key);
+    }
+    /** Doubts of late, for peers. */
+    recent(since) {
+        return [...this.#doubts.values()].filter((doubt) => doubt.at >= since);
+    }
+    /** Drops doubts that nothing has renewed. */
+    expire(now) {
+        for (const [key, doubt] of this.#doubts) {
+            if (now - doubt.at > DOUBT_TTL_MS)
+                this.#doubts.delete(key);
+        }
+    }
+}
--- /dev/null
+++ b/target/core/fleet/fleet_state.js
@@ -0,0 +1,157 @@
+/**
+ * What this process believes of the fleet, fed from the store.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { ACTING_KEY } from "./acting_lease.js";
+import { ChangeFeed } from "./change_feed.js";
+import { FLEET_PREFIX, isNodeKey } from "./registration.js";
+/** An outage that ended this long ago still excuses missing hosts. */
+const AFTER_OUTAGE_MS = 2_500;
+const HOST_PACE = { waitMs: 5_000, pauseMs: 120 };
+const OPERATOR_PACE = { waitMs: 900, pauseMs: 100 };
+const FLEET_PACE = { waitMs: 10_000, pauseMs: 200 };
+/** Follows hosts, operators' documents and the fleet's own keys. */
+export class FleetState {
+    #parts;
+    #feeds;
+    #lostAt = new Map();
+    #nodes = new Map();
+    #regainedAt = -Infinity;
+    constructor(parts) {
+        this.#parts = parts;
+        this.#feeds = [this.#hostFeed(), this.#operatorFeed(), this.#fleetFeed()];
+    }
+    /** Begins to follow. */
+    start() {
+        for (const feed of this.#feeds)
+            feed.start();
+    }
+    /** Whether any feed is without an answer. */
+    get isCutOff() {
+        return this.#lostAt.size > 0;
+    }
+    get #afterOutage() {
+        const { timers } = this.#parts;
+        return this.isCutOff ||
+            timers.now() - this.#regainedAt < AFTER_OUTAGE_MS;
+    }
+    #hostFeed() {
+        const { timers, store, schema, hosts } = this.#parts;
+        const clocks = () => this.#parts.catalog.now();
+        const parse = (item) => schema.parseHost(item.key, item.value);
+        return new ChangeFeed(timers, store, schema.hostPrefix, HOST_PACE, clocks, {
+            onListing: (items) => {
+                const listed = items.flatMap((item) => parse(item) ?? []);
+                hosts.replaceAll(listed, timers.now(), this.#afterOutage);
+            },
+            onEvents: (events) => {
+                for (const { key, value, revision } of events) {
+                    const host = value && parse({ key, value, revision });
+                    const now = timers.now();
+                    if (host !== undefined)
+                        hosts.announce(host, now);
+                    else {
+                        const id = key.slice(schema.hostPrefix.length);
+                        hosts.withdraw(id, now, this.#afterOutage);
+                    }
+                }
+            },
+            ...this.#contact("hosts"),
+        });
+    }
+    #operatorFeed() {
+        const { timers, store, schema, catalog, zonesOut } = this.#parts;
+        const clocks = () => catalog.now();
+        const prefix = schema.operatorPrefix;
+        const contact = this.#contact("operator");
+        return new ChangeFeed(timers, store, prefix, OPERATOR_PACE, clocks, {
+            onListing: (items) => {
+                zonesOut.clear();
+                for (const item of items)
+                    this.#operatorSays(item.key, item.value);
+                this.#parts.listener.zonesChanged([...zonesOut]);
+            },
+            onEvents: (events) => {
+                for (const event of events)
+                    this.#operatorSays(event.key, event.value);
+            },
+            onConfirmed: (askedAt) => {
+                contact.onConfirmed(askedAt);
+                catalog.confirmed(catalog.version, askedAt);
+            },
+            onLost: contact.onLost,
+        });
+    }
+    #operatorSays(key, value) {
+        const { schema, catalog, zonesOut, listener } = this.#parts;
+        if (schema.isCatalog(key) && value !== undefined) {
+            const parsed = schema.parseCatalog(value);
+            if (parsed !== undefined && catalog.offer(parsed)) {
+                listener.catalogChanged(parsed.version);
+            }
+            return;
+        }
+        const zone = schema.zoneTakenOut(key);
+        if (zone === undefined)
+            return;
+        if (value === undefined)
+            zonesOut.delete(zone);
+        else
+            zonesOut.add(zone);
+        listener.zonesChanged([...zonesOut]);
+    }
+    #fleetFeed() {
+        const { timers, store, listener } = this.#parts;
+        const clocks = () => this.#parts.catalog.now();
+        return new ChangeFeed(timers, store, FLEET_PREFIX, FLEET_PACE, clocks, {
+            onListing: (items) => {
+                this.#nodes.clear();
+                const acting = items.find((item) => item.key === ACTING_KEY);
+                listener.actingIs(acting && text(acting.value));
+                for (const { key, value } of items) {
+                    if (isNodeKey(key))
+                        this.#nodes.set(key, text(value));
+                }
+                listener.nodesChanged([...this.#nodes.values()]);
+            },
+            onEvents: (events) => {
+                for (const { key, value } of events) {
+                    if (key === ACTING_KEY)
+                        listener.actingIs(value && text(value));
+                    if (!isNodeKey(key))
+                        continue;
+                    if (value === undefined)
+                        this.#nodes.delete(key);
+                    else
+                        this.#nodes.set(key, text(value));
+                }
+                listener.nodesChanged([...this.#nodes.values()]);
+            },
+            ...this.#contact("fleet"),
+        });
+    }
+    #contact(feed) {
+        const { timers, listener } = this.#parts;
+        return {
+            onConfirmed: (_askedAt) => {
+                const lostAt = this.#lostAt.get(feed);
+                if (lostAt === undefined)
+                    return;
+                this.#lostAt.delete(feed);
+                this.#regainedAt = timers.now();
+                listener.feedRegained(feed, timers.now() - lostAt);
+            },
+            onLost: (detail) => {
+                if (this.#lostAt.has(feed))
+                    return;
+                this.#lostAt.set(feed, timers.now());
+                listener.feedLost(feed, detail);
+            },
+        };
+    }
+}
+function text(value) {
+    return Buffer.from(value).toString("utf8");
+}
--- /dev/null
+++ b/target/core/fleet/replica_view.js
@@ -0,0 +1,77 @@
+/** Derives usable replicas from announcements, doubts and zones taken out. */
+export class ReplicaView {
+    #hosts;
+    #evidence;
+    #catalog;
+    #zonesOut;
+    #cache = new Map();
+    constructor(hosts, evidence, catalog, zonesOut) {
+        this.#hosts = hosts;
+        this.#evidence = evidence;
+        this.#catalog = catalog;
+        this.#zonesOut = zonesOut;
+        hosts.onChange(() => this.changed());
+    }
+    /** Forgets what was derived. */
+    changed() {
+        this.#cache = new Map();
+    }
+    /** Replicas that are not known to be lost, doubted ones included. */
+    announced(service, model) {
+        const cacheKey = `${service}|${model ?? ""}`;
+        let replicas = this.#cache.get(cacheKey);
+        if (replicas === undefined) {
+            replicas = this.#derive(service, model);
+            this.#cache.set(cacheKey, replicas);
+        }
+        return replicas;
+    }
+    /** Replicas that may take new requests. */
+    usable(service, model) {
+        return this.announced(service, model).filter((replica) => !this.#evidence.isDoubted(replica.key));
+    }
+    #derive(service, model) {
+        const engine = this.#catalog.inForce?.services.get(service)?.engine;
+        if (engine === undefined)
+            return this.#plainHosts(service);
+        const size = engine.models.find((spec) => spec.name === model)?.size;
+        const replicas = [];
+        for (const group of this.#hosts.groups.values()) {
+            if (group.service !== service || group.model !== model)
+                continue;
+            const replica = this.#whole(group, size);
+            if (replica !== undefined)
+                replicas.push(replica);
+        }
+        return replicas;
+    }
+    #plainHosts(service) {
+        return this.#hosts.ofService(service)
+            .filter((host) => !host.draining && !this.#zonesOut.has(host.zone))
+            .map((host) => ({
+            key: host.id,
+            service,
+            model: undefined,
+            host,
+            members: [host.id],
+        }));
+    }
+    /** The group as a replica, if it is open and no member is missing or leaving. */
+    #whole(group, size) {
+        const { head, members } = group;
+        if (head === undefined || group.state !== "open")
+            return undefined;
+        if (members.length !== size)
+            return undefined;
+        const leaving = members.some((host) => host.draining || this.#zonesOut.has(host.zone));
+        if (leaving)
+            return undefined;
+        return {
+            key: group.key,
+            service: group.service,
+            model: group.model,
+            host: head,
+            members: members.map((host) => host.id),
+        };
+    }
+}
--- /dev/null
+++ b/target/core/keeper/command_desk.js
@@ -0,0 +1,130 @@
+/** Sendings of one command before its host counts as silent. */
+const MAX_SENDS = 4;
+/** A host that refused a command gets no other for this time. */
+const REST_MS = 400;
+/** Sends one command at a time to each host, and keeps the ledger. */
+export class CommandDesk {
+    #parts;
+    #busy = new Set();
+    #restUntil = new Map();
+    constructor(parts) {
+        this.#parts = parts;
+    }
+    /** Whether a command to the host has not been settled, or was refused. */
+    isBusy(hostId) {
+        const restUntil = this.#restUntil.get(hostId) ?? 0;
+        return this.#busy.has(hostId) || restUntil > this.#parts.timers.now();
+    }
+    /** Sends a command until the host answers, within bounds. */
+    async send(host, command) {
+        if (this.#busy.has(host.id))
+            return "refused";
+        this.#busy.add(host.id);
+        try {
+            const outcome = await this.#settle(host, command);
+            if (outcome === "refused") {
+                this.#restUntil.set(host.id, this.#parts.timers.now() + REST_MS);
+            }
+            return outcome;
+        }
+        finally {
+            this.#busy.delete(host.id);
+        }
+    }
+    /** Asks a host for its state. Returns whether it answered. */
+    async refresh(host) {
+        const { control, ledger, timers } = this.#parts;
+        const res = await control.report(host);
+        if (res.ok)
+            ledger.reported(host, res.value, timers.now());
+        else if (res.err.kind !== "malformed")
+            ledger.silent(host, timers.now());
+        return res.ok;
+    }
+    async #settle(host, command) {
+        const { control, ledger, timers } = this.#parts;
+        for (let sends = 1; sends <= MAX_SENDS; sends++) {
+            if (!this.#parts.isActing())
+                return "refused";
+            // The same count voids a command that was lost and comes late.
+            const { seq } = ledger.belief(host, timers.now());
+            if (seq === undefined) {
+                if (!await this.refresh(host))
+                    break;
+                continue;
+            }
+            const res = await control.command(host, command, seq);
+            this.#log(host, command, seq, res.ok ? res.value : res.err.kind);
+            if (!res.ok) {
+                if (res.err.kind === "refused")
+                    break;
+                continue;
+            }
+            ledger.answered(host);
+            if (res.value === "begun" || res.value === "done") {
+                if (res.value === "begun")
+                    this.#accepted(host, command, seq);
+                return "done";
+            }
+            await this.refresh(host);
+            const now = ledger.belief(host, timers.now());
+            if (isFulfilled(command, now.membership))
+                return "done";
+            if (res.value !== "conflict" || now.seq === seq)
+                return "refused";
+        }
+        ledger.silent(host, timers.now());
+        return "silent";
+    }
+    #accepted(host, command, seq) {
+        const { ledger, timers } = this.#parts;
+        const before = ledger.belief(host, timers.now()).membership;
+        const after = membershipAfter(host, command, before);
+        ledger.accepted(host, seq, after, timers.now());
+        if (command.kind === "join")
+            ledger.joined(host, command.model);
+    }
+    #log(host, command, expectedSeq, answer) {
+        this.#parts.log.info("command", {
+            host: host.id,
+            expectedSeq,
+            answer,
+            ...command,
+            command: command.kind,
+            kind: undefined,
+        });
+    }
+}
+function membershipAfter(host, command, before) {
+    switch (command.kind) {
+        case "join":
+            return {
+                group: command.group,
+                epoch: command.epoch,
+                rank: command.members.indexOf(host.id),
+                state: "joining",
+            };
+        case "open":
+            return before && { ...before, state: "open" };
+        case "close":
+            return before && { ...before, state: "closing" };
+        case "leave":
+            return undefined;
+        case "stage":
+            return before;
+    }
+}
+/** Whether a host is where the command wants it. */
+function isFulfilled(command, membership) {
+    if (command.kind === "stage")
+        return false;
+    const isSame = membership !== undefined &&
+        membership.group === command.group && membership.epoch === command.epoch;
+    if (command.kind === "leave")
+        return !isSame;
+    if (command.kind === "join")
+        return isSame;
+    if (command.kind === "open")
+        return isSame && membership.state === "open";
+    return isSame && membership.state !== "open";
+}
--- /dev/null
+++ b/target/core/keeper/group_keeper.js
@@ -0,0 +1,406 @@
+import { groupKey } from "../fleet/replica.js";
+import { CommandDesk } from "./command_desk.js";
+import { HostLedger } from "./host_ledger.js";
+import { planLayout } from "./layout.js";
+import { LoadCeiling } from "./load_ceiling.js";
+const TICK_MS = 100;
+/** Changes that come together are looked at together. */
+const SETTLE_MS = 10;
+/** Epochs of one term; later terms have larger ones. */
+const EPOCHS_PER_TERM = 4_096;
+/** Time beyond a load after which a group that does not form is given up. */
+const FORM_MARGIN_MS = 6_000;
+/** Longest time for the work of a group that is closed to be finished. */
+const FINISH_MS = 1_500;
+/** Pause between two attempts at the same step. */
+const RETRY_MS = 400;
+/** Part of an engine's time that demand may fill. */
+const USABLE_SHARE = 0.7;
+/** Silence of an unlisted head, to all nodes, after which it counts as gone. */
+const HEAD_GONE_MS = 1_500;
+/** Names of groups that only keep a spare ready. */
+const SPARE_PREFIX = "s-";
+/** Keeps the replica groups of all services with engines. */
+export class GroupKeeper {
+    #parts;
+    #ledger = new HostLedger();
+    #desk;
+    #ceiling;
+    #formedAt = new Map();
+    /** Groups whose members may be used: the head has left or is gone. */
+    #dissolved = new Set();
+    #closedAt = new Map();
+    #triedAt = new Map();
+    #term = 0;
+    #nextEpoch = 0;
+    #isLearned = false;
+    #lookScheduled = false;
+    constructor(parts) {
+        this.#parts = parts;
+        const { timers, control, log, isActing } = parts;
+        this.#desk = new CommandDesk({
+            timers,
+            control,
+            ledger: this.#ledger,
+            log,
+            isActing,
+        });
+        this.#ceiling = new LoadCeiling(parts.loadWindowMs);
+    }
+    /** Begins to look; nothing is done while another node acts. */
+    start() {
+        this.#parts.hosts.onChange(() => this.#lookSoon());
+        this.#parts.timers.subscribe(TICK_MS, () => this.#look());
+    }
+    /** This node acts from now on: learns every host's state first. */
+    async gained(term) {
+        this.#term = term;
+        this.#nextEpoch = term * EPOCHS_PER_TERM;
+        this.#isLearned = false;
+        this.#dissolved.clear();
+        this.#closedAt.clear();
+        const hosts = this.#engineHosts();
+        await Promise.all(hosts.map((host) => this.#desk.refresh(host)));
+        if (this.#term !== term)
+            return;
+        this.#isLearned = true;
+        this.#lookSoon();
+    }
+    /** Looks into a doubt about a group. */
+    async doubted(doubt) {
+        if (!this.#parts.isActing())
+            return;
+        const group = this.#parts.hosts.groups.get(doubt.key);
+        if (group === undefined)
+            return;
+        const answers = await Promise.all(group.members.map((host) => this.#desk.refresh(host)));
+        this.#parts.log.info("group_probed", {
+            upstream: doubt.key,
+            why: doubt.kind,
+            members: group.members.map((host) => host.id),
+            answers,
+        });
+        this.#look();
+    }
+    #engineHosts() {
+        return [...this.#parts.hosts.hosts()].filter((host) => this.#engineOf(host.service) !== undefined);
+    }
+    #engineOf(service) {
+        return this.#parts.catalog.inForce?.services.get(service)?.engine;
+    }
+    #lookSoon() {
+        if (this.#lookScheduled || !this.#parts.isActing())
+            return;
+        this.#lookScheduled = true;
+        this.#parts.timers.after(SETTLE_MS, () => {
+            this.#lookScheduled = false;
+            this.#look();
+        });
+    }
+    #look() {
+        if (!this.#parts.isActing() || !this.#isLearned)
+            return;
+        const inForce = this.#parts.catalog.inForce;
+        if (inForce === undefined)
+            return;
+        this.#ledger.retain(new Set([...this.#parts.hosts.hosts()].map((h) => h.id)));
+        for (const service of inForce.services.values()) {
+            if (service.engine !== undefined)
+                this.#lookAt(service, service.engine);
+        }
+    }
+    #lookAt(service, engine) {
+        const now = this.#parts.timers.now();
+        const beliefs = this.#parts.hosts.ofService(service.name).map((host) => this.#ledger.belief(host, now));
+        const groups = this.#collect(beliefs, engine);
+        const kept = new Set();
+        for (const group of groups) {
+            if (this.#tend(group, now)) {
+                for (const { host } of group.members)
+                    kept.add(host.id);
+            }
+        }
+        const free = beliefs.filter((belief) => !kept.has(belief.host.id) && this.#isUsable(belief));
+        const steps = planLayout({
+            models: engine.models,
+            free: free.map((belief) => toFree(belief, this.#desk, this.#hosts, now)),
+            groups: groups.filter((g) => g.model && this.#counts(g)).map((group) => ({
+                model: group.model?.name ?? "",
+                domain: group.members[0].host.domain,
+            })),
+            needed: this.#needed(engine),
+            hostsOf: domainSizes(beliefs.filter((b) => this.#isUsable(b))),
+            loadsAreCheap: !this.#hasTraffic,
+            loadRoom: this.#ceiling.room(engine, now),
+        });
+        for (const step of steps)
+            this.#execute(step, engine, now);
+    }
+    get #hosts() {
+        return this.#parts.hosts;
+    }
+    get #hasTraffic() {
+        for (const ms of this.#parts.demand().values())
+            if (ms > 0)
+                return true;
+        return false;
+    }
+    /** Groups that the measured demand fills, or by declared shares before it. */
+    #needed(engine) {
+        const demand = this.#parts.demand();
+        const needed = new Map();
+        for (const model of engine.models) {
+            const measured = (demand.get(model.name) ?? 0) / 1_000 / USABLE_SHARE;
+            const declared = model.share / model.size;
+            needed.set(model.name, this.#hasTraffic ? measured : declared);
+        }
+        return needed;
+    }
+    #isUsable(belief) {
+        const { host } = belief;
+        return !belief.isDead && !host.draining &&
+            !this.#parts.zonesOut.has(host.zone);
+    }
+    #collect(beliefs, engine) {
+        const members = new Map();
+        for (const belief of beliefs) {
+            const { membership } = belief;
+            if (membership === undefined)
+                continue;
+            if (membership.group.startsWith(SPARE_PREFIX))
+                continue;
+            const key = groupKey(membership.group, membership.epoch);
+            const list = members.get(key) ?? [];
+            list.push(belief);
+            members.set(key, list);
+        }
+        return [...members].map(([key, list]) => {
+            const [{ membership }] = list;
+            const head = list.find((belief) => belief.membership?.rank === 0);
+            const modelName = this.#formedAt.get(key)?.model ??
+                (head ?? list[0]).host.models[0];
+            return {
+                key,
+                name: membership?.group ?? "",
+                epoch: membership?.epoch ?? 0,
+                members: list,
+                head,
+                model: engine.models.find((model) => model.name === modelName),
+            };
+        });
+    }
+    /** Whether a group counts as one that serves or will. */
+    #counts(group) {
+        return !this.#dissolved.has(group.key) && this.#isSound(group);
+    }
+    #isSound(group) {
+        const { model, members, head } = group;
+        return model !== undefined && head !== undefined &&
+            members.length === model.size &&
+            members.every((belief) => !belief.isDead && !belief.host.draining) &&
+            !["closing", "broken"].includes(head.membership?.state ?? "broken");
+    }
+    /** Does what a group needs. Returns whether its members stay with it. */
+    #tend(group, now) {
+        if (this.#dissolved.has(group.key))
+            return false;
+        if (group.members.some(({ host }) => this.#desk.isBusy(host.id)))
+            return true;
+        if (!this.#isSound(group))
+            return this.#dissolve(group, now);
+        const states = group.members.map((belief) => belief.membership?.state);
+        const head = group.head;
+        if (head === undefined || head.membership?.state === "open")
+            return true;
+        if (states.every((state) => state === "ready")) {
+            this.#open(group, head, now);
+            return true;
+        }
+        return this.#stillForms(group, now) || this.#dissolve(group, now);
+    }
+    #stillForms(group, now) {
+        const formed = this.#formedAt.get(group.key) ??
+            { model: group.model?.name ?? "", at: now };
+        this.#formedAt.set(group.key, formed);
+        const loadMs = group.model?.loadMs ?? 0;
+        return now - formed.at < loadMs * 2 + FORM_MARGIN_MS;
+    }
+    async #open(group, head, now) {
+        if (!this.#mayTry(`open ${group.key}`, now))
+            return;
+        const { name, epoch } = group;
+        await this.#desk.send(head.host, { kind: "open", group: name, epoch });
+        this.#lookSoon();
+    }
+    /** Ends a group through its head. Returns whether its members must wait. */
+    #dissolve(group, now) {
+        const { head, key } = group;
+        if (head === undefined) {
+            if (!this.#headIsGone(group, now))
+                return true;
+            this.#release(group, "head gone");
+            return false;
+        }
+        if (head.isDead)
+            return true;
+        if (head.membership?.state !== "open" &&
+            head.membership?.state !== "closing") {
+            this.#leave(group, head, now);
+            return true;
+        }
+        if (!this.#isOnlyDraining(group)) {
+            this.#leave(group, head, now);
+            return true;
+        }
+        const closedAt = this.#closedAt.get(key);
+        if (closedAt === undefined) {
+            this.#closedAt.set(key, now);
+            this.#close(group, head);
+        }
+        else if (now - closedAt > FINISH_MS) {
+            this.#leave(group, head, now);
+        }
+        return true;
+    }
+    #isOnlyDraining(group) {
+        return group.members.length === group.model?.size &&
+            group.members.every((belief) => !belief.isDead) &&
+            group.head?.membership?.state !== "broken";
+    }
+    async #close(group, head) {
+        const { name, epoch } = group;
+        const command = { kind: "close", group: name, epoch, mode: "finish" };
+        await this.#desk.send(head.host, command);
+        this.#lookSoon();
+    }
+    async #leave(group, head, now) {
+        if (!this.#mayTry(`leave ${group.key}`, now))
+            return;
+        const { name, epoch } = group;
+        const command = { kind: "leave", group: name, epoch };
+        const outcome = await this.#desk.send(head.host, command);
+        if (outcome === "done")
+            this.#release(group, "head left");
+        this.#look();
+    }
+    #release(group, why) {
+        this.#dissolved.add(group.key);
+        this.#parts.log.info("group_dissolved", {
+            upstream: group.key,
+            why,
+            members: group.members.map(({ host }) => host.id),
+        });
+    }
+    /** Whether the head, known by the group's name, can't serve any more. */
+    #headIsGone(group, now) {
+        const headId = headIdOf(group.name);
+        if (headId === undefined)
+            return true;
+        const announced = this.#parts.hosts.get(headId);
+        if (announced !== undefined) {
+            const { membership } = this.#ledger.belief(announced, now);
+            return membership === undefined ||
+                groupKey(membership.group, membership.epoch) !== group.key;
+        }
+        const lastEventAt = this.#parts.lastEventAt(group.key) ?? -Infinity;
+        return now - lastEventAt > HEAD_GONE_MS;
+    }
+    #execute(step, engine, now) {
+        const model = engine.models.find((spec) => spec.name === step.model);
+        if (model === undefined)
+            return;
+        if (step.kind === "form")
+            this.#form(model, step.members, now);
+        if (step.kind === "warm")
+            this.#warm(model, step.host, now);
+        if (step.kind === "stage")
+            this.#stage(model, step.host, now);
+    }
+    async #form(model, memberIds, now) {
+        const hosts = memberIds.flatMap((id) => this.#parts.hosts.get(id) ?? []);
+        if (hosts.length !== memberIds.length)
+            return;
+        const epoch = this.#takeEpoch();
+        const group = `g-${memberIds[0]}-${epoch}`;
+        this.#formedAt.set(groupKey(group, epoch), { model: model.name, at: now });
+        this.#parts.log.info("group_forming", {
+            group,
+            epoch,
+            model: model.name,
+            domain: hosts[0].domain,
+            members: memberIds,
+        });
+        for (const host of hosts) {
+            const needsLoad = !host.staged.includes(model.name);
+            if (needsLoad && this.#hasTraffic)
+                this.#ceiling.begun(now, model.loadMs);
+        }
+        const outcomes = await Promise.all(hosts.map((host) => this.#desk.send(host, {
+            kind: "join",
+            group,
+            epoch,
+            model: model.name,
+            members: memberIds,
+        })));
+        if (outcomes.some((outcome) => outcome !== "done")) {
+            this.#dissolved.add(groupKey(group, epoch));
+        }
+        this.#lookSoon();
+    }
+    async #warm(model, hostId, now) {
+        const host = this.#parts.hosts.get(hostId);
+        if (host === undefined || !this.#mayTry(`warm ${hostId}`, now))
+            return;
+        const epoch = this.#takeEpoch();
+        const group = `${SPARE_PREFIX}${hostId}-${epoch}`;
+        await this.#desk.send(host, {
+            kind: "join",
+            group,
+            epoch,
+            model: model.name,
+            members: [hostId],
+        });
+    }
+    async #stage(model, hostId, now) {
+        const host = this.#parts.hosts.get(hostId);
+        if (host === undefined || !this.#mayTry(`stage ${hostId}`, now))
+            return;
+        this.#ceiling.begun(now, model.loadMs);
+        this.#ledger.staging(host, model.name, now + model.loadMs * 2);
+        await this.#desk.send(host, { kind: "stage", model: model.name });
+    }
+    #takeEpoch() {
+        this.#nextEpoch += 1;
+        return this.#nextEpoch;
+    }
+    #mayTry(step, now) {
+        const last = this.#triedAt.get(step);
+        if (last !== undefined && now - last < RETRY_MS)
+            return false;
+        this.#triedAt.set(step, now);
+        return true;
+    }
+}
+function toFree(belief, desk, hosts, now) {
+    const { host, membership, staging } = belief;
+    const isJoining = membership?.state === "joining";
+    return {
+        id: host.id,
+        domain: host.domain,
+        hotModel: isJoining ? undefined : belief.lastModel,
+        staged: staging === undefined ? host.staged : [staging],
+        isBusy: desk.isBusy(host.id) || staging !== undefined || isJoining,
+        isCold: hosts.coldUntil(host.id) > now,
+    };
+}
+function domainSizes(beliefs) {
+    const sizes = new Map();
+    for (const { host } of beliefs) {
+        sizes.set(host.domain, (sizes.get(host.domain) ?? 0) + 1);
+    }
+    return sizes;
+}
+/** The head's id, which the group's name carries between prefix and epoch. */
+function headIdOf(name) {
+    return /^g-(.+)-\d+$/.exec(name)?.[1];
+}
--- /dev/null
+++ b/target/core/relay/relay.js
@@ -0,0 +1,250 @@
+/**
+ * Takes callers' requests: checks them, places them, and keeps the counts.
+ *
+ * @module
+ */
+import { sha256 } from "../../base/hash.js";
+import { Suspects } from "../retries/suspects.js";
+import { ColdPace } from "./cold_pace.js";
+import { DemandMeter } from "./demand_meter.js";
+import { LoadBoard } from "./load_board.js";
+import { Placer } from "./placer.js";
+import { RelayRun } from "./relay_run.js";
+import { ReplicaRecord } from "./replica_record.js";
+import { RequestContract } from "./request_contract.js";
+import { RetryAllowance } from "./retry_allowance.js";
+import { StallWatch } from "./stall_watch.js";
+import { WaitingRoom } from "./waiting_room.js";
+/** Pace of the watch over waiting requests and silent upstreams. */
+const TICK_MS = 20;
+const EXPIRE_MS = 1_000;
+/** Relays requests to upstreams. */
+export class Relay {
+    board = new LoadBoard();
+    suspects = new Suspects();
+    demand;
+    #parts;
+    #record = new ReplicaRecord();
+    #coldPace = new ColdPace();
+    #retries;
+    #room;
+    #stalls;
+    #runs = new Set();
+    #runParts;
+    #leaving = false;
+    constructor(parts) {
+        this.#parts = parts;
+        this.demand = new DemandMeter(parts.catalog);
+        this.#retries = new RetryAllowance(parts.retryBounds, parts.fleetSize);
+        this.#stalls = new StallWatch(this.board, parts.evidence);
+        const placer = new Placer({
+            view: parts.view,
+            hosts: parts.hosts,
+            board: this.board,
+            record: this.#record,
+            coldPace: this.#coldPace,
+            random: parts.random,
+            zone: parts.zone,
+            fleetSize: parts.fleetSize,
+        });
+        this.#room = new WaitingRoom((query, now) => placer.place(query, now));
+        this.#runParts = this.#makeRunParts();
+        parts.evidence.onDoubt((doubt) => this.#doubted(doubt));
+        parts.hosts.onChange(() => this.#room.pump(parts.timers.now()));
+    }
+    /** Begins to watch the requests under way. */
+    start() {
+        const { timers } = this.#parts;
+        timers.subscribe(TICK_MS, () => {
+            const now = timers.now();
+            this.#stalls.look(now);
+            this.#room.pump(now);
+        });
+        timers.subscribe(EXPIRE_MS, () => this.#expire(timers.now()));
+    }
+    /** Requests that have not ended. */
+    get inFlight() {
+        return this.#runs.size;
+    }
+    /** Requests that wait for an upstream. */
+    get waiting() {
+        return this.#room.size;
+    }
+    /** Refuses new requests from now on; those under way go on. */
+    refuseNew() {
+        this.#leaving = true;
+    }
+    /** Takes a request. Its reply is ended exactly once. */
+    handle(call, reply) {
+        const admitted = this.#admit(call);
+        if ("kind" in admitted) {
+            const version = this.#parts.catalog.version;
+            this.#parts.observer.turnedAway(call, admitted, version);
+            reply.refuse(admitted);
+            return undefined;
+        }
+        const { route, service, customer, fingerprint } = admitted;
+        const now = this.#parts.timers.now();
+        this.#retries.request(service.name, now);
+        this.demand.asked(service, call, now);
+        const run = new RelayRun(this.#runParts, call, reply, new RequestContract(route, call, now), service, customer, fingerprint);
+        this.#runs.add(run);
+        run.start();
+        return run;
+    }
+    #admit(call) {
+        if (this.#leaving) {
+            return refusal("shutting_down", "This host is leaving", 100);
+        }
+        const inForce = this.#parts.catalog.inForce;
+        if (inForce === undefined) {
+            return refusal("no_catalog", "No catalog is known yet", 500);
+        }
+        const path = pathOf(call.target);
+        const route = inForce.routes.find(call.hostName, path);
+        if (route === undefined)
+            return refusal("unknown_route", "No such route");
+        const customer = this.#customer(inForce, route, call);
+        if (customer !== undefined && "kind" in customer)
+            return customer;
+        const service = this.#chooseService(inForce, route);
+        if (service === undefined) {
+            return refusal("no_replica", "The route's service is not declared", 500);
+        }
+        const fingerprint = fingerprintOf(call, customer);
+        if (this.suspects.isRefused(fingerprint)) {
+            return refusal("crashes_upstreams", "It ran at several crashes");
+        }
+        return { route, service, customer, fingerprint };
+    }
+    #customer(inForce, route, call) {
+        const { customerOfKey } = inForce;
+        if (customerOfKey === undefined || route.isPublic)
+            return undefined;
+        const { confirmationAgeMs } = this.#parts.catalog;
+        if (confirmationAgeMs > this.#parts.keyTrustMs) {
+            const detail = `Confirmed ${Math.round(confirmationAgeMs)} ms ago`;
+            return refusal("unconfirmed", detail, 200);
+        }
+        return customerOfKey.get(call.apiKey ?? "") ??
+            refusal("unknown_key", "The key belongs to no customer");
+    }
+    #chooseService(inForce, route) {
+        const total = route.targets.reduce((sum, t) => sum + t.weight, 0);
+        let at = this.#parts.random.float() * total;
+        for (const target of route.targets) {
+            at -= target.weight;
+            if (at < 0)
+                return inForce.services.get(target.service);
+        }
+        return inForce.services.get(route.targets.at(-1)?.service ?? "");
+    }
+    #makeRunParts() {
+        const { timers } = this.#parts;
+        return {
+            timers,
+            client: this.#parts.client,
+            enterRoom: (run) => this.#room.enter(run, timers.now()),
+            leaveRoom: (run) => this.#room.leave(run),
+            mayRepeat: (service) => this.#retries.spend(service, timers.now()),
+            attemptStarted: (run, attempt) => this.#attemptStarted(run, attempt),
+            attemptFirstByte: (run, attempt) => this.#firstByte(run, attempt),
+            attemptEnded: (run, attempt, outcome, head) => this.#attemptEnded(run, attempt, outcome, head),
+            hostLives: (replica) => this.#hostLives(replica),
+            note: (run, event) => this.#parts.observer.noted(run, event),
+            ended: (run) => this.#ended(run),
+        };
+    }
+    #attemptStarted(run, attempt) {
+        const { key, host } = attempt.replica;
+        const load = this.board.own(key);
+        load.inFlight += 1;
+        load.reading += run.promptTokens;
+        const now = this.#parts.timers.now();
+        if (this.#parts.hosts.coldUntil(host.id) > now) {
+            this.#coldPace.started(host.id, now);
+        }
+        if (run.model !== undefined)
+            this.#stalls.started(run, attempt);
+    }
+    #firstByte(run, attempt) {
+        const { key } = attempt.replica;
+        const now = this.#parts.timers.now();
+        const load = this.board.own(key);
+        load.reading = Math.max(0, load.reading - run.promptTokens);
+        load.lastEventAt = now;
+        const tookMs = now - attempt.startedAt;
+        this.#record.firstByte(key, tookMs, attempt.expectedMs, now);
+        this.#parts.evidence.trust(key, now);
+    }
+    #attemptEnded(run, attempt, outcome, head) {
+        const { key } = attempt.replica;
+        const now = this.#parts.timers.now();
+        const load = this.board.own(key);
+        load.inFlight -= 1;
+        if (attempt.lastDataAt === undefined) {
+            load.reading = Math.max(0, load.reading - run.promptTokens);
+        }
+        else if (load.lastEventAt === undefined ||
+            attempt.lastDataAt > load.lastEventAt) {
+            load.lastEventAt = attempt.lastDataAt;
+        }
+        if (run.model !== undefined)
+            this.#stalls.ended(run, attempt);
+        if (outcome !== "cancelled") {
+            this.#record.ended(key, outcome !== "answered", now);
+        }
+        this.#judge(run, attempt, outcome, head);
+    }
+    /** Draws conclusions about the upstream from how an attempt ended. */
+    #judge(run, attempt, outcome, head) {
+        const { key } = attempt.replica;
+        const now = this.#parts.timers.now();
+        if (outcome === "answered")
+            this.suspects.cleared(run.fingerprint);
+        if (outcome === "not_sent" || outcome === "wrong_host") {
+            this.#parts.evidence.doubt({ key, kind: "unreachable", at: now });
+        }
+        else if (outcome === "refused" && head?.atFault !== undefined) {
+            this.#parts.evidence.doubt({ key, kind: "silent", at: now });
+        }
+        else if (outcome === "reset" && run.model !== undefined) {
+            this.#parts.evidence.doubt({ key, kind: "reset", at: now });
+        }
+    }
+    /** Moves the streams of a doubted upstream. */
+    #doubted(doubt) {
+        if (doubt.kind === "reset")
+            return;
+        for (const run of this.#stalls.runsOn(doubt.key)) {
+            run.upstreamLost(`upstream ${doubt.kind}`);
+        }
+    }
+    #hostLives(replica) {
+        return this.#parts.hosts.get(replica.host.id) !== undefined;
+    }
+    #ended(run) {
+        this.#runs.delete(run);
+        this.#room.pump(this.#parts.timers.now());
+    }
+    #expire(now) {
+        this.board.expire(now);
+        this.#record.expire(now);
+        this.#coldPace.expire(now);
+        this.suspects.expire(now);
+        this.#parts.evidence.expire(now);
+        this.#parts.hosts.expire(now);
+    }
+}
+function refusal(kind, detail, retryAfterMs) {
+    return { kind, detail, retryAfterMs };
+}
+function pathOf(target) {
+    const query = target.indexOf("?");
+    return query < 0 ? target : target.slice(0, query);
+}
+/** Same for every sending of the same request by the same caller. */
+function fingerprintOf(call, customer) {
+    const head = `${customer?.name ?? ""} ${call.method} ${call.target} `;
+    return sha256(head + sha256(call.body)).slice(0, 24);
+}
--- /dev/null
+++ b/target/core/relay/stall_watch.js
@@ -0,0 +1,81 @@
+import { EngineTimes } from "./engine_times.js";
+/** Expected pauses that may pass before silence counts. */
+const PASSES = 1.6;
+/** Added to the expected pause, in milliseconds. */
+const MARGIN_MS = 60;
+/** Silence before the first event of any request, beyond what was expected. */
+const FIRST_EVENT_MARGIN_MS = 350;
+/** Watches the streams of this process. */
+export class StallWatch {
+    #board;
+    #evidence;
+    #runs = new Map();
+    constructor(board, evidence) {
+        this.#board = board;
+        this.#evidence = evidence;
+    }
+    /** Begins to watch an attempt on an engine. */
+    started(run, attempt) {
+        const { key } = attempt.replica;
+        const runs = this.#runs.get(key) ?? new Set();
+        runs.add(run);
+        this.#runs.set(key, runs);
+    }
+    /** Ends the watch. */
+    ended(run, attempt) {
+        const { key } = attempt.replica;
+        const runs = this.#runs.get(key);
+        runs?.delete(run);
+        if (runs?.size === 0)
+            this.#runs.delete(key);
+    }
+    /** Requests under way on an upstream. */
+    runsOn(key) {
+        return [...this.#runs.get(key) ?? []];
+    }
+    /** Doubts upstreams that should have sent something by now. */
+    look(now) {
+        for (const [key, runs] of this.#runs) {
+            const silentMs = now - this.#lastProgress(key, runs, now);
+            if (silentMs > this.#limitMs(key, runs, now)) {
+                this.#evidence.doubt({ key, kind: "silent", at: now });
+            }
+        }
+    }
+    /** When the upstream last did anything, for anyone. */
+    #lastProgress(key, runs, now) {
+        let newest = this.#board.lastEventAt(key) ?? -Infinity;
+        let oldestStart = now;
+        for (const { attempt } of runs) {
+            if (attempt === undefined)
+                continue;
+            if (attempt.paused)
+                return now;
+            newest = Math.max(newest, attempt.lastDataAt ?? -Infinity);
+            oldestStart = Math.min(oldestStart, attempt.startedAt);
+        }
+        return Math.max(newest, oldestStart);
+    }
+    #limitMs(key, runs, now) {
+        let writing = 0;
+        let expectedMs = 0;
+        let service;
+        let model;
+        for (const run of runs) {
+            service = run.service;
+            model = run.model;
+            if (run.attempt?.lastDataAt !== undefined)
+                writing += 1;
+            expectedMs = Math.max(expectedMs, run.attempt?.expectedMs ?? 0);
+        }
+        const spec = service?.engine?.models.find((m) => m.name === model);
+        if (service?.engine === undefined || spec === undefined)
+            return Infinity;
+        if (writing === 0)
+            return expectedMs + FIRST_EVENT_MARGIN_MS;
+        const load = this.#board.total(key, now);
+        const times = new EngineTimes(service.engine, spec);
+        const passMs = times.passMs(Math.min(load.inFlight, times.slots), load.reading);
+        return passMs * PASSES + MARGIN_MS;
+    }
+}
--- /dev/null
+++ b/target/logging/line_buffer.js
@@ -0,0 +1,46 @@
+/**
+ * Log lines on standard output, written in batches and never waited for.
+ *
+ * @module
+ */
+import process from "node:process";
+const FLUSH_MS = 100;
+/** Lines beyond this are dropped and counted. */
+const MAX_BUFFERED_BYTES = 262_144;
+/** Bounded buffer before standard output. */
+export class LineBuffer {
+    #write;
+    #lines = [];
+    #bytes = 0;
+    #dropped = 0;
+    constructor(timers, write = (text) => process.stdout.write(text)) {
+        this.#write = write;
+        timers.subscribe(FLUSH_MS, () => this.flush());
+    }
+    /** Lines dropped since the last flush that got through. */
+    get dropped() {
+        return this.#dropped;
+    }
+    /** Adds a line. */
+    push(line) {
+        if (this.#bytes + line.length > MAX_BUFFERED_BYTES) {
+            this.#dropped += 1;
+            return;
+        }
+        this.#lines.push(line);
+        this.#bytes += line.length + 1;
+    }
+    /** Writes what is buffered. */
+    flush() {
+        if (this.#lines.length === 0)
+            return;
+        if (this.#dropped > 0) {
+            this.#lines.push(JSON.stringify({ event: "log_lines_dropped", count: this.#dropped }));
+            this.#dropped = 0;
+        }
+        const text = `${this.#lines.join("\n")}\n`;
+        this.#lines = [];
+        this.#bytes = 0;
+        this.#write(text);
+    }
+}
--- /dev/null
+++ b/target/node/node_metrics.js
@@ -0,0 +1,81 @@
+/**
+ * Counters and histograms of the node.
+ *
+ * @module
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+const SECONDS = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 2, 5];
+/** Counts what the node does. */
+export class NodeMetrics {
+    registry = new Registry();
+    #ended;
+    #attempts;
+    #duration;
+    #firstByte;
+    constructor(gauges) {
+        const registers = [this.registry];
+        this.#ended = new Counter({
+            name: "oleander_requests_total",
+            help: "Requests that ended, by route and outcome",
+            labelNames: ["route", "outcome"],
+            registers,
+        });
+        this.#attempts = new Counter({
+            name: "oleander_attempts_total",
+            help: "Attempts at upstreams that ended, by outcome",
+            labelNames: ["outcome"],
+            registers,
+        });
+        this.#duration = new Histogram({
+            name: "oleander_request_seconds",
+            help: "Time from arrival to the end",
+            labelNames: ["route"],
+            buckets: SECONDS,
+            registers,
+        });
+        this.#firstByte = new Histogram({
+            name: "oleander_first_byte_seconds",
+            help: "Time from arrival to the first byte of the answer",
+            labelNames: ["route"],
+            buckets: SECONDS,
+            registers,
+        });
+        const numbers = {
+            oleander_requests_in_flight: gauges.inFlight,
+            oleander_requests_waiting: gauges.waiting,
+            oleander_peers: gauges.peers,
+            oleander_catalog_version: gauges.catalogVersion,
+            oleander_catalog_confirmation_age_ms: gauges.confirmationAgeMs,
+            oleander_acting: () => gauges.acting() ? 1 : 0,
+        };
+        for (const [name, read] of Object.entries(numbers)) {
+            new Gauge({
+                name,
+                help: name.replaceAll("_", " "),
+                registers,
+                collect() {
+                    this.set(read());
+                },
+            });
+        }
+    }
+    /** Counts one event of a request. */
+    noted(run, event, tookMs) {
+        const route = run.contract.route.name;
+        const outcome = event.outcome ?? "";
+        if (event.event === "attempt_ended")
+            this.#attempts.inc({ outcome });
+        if (event.event !== "ended")
+            return;
+        this.#ended.inc({ route, outcome });
+        this.#duration.observe({ route }, tookMs / 1_000);
+    }
+    /** Counts a first byte. */
+    firstByte(run, tookMs) {
+        this.#firstByte.observe({ route: run.contract.route.name }, tookMs / 1_000);
+    }
+    /** Counts a request refused before it began. */
+    turnedAway(outcome) {
+        this.#ended.inc({ route: "none", outcome });
+    }
+}
--- /dev/null
+++ b/target/node/node_process.js
@@ -0,0 +1,112 @@
+/**
+ * The node: relay, directory and controller of one host, on one loop.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import process from "node:process";
+import { serve } from "@hono/node-server";
+import { Hono } from "hono";
+import { UdpDatagrams } from "../adapters/udp_datagrams.js";
+import { hash32 } from "../base/hash.js";
+import { Random } from "../base/random.js";
+import { SystemTimers } from "../base/system_timers.js";
+import { sleep } from "../base/timers.js";
+import { createEventLog } from "../logging/event_log.js";
+import { LineBuffer } from "../logging/line_buffer.js";
+import { FrontDoor } from "../platform/front_door.js";
+import { directoryDoor, readyDoor } from "../platform/platform_doors.js";
+import { PlatformStore } from "../platform/platform_store.js";
+import { ServerChannels } from "../platform/server_channels.js";
+import { ServerOrders } from "../platform/server_orders.js";
+import { StoreSchema } from "../platform/store_schema.js";
+import { Node } from "./node.js";
+/** Callers hold an address this long; some of them three times as long. */
+const ADDRESS_TTL_MS = 1_000;
+/** Time before the platform's kill at which the process ends by itself. */
+const END_EARLY_MS = 400;
+/** After this time of a shutdown new requests are refused. */
+const ACCEPT_MS = 3_600;
+/** Composes a {@linkcode Node} with sockets. */
+export class NodeProcess {
+    #settings;
+    #timers = new SystemTimers();
+    #lines;
+    #log;
+    #servers = [];
+    #node;
+    #door;
+    #stopping = false;
+    constructor(settings) {
+        this.#settings = settings;
+        this.#lines = new LineBuffer(this.#timers);
+        this.#log = createEventLog(settings.log.level, settings.node.id, this.#lines);
+    }
+    /** Opens all addresses and begins to serve. */
+    async start() {
+        const { node, platform } = this.#settings;
+        const datagrams = await UdpDatagrams.bind(node.ip, node.internal_port);
+        this.#node = new Node({
+            settings: this.#settings,
+            timers: this.#timers,
+            wall: () => Date.now(),
+            random: new Random(hash32(`${node.id}${process.pid}${Date.now()}`)),
+            incarnation: randomUUID(),
+            store: new PlatformStore(platform.store),
+            schema: new StoreSchema(),
+            control: new ServerOrders(),
+            client: new ServerChannels(),
+            datagrams,
+            log: this.#log,
+            addressTtlMs: ADDRESS_TTL_MS,
+            onLimits: (limits) => {
+                if (this.#door !== undefined)
+                    this.#door.limits = limits;
+            },
+        });
+        await this.#open(this.#node);
+        this.#node.start();
+    }
+    async #open(node) {
+        const { caller_address, ready_address, directory_address, ip } = this.#settings.node;
+        this.#door = new FrontDoor((call, reply) => node.relay.handle(call, reply));
+        const [frontIp, frontPort] = split(caller_address);
+        await this.#door.listen(frontIp, frontPort);
+        await this.#serve(readyDoor(node), ...split(ready_address));
+        await this.#serve(directoryDoor(node), ...split(directory_address));
+        const metrics = new Hono();
+        metrics.get("/metrics", async (ctx) => ctx.text(await node.metrics.registry.metrics()));
+        await this.#serve(metrics, ip, this.#settings.node.metrics_port);
+    }
+    #serve(app, hostname, port) {
+        return new Promise((resolve) => {
+            const server = serve({ fetch: app.fetch, hostname, port }, () => resolve());
+            this.#servers.push(server);
+        });
+    }
+    /** Stops without cutting a request: leaves the directory first. */
+    async shutdown(reason) {
+        if (this.#stopping || this.#node === undefined)
+            return;
+        this.#stopping = true;
+        const startedAt = this.#timers.now();
+        const limitMs = this.#settings.bounds.shutdown_within - END_EARLY_MS;
+        this.#log.info("stop_begun", { reason, inFlight: this.#node.relay.inFlight });
+        this.#node.withdraw();
+        await sleep(this.#timers, ACCEPT_MS);
+        this.#node.relay.refuseNew();
+        this.#door?.closeChannels();
+        while (this.#timers.now() - startedAt < limitMs) {
+            if (this.#node.relay.inFlight === 0 &&
+                this.#timers.now() - startedAt > ACCEPT_MS + 1_200)
+                break;
+            await sleep(this.#timers, 50);
+        }
+        this.#log.info("stopped", { inFlight: this.#node.relay.inFlight });
+        this.#lines.flush();
+    }
+}
+function split(address) {
+    const at = address.lastIndexOf(":");
+    return [address.slice(0, at), Number(address.slice(at + 1))];
+}
--- /dev/null
+++ b/target/node/request_log.js
@@ -0,0 +1,39 @@
+/** Writes one line for each decision that touches a request. */
+export class RequestLog {
+    #timers;
+    #log;
+    #metrics;
+    constructor(timers, log, metrics) {
+        this.#timers = timers;
+        this.#log = log;
+        this.#metrics = metrics;
+    }
+    noted(run, event) {
+        const tookMs = this.#timers.now() - run.arrivedAt;
+        this.#metrics.noted(run, event, tookMs);
+        if (event.event === "attempt_ended" && event.outcome === "answered")
+            return;
+        this.#log.info(`request_${event.event}`, {
+            request: run.call.id,
+            afterMs: Math.round(tookMs),
+            upstream: event.replica?.key,
+            host: event.replica?.host.id,
+            expectedMs: event.expectedMs && Math.round(event.expectedMs),
+            considered: event.considered,
+            outcome: event.outcome,
+            detail: event.detail === "" ? undefined : event.detail,
+            ...(event.event === "ended"
+                ? { route: run.contract.route.name, sends: run.sends }
+                : {}),
+        });
+    }
+    turnedAway(call, refusal, version) {
+        this.#metrics.turnedAway(refusal.kind);
+        this.#log.info("request_turned_away", {
+            request: call.id,
+            outcome: refusal.kind,
+            detail: refusal.detail,
+            catalogVersion: version,
+        });
+    }
+}
--- /dev/null
+++ b/target/platform/server_entry.js
@@ -0,0 +1,89 @@
+/**
+ * Servers as they register themselves and as they report on request.
+ *
+ * @module
+ */
+import { z } from "zod";
+const Group = z.object({
+    name: z.string(),
+    epoch: z.int(),
+    rank: z.int(),
+    state: z.enum(["joining", "ready", "open", "closing", "broken"]),
+});
+const Shared = {
+    born: z.int().optional(),
+    models: z.array(z.object({ name: z.string() })).default([]),
+    staged: z.array(z.string()).default([]),
+    group: Group.nullish(),
+};
+const Entry = z.object({
+    service: z.string(),
+    address: z.string().regex(/^[\d.]+:\d+$/),
+    zone: z.string(),
+    slots: z.int().min(1),
+    state: z.enum(["ready", "draining"]),
+    cold_left_ms: z.number(),
+    domain: z.union([z.string(), z.number()]).nullish(),
+    ...Shared,
+});
+const Report = z.object({
+    seq: z.int(),
+    busy: z.boolean().default(false),
+    queued: z.number().default(0),
+    active: z.number().default(0),
+    ...Shared,
+});
+/**
+ * Reads an entry of the store; undefined when it names no usable server.
+ *
+ * @example
+ * ```ts
+ * const host = parseServerEntry("i-7f3a91c2", JSON.parse(text));
+ * ```
+ */
+export function parseServerEntry(id, value) {
+    const res = Entry.safeParse(value);
+    if (!res.success)
+        return undefined;
+    const entry = res.data;
+    return {
+        id,
+        service: entry.service,
+        address: entry.address,
+        zone: entry.zone,
+        slots: entry.slots,
+        draining: entry.state === "draining",
+        coldLeftMs: entry.cold_left_ms,
+        domain: String(entry.domain ?? ""),
+        ...shared(entry),
+    };
+}
+/**
+ * Reads a report; undefined when it can't be read.
+ *
+ * @example
+ * ```ts
+ * const report = parseServerReport(body);
+ * ```
+ */
+export function parseServerReport(value) {
+    const res = Report.safeParse(value);
+    if (!res.success)
+        return undefined;
+    const { seq, busy, queued, active } = res.data;
+    return { seq, busy, queued, active, ...shared(res.data) };
+}
+function shared(entry) {
+    return {
+        born: entry.born ?? 0,
+        staged: entry.staged,
+        models: entry.models.map((model) => model.name),
+        membership: membershipOf(entry.group),
+    };
+}
+function membershipOf(group) {
+    if (group === null || group === undefined)
+        return undefined;
+    const { name, epoch, rank, state } = group;
+    return { group: name, epoch, rank, state };
+}
--- /dev/null
+++ b/target/platform/wire_names.js
@@ -0,0 +1,91 @@
+/**
+ * Names that the users' platform gives to headers, keys and calls.
+ *
+ * @module
+ */
+/** Headers, in lower case. */
+export const HEADER = {
+    attemptId: "oleanderarch-attempt-id",
+    deadlineMs: "oleanderarch-deadline-ms",
+    lastEventId: "last-event-id",
+    stamp: "oleanderarch-server-stamp",
+    tenant: "oleanderarch-tenant",
+    expectInstance: "oleanderarch-expect-instance",
+    notExecuted: "oleanderarch-not-executed",
+    retryAfter: "retry-after",
+    model: "oleanderarch-model",
+    tokenCount: "oleanderarch-token-count",
+    lengthHint: "oleanderarch-length-hint",
+    priority: "oleanderarch-request-priority",
+    atServer: "at-server",
+    authorization: "authorization",
+};
+/** Keys of the store. */
+export const STORE_KEY = {
+    servers: "servers/",
+    operator: "op/",
+    config: "op/config",
+    evacuate: "op/evacuate/",
+};
+/** Headers that concern one channel only, or that the system sets itself. */
+const CHANNEL_HEADERS = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "content-length",
+]);
+const OWN_HEADERS = new Set([
+    HEADER.deadlineMs,
+    HEADER.lastEventId,
+    HEADER.tenant,
+    HEADER.expectInstance,
+    HEADER.priority,
+    HEADER.authorization,
+]);
+/**
+ * Headers of a client's request that a server gets unchanged.
+ *
+ * @example
+ * ```ts
+ * const headers = forwardedHeaders(req.rawHeaders);
+ * ```
+ */
+export function forwardedHeaders(raw) {
+    return withoutNames(raw, (name) => CHANNEL_HEADERS.has(name) || OWN_HEADERS.has(name));
+}
+/**
+ * Headers of a server's answer that a client gets unchanged.
+ *
+ * @example
+ * ```ts
+ * const headers = answeredHeaders(rawHeaders);
+ * ```
+ */
+export function answeredHeaders(raw) {
+    return withoutNames(raw, (name) => CHANNEL_HEADERS.has(name));
+}
+function withoutNames(raw, drops) {
+    const named = new Set();
+    for (let i = 0; i < raw.length; i += 2) {
+        if (raw[i].toLowerCase() !== "connection")
+            continue;
+        for (const name of raw[i + 1].split(",")) {
+            named.add(name.trim().toLowerCase());
+        }
+    }
+    const kept = [];
+    for (let i = 0; i < raw.length; i += 2) {
+        const name = raw[i].toLowerCase();
+        if (drops(name) || named.has(name))
+            continue;
+        kept.push(raw[i], raw[i + 1]);
+    }
+    return kept;
+}
--- /dev/null
+++ b/target/ports/datagrams.js
@@ -0,0 +1,6 @@
+/**
+ * Small unreliable messages between the processes of the fleet.
+ *
+ * @module
+ */
+export {};
--- /dev/null
+++ b/target/settings/gateway_settings.js
@@ -0,0 +1,39 @@
+/**
+ * Settings of the gateway.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { Bytes, IpEndpoint, IpPort, Name } from "./settings_file.js";
+/** The `[log]` section. */
+export const LogSettingsSchema = z.strictObject({
+    format: z.enum(["json", "pretty"]).default("json"),
+    level: z.enum(["error", "warn", "info", "debug"]).default("info"),
+});
+/** The `[platform]` section. */
+export const PlatformSettingsSchema = z.strictObject({
+    store: IpEndpoint,
+    host_list: IpEndpoint,
+});
+const Seeds = z.string().default("").transform((text) => text.split(/[\s,]+/).filter((part) => part !== "")).pipe(z.array(IpPort));
+/** The `[peers]` section. */
+export const PeerSettingsSchema = z.strictObject({
+    key: z.string().min(16, "a shared secret of at least 16 characters"),
+    /** Peer addresses to ask while no configuration is known. */
+    seeds: Seeds,
+});
+/** `gateway.ini`. */
+export const GatewaySettingsSchema = z.strictObject({
+    gateway: z.strictObject({
+        id: Name,
+        availability_zone: Name,
+        caller_address: IpPort,
+        peer_address: IpPort,
+    }),
+    platform: PlatformSettingsSchema,
+    peers: PeerSettingsSchema,
+    limits: z.strictObject({
+        max_body: Bytes.default(4 * 1_048_576),
+    }).default({ max_body: 4 * 1_048_576 }),
+    log: LogSettingsSchema.default({ format: "json", level: "info" }),
+});
--- /dev/null
+++ b/target/settings/settings_file.js
@@ -0,0 +1,92 @@
+/**
+ * Settings in INI files, checked against a schema before anything is opened.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { isIP } from "node:net";
+import { parse } from "ini";
+import { z } from "zod";
+import { failure, success } from "../base/outcome.js";
+/** Exit code of a binary whose settings are wrong. */
+export const EXIT_BAD_SETTINGS = 2;
+/**
+ * Reads and checks a settings file.
+ *
+ * @example
+ * ```ts
+ * const settings = loadSettings("gateway.ini", GatewaySettingsSchema);
+ * if (!settings.ok) console.error(settings.err.map(formatProblem).join("\n"));
+ * ```
+ */
+export function loadSettings(file, schema) {
+    let text;
+    try {
+        text = readFileSync(file, "utf8");
+    }
+    catch (err) {
+        const expected = `a readable file (${err.message})`;
+        return failure([{ file, section: "", key: "", expected }]);
+    }
+    return checkSettings(file, text, schema);
+}
+/** Checks the text of a settings file. */
+export function checkSettings(file, text, schema) {
+    const res = schema.safeParse(plainObject(parse(text)));
+    if (res.success)
+        return success(res.data);
+    const problems = res.error.issues.map((issue) => toProblem(file, issue));
+    return failure(problems);
+}
+/**
+ * Formats a problem for people.
+ *
+ * @example
+ * ```ts
+ * formatProblem(problem); // "gateway.ini: [gateway] id: expected a name"
+ * ```
+ */
+export function formatProblem(problem) {
+    const section = problem.section === "" ? "" : ` [${problem.section}]`;
+    const key = problem.key === "" ? "" : ` ${problem.key}`;
+    return `${problem.file}:${section}${key}: expected ${problem.expected}`;
+}
+/** An IP number and port, such as `127.0.0.1:7001` or `[::1]:7001`. */
+export const IpPort = z.string().refine(isIpPort, "an IP number and port, such as 127.0.0.1:7001; host names are not taken");
+/** An HTTP endpoint by IP number, such as `http://127.0.0.1:2379`. */
+export const IpEndpoint = z.string().refine((text) => /^https?:\/\//.test(text) && isIpPort(text.replace(/^.*\/\//, "")), "a URL with an IP number and port, such as http://127.0.0.1:2379");
+/** A name of lower-case letters, digits, dots and dashes. */
+export const Name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, "a name of lower-case letters, digits, dots and dashes");
+/** A size with a unit: `B`, `KiB` or `MiB`. Becomes bytes. */
+export const Bytes = z.string().regex(/^\d+\s*(B|KiB|MiB)$/, "a size with its unit, such as 512KiB or 4MiB").transform((text) => scaled(text, { B: 1, KiB: 1024, MiB: 1_048_576 }));
+/** A time with a unit: `ms`, `s` or `min`. Becomes milliseconds. */
+export const Duration = z.string().regex(/^\d+\s*(ms|s|min)$/, "a time with its unit, such as 250ms or 5s").transform((text) => scaled(text, { ms: 1, s: 1_000, min: 60_000 }));
+function scaled(text, units) {
+    const [, digits, unit] = /^(\d+)\s*(\w+)$/.exec(text) ?? [];
+    return Number(digits) * units[unit];
+}
+function isIpPort(text) {
+    const [, bracketed, plain, port] = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text) ?? [];
+    const address = bracketed ?? plain ?? "";
+    return isIP(address) !== 0 && Number(port) > 0 && Number(port) < 65_536;
+}
+/** Sections come without a prototype; the schema wants ordinary objects. */
+function plainObject(value) {
+    return JSON.parse(JSON.stringify(value));
+}
+function toProblem(file, issue) {
+    const path = issue.path.map(String);
+    if (issue.code === "unrecognized_keys") {
+        const expected = path.length === 0 ? "no such section" : "no such key";
+        const names = issue.keys.join(", ");
+        return path.length === 0
+            ? { file, section: names, key: "", expected }
+            : { file, section: path.join("."), key: names, expected };
+    }
+    const section = path[0] ?? "";
+    const key = path.slice(1).join(".");
+    const expected = issue.code === "invalid_type" && key === ""
+        ? "this section"
+        : issue.message;
+    return { file, section, key, expected };
+}
--- /dev/null
+++ b/target/world/serving_host.js
@@ -0,0 +1,6 @@
+/**
+ * A host as it announces itself: an engine or an instance of a plain service.
+ *
+ * @module
+ */
+export {};
