Leave a group alone while its joins are under way

Cause: a group whose members had answered only in part looked incomplete and was dissolved at once, again and again; spares that were being commanded were planned for other groups. Change: joins under way keep their members; hosts with a command outstanding are not planned; before traffic the keeper waits until no host has appeared for a second.

--- a/src/core/keeper/group_keeper.ts
+++ b/src/core/keeper/group_keeper.ts
@@ -26,6 +26,8 @@
 const TICK_MS = 100;
 /** Changes that come together are looked at together. */
 const SETTLE_MS = 10;
+/** Before traffic, nothing is formed while hosts are still being announced. */
+const START_SETTLE_MS = 1_000;
 /** Epochs of one term; later terms have larger ones. */
 const EPOCHS_PER_TERM = 4_096;
 /** Time beyond a load after which a group that does not form is given up. */
@@ -74,6 +76,8 @@
   readonly #ledger = new HostLedger();
   readonly #desk: CommandDesk;
   readonly #ceiling: LoadCeiling;
+  /** Groups whose members have not all answered yet. */
+  readonly #joining = new Set<string>();
   readonly #formedAt = new Map<string, { model: string; at: number }>();
   /** Groups whose members may be used: the head has left or is gone. */
   readonly #dissolved = new Set<string>();
@@ -81,6 +85,8 @@
   readonly #triedAt = new Map<string, number>();
   #term = 0;
   #nextEpoch = 0;
+  #hostCount = 0;
+  #countedAt = 0;
   #isLearned = false;
   #lookScheduled = false;
 
@@ -176,11 +182,13 @@
       }
     }
     const free = beliefs.filter((belief) =>
-      !kept.has(belief.host.id) && this.#isUsable(belief)
+      !kept.has(belief.host.id) && this.#isUsable(belief) &&
+      !this.#desk.isBusy(belief.host.id)
     );
+    if (!this.#isSettled(beliefs.length, now)) return;
     const steps = planLayout({
       models: engine.models,
-      free: free.map((belief) => toFree(belief, this.#desk, this.#hosts, now)),
+      free: free.map((belief) => toFree(belief, this.#hosts, now)),
       groups: groups.filter((g) => g.model && this.#counts(g)).map((group) => ({
         model: group.model?.name ?? "",
         domain: group.members[0].host.domain,
@@ -193,6 +201,15 @@
     for (const step of steps) this.#execute(step, engine, now);
   }
 
+  /** Whether all hosts that start together have been announced. */
+  #isSettled(hostCount: number, now: number): boolean {
+    if (hostCount !== this.#hostCount) {
+      this.#hostCount = hostCount;
+      this.#countedAt = now;
+    }
+    return this.#hasTraffic || now - this.#countedAt >= START_SETTLE_MS;
+  }
+
   get #hosts(): HostRegistry {
     return this.#parts.hosts;
   }
@@ -262,6 +279,7 @@
 
   /** Does what a group needs. Returns whether its members stay with it. */
   #tend(group: KeptGroup, now: number): boolean {
+    if (this.#joining.has(group.key)) return true;
     if (this.#dissolved.has(group.key)) return false;
     if (group.members.some(({ host }) => this.#desk.isBusy(host.id))) return true;
     if (!this.#isSound(group)) return this.#dissolve(group, now);
@@ -392,6 +410,8 @@
       const needsLoad = !host.staged.includes(model.name);
       if (needsLoad && this.#hasTraffic) this.#ceiling.begun(now, model.loadMs);
     }
+    const key = groupKey(group, epoch);
+    this.#joining.add(key);
     const outcomes = await Promise.all(hosts.map((host) =>
       this.#desk.send(host, {
         kind: "join",
@@ -401,8 +421,9 @@
         members: memberIds,
       })
     ));
+    this.#joining.delete(key);
     if (outcomes.some((outcome) => outcome !== "done")) {
-      this.#dissolved.add(groupKey(group, epoch));
+      this.#dissolved.add(key);
     }
     this.#lookSoon();
   }
@@ -444,7 +465,6 @@
 
 function toFree(
   belief: HostBelief,
-  desk: CommandDesk,
   hosts: HostRegistry,
   now: number,
 ): FreeHost {
@@ -455,7 +475,7 @@
     domain: host.domain,
     hotModel: isJoining ? undefined : belief.lastModel,
     staged: staging === undefined ? host.staged : [staging],
-    isBusy: desk.isBusy(host.id) || staging !== undefined || isJoining,
+    isLoading: staging !== undefined || isJoining,
     isCold: hosts.coldUntil(host.id) > now,
   };
 }
--- a/src/core/keeper/layout.ts
+++ b/src/core/keeper/layout.ts
@@ -14,7 +14,7 @@
   /** Models whose weights the host keeps or is loading. */
   readonly staged: readonly string[];
   /** Whether a load or a join is under way. */
-  readonly isBusy: boolean;
+  readonly isLoading: boolean;
   /** Whether the host is warm in its model, and not only staged. */
   readonly isCold: boolean;
 }
@@ -144,7 +144,7 @@
   ): FreeHost[] | undefined {
     const able = hosts.filter((host) =>
       this.#input.loadsAreCheap ||
-      (!host.isBusy && host.staged.includes(model.name)) ||
+      (!host.isLoading && host.staged.includes(model.name)) ||
       host.hotModel === model.name
     );
     if (able.length < model.size) return undefined;
@@ -166,7 +166,7 @@
     host: FreeHost,
     spares: readonly FreeHost[],
   ): void {
-    if (host.isBusy) return;
+    if (host.isLoading) return;
     const wanted = this.#wantedSpare(domain, host, spares);
     if (wanted === undefined || host.hotModel === wanted) return;
     if (host.staged.includes(wanted) || this.#input.loadsAreCheap) {
--- a/target/core/keeper/group_keeper.js
+++ b/target/core/keeper/group_keeper.js
@@ -6,6 +6,8 @@
 const TICK_MS = 100;
 /** Changes that come together are looked at together. */
 const SETTLE_MS = 10;
+/** Before traffic, nothing is formed while hosts are still being announced. */
+const START_SETTLE_MS = 1_000;
 /** Epochs of one term; later terms have larger ones. */
 const EPOCHS_PER_TERM = 4_096;
 /** Time beyond a load after which a group that does not form is given up. */
@@ -26,6 +28,8 @@
     #ledger = new HostLedger();
     #desk;
     #ceiling;
+    /** Groups whose members have not all answered yet. */
+    #joining = new Set();
     #formedAt = new Map();
     /** Groups whose members may be used: the head has left or is gone. */
     #dissolved = new Set();
@@ -33,6 +37,8 @@
     #triedAt = new Map();
     #term = 0;
     #nextEpoch = 0;
+    #hostCount = 0;
+    #countedAt = 0;
     #isLearned = false;
     #lookScheduled = false;
     constructor(parts) {
@@ -120,10 +126,13 @@
                     kept.add(host.id);
             }
         }
-        const free = beliefs.filter((belief) => !kept.has(belief.host.id) && this.#isUsable(belief));
+        const free = beliefs.filter((belief) => !kept.has(belief.host.id) && this.#isUsable(belief) &&
+            !this.#desk.isBusy(belief.host.id));
+        if (!this.#isSettled(beliefs.length, now))
+            return;
         const steps = planLayout({
             models: engine.models,
-            free: free.map((belief) => toFree(belief, this.#desk, this.#hosts, now)),
+            free: free.map((belief) => toFree(belief, this.#hosts, now)),
             groups: groups.filter((g) => g.model && this.#counts(g)).map((group) => ({
                 model: group.model?.name ?? "",
                 domain: group.members[0].host.domain,
@@ -136,6 +145,14 @@
         for (const step of steps)
             this.#execute(step, engine, now);
     }
+    /** Whether all hosts that start together have been announced. */
+    #isSettled(hostCount, now) {
+        if (hostCount !== this.#hostCount) {
+            this.#hostCount = hostCount;
+            this.#countedAt = now;
+        }
+        return this.#hasTraffic || now - this.#countedAt >= START_SETTLE_MS;
+    }
     get #hosts() {
         return this.#parts.hosts;
     }
@@ -202,6 +219,8 @@
     }
     /** Does what a group needs. Returns whether its members stay with it. */
     #tend(group, now) {
+        if (this.#joining.has(group.key))
+            return true;
         if (this.#dissolved.has(group.key))
             return false;
         if (group.members.some(({ host }) => this.#desk.isBusy(host.id)))
@@ -335,6 +354,8 @@
             if (needsLoad && this.#hasTraffic)
                 this.#ceiling.begun(now, model.loadMs);
         }
+        const key = groupKey(group, epoch);
+        this.#joining.add(key);
         const outcomes = await Promise.all(hosts.map((host) => this.#desk.send(host, {
             kind: "join",
             group,
@@ -342,8 +363,9 @@
             model: model.name,
             members: memberIds,
         })));
+        this.#joining.delete(key);
         if (outcomes.some((outcome) => outcome !== "done")) {
-            this.#dissolved.add(groupKey(group, epoch));
+            this.#dissolved.add(key);
         }
         this.#lookSoon();
     }
@@ -381,7 +403,7 @@
         return true;
     }
 }
-function toFree(belief, desk, hosts, now) {
+function toFree(belief, hosts, now) {
     const { host, membership, staging } = belief;
     const isJoining = membership?.state === "joining";
     return {
@@ -389,7 +411,7 @@
         domain: host.domain,
         hotModel: isJoining ? undefined : belief.lastModel,
         staged: staging === undefined ? host.staged : [staging],
-        isBusy: desk.isBusy(host.id) || staging !== undefined || isJoining,
+        isLoading: staging !== undefined || isJoining,
         isCold: hosts.coldUntil(host.id) > now,
     };
 }
--- a/target/core/keeper/layout.js
+++ b/target/core/keeper/layout.js
@@ -87,7 +87,7 @@
     /** Members that can join soonest; undefined when too few can. */
     #choose(hosts, model) {
         const able = hosts.filter((host) => this.#input.loadsAreCheap ||
-            (!host.isBusy && host.staged.includes(model.name)) ||
+            (!host.isLoading && host.staged.includes(model.name)) ||
             host.hotModel === model.name);
         if (able.length < model.size)
             return undefined;
@@ -103,7 +103,7 @@
         }
     }
     #prepare(domain, host, spares) {
-        if (host.isBusy)
+        if (host.isLoading)
             return;
         const wanted = this.#wantedSpare(domain, host, spares);
         if (wanted === undefined || host.hotModel === wanted)
