Let members leave their group before they join another

Ruled out: telling a cut head from a dead one (all five nodes fail to connect to both); the library's signal time-outs, which never fired and let probes hang for ten seconds. Change: every living member leaves by itself, each leave counted though answered as done; doubted groups are probed again; doubts end by events, by a probe that finds the group whole, or after six seconds.

--- a/src/core/fleet/evidence.ts
+++ b/src/core/fleet/evidence.ts
@@ -15,12 +15,13 @@
   readonly at: number;
 }
 
-/** A doubt that nothing confirms ends after this time. */
-const DOUBT_TTL_MS = 1_500;
+/** By then the store shows that a doubted host is gone, or it is not. */
+const DOUBT_TTL_MS = 6_000;
 
 /** Keeps the doubts of this process and of its peers. */
 export class Evidence {
   readonly #doubts = new Map<string, Doubt>();
+  readonly #trusted = new Map<string, number>();
   readonly #listeners: ((doubt: Doubt) => void)[] = [];
 
   /** Calls back for each new doubt. */
@@ -31,6 +32,7 @@
   /** Takes a doubt. Returns whether it is news. */
   doubt(doubt: Doubt): boolean {
     const known = this.#doubts.get(doubt.key);
+    if (doubt.at <= (this.#trusted.get(doubt.key) ?? -Infinity)) return false;
     if (known !== undefined && doubt.at <= known.at + 100) return false;
     this.#doubts.set(doubt.key, doubt);
     if (known !== undefined) return false;
@@ -38,10 +40,16 @@
     return true;
   }
 
-  /** Ends a doubt: the upstream was seen to work after it. */
+  /** Ends a doubt: the upstream was seen to work, or found whole, after it. */
   trust(key: string, seenAt: number): void {
     const known = this.#doubts.get(key);
     if (known !== undefined && seenAt > known.at) this.#doubts.delete(key);
+    this.#trusted.set(key, seenAt);
+  }
+
+  /** Upstreams found whole of late, for peers. */
+  trustedSince(since: number): [key: string, at: number][] {
+    return [...this.#trusted].filter(([, at]) => at >= since);
   }
 
   /** Tells whether an upstream is doubted. */
@@ -49,6 +57,11 @@
     return this.#doubts.has(key);
   }
 
+  /** Upstreams that are doubted. */
+  doubted(): string[] {
+    return [...this.#doubts.keys()];
+  }
+
   /** Doubts of late, for peers. */
   recent(since: number): Doubt[] {
     return [...this.#doubts.values()].filter((doubt) => doubt.at >= since);
@@ -59,5 +72,8 @@
     for (const [key, doubt] of this.#doubts) {
       if (now - doubt.at > DOUBT_TTL_MS) this.#doubts.delete(key);
     }
+    for (const [key, at] of this.#trusted) {
+      if (now - at > DOUBT_TTL_MS) this.#trusted.delete(key);
+    }
   }
 }
--- a/src/core/gossip/messages.ts
+++ b/src/core/gossip/messages.ts
@@ -42,6 +42,8 @@
   readonly confirmedMs: number;
   readonly loads: readonly LoadNews[];
   readonly doubts: readonly DoubtNews[];
+  /** Upstreams that were doubted and found whole, with the age of the finding. */
+  readonly trusted: readonly (readonly [key: string, ageMs: number])[];
   readonly strikes: readonly StrikeNews[];
   /** Engine time asked for per second, by model, in milliseconds. */
   readonly demand: Readonly<Record<string, number>>;
--- a/src/core/keeper/command_desk.ts
+++ b/src/core/keeper/command_desk.ts
@@ -71,6 +71,10 @@
     const res = await control.report(host);
     if (res.ok) ledger.reported(host, res.value, timers.now());
     else if (res.err.kind !== "malformed") ledger.silent(host, timers.now());
+    if (!res.ok) {
+      const { kind, detail } = res.err;
+      this.#parts.log.info("host_silent", { host: host.id, why: kind, detail });
+    }
     return res.ok;
   }
 
@@ -95,7 +99,9 @@
       }
       ledger.answered(host);
       if (res.value === "begun" || res.value === "done") {
-        if (res.value === "begun") this.#accepted(host, command, seq);
+        // A leave is done at once and counted, so its answer says "done".
+        const isCounted = res.value === "begun" || command.kind === "leave";
+        if (isCounted) this.#accepted(host, command, seq);
         return "done";
       }
       await this.refresh(host);
--- a/src/core/keeper/group_keeper.ts
+++ b/src/core/keeper/group_keeper.ts
@@ -38,8 +38,8 @@
 const RETRY_MS = 400;
 /** Part of an engine's time that demand may fill. */
 const USABLE_SHARE = 0.7;
-/** Silence of an unlisted head, to all nodes, after which it counts as gone. */
-const HEAD_GONE_MS = 1_500;
+/** Pause between two questions to a host that was silent. */
+const REASK_MS = 500;
 /** Names of groups that only keep a spare ready. */
 const SPARE_PREFIX = "s-";
 
@@ -55,8 +55,8 @@
   readonly isActing: () => boolean;
   /** Engine milliseconds asked for per second, by model, by all callers. */
   readonly demand: () => ReadonlyMap<string, number>;
-  /** When any node last saw an event from an upstream. */
-  readonly lastEventAt: (key: string) => number | undefined;
+  /** Told when a doubted group was found whole. */
+  readonly onFoundWhole: (key: string) => void;
   readonly loadWindowMs: number;
 }
 
@@ -79,8 +79,6 @@
   /** Groups whose members have not all answered yet. */
   readonly #joining = new Set<string>();
   readonly #formedAt = new Map<string, { model: string; at: number }>();
-  /** Groups whose members may be used: the head has left or is gone. */
-  readonly #dissolved = new Set<string>();
   readonly #closedAt = new Map<string, number>();
   readonly #triedAt = new Map<string, number>();
   #term = 0;
@@ -114,7 +112,6 @@
     this.#term = term;
     this.#nextEpoch = term * EPOCHS_PER_TERM;
     this.#isLearned = false;
-    this.#dissolved.clear();
     this.#closedAt.clear();
     const hosts = this.#engineHosts();
     await Promise.all(hosts.map((host) => this.#desk.refresh(host)));
@@ -123,20 +120,27 @@
     this.#lookSoon();
   }
 
-  /** Looks into a doubt about a group. */
-  async doubted(doubt: Doubt): Promise<void> {
-    if (!this.#parts.isActing()) return;
-    const group = this.#parts.hosts.groups.get(doubt.key);
-    if (group === undefined) return;
+  /** Looks into a new doubt at once. */
+  doubted(doubt: Doubt): void {
+    if (this.#parts.isActing()) this.#probe(doubt.key);
+  }
+
+  /** Asks every member of a doubted group whether it lives. */
+  async #probe(key: string): Promise<void> {
+    const group = this.#parts.hosts.groups.get(key);
+    const now = this.#parts.timers.now();
+    if (group === undefined || !this.#mayTry(`probe ${key}`, now)) return;
     const answers = await Promise.all(
       group.members.map((host) => this.#desk.refresh(host)),
     );
     this.#parts.log.info("group_probed", {
-      upstream: doubt.key,
-      why: doubt.kind,
+      upstream: key,
       members: group.members.map((host) => host.id),
       answers,
     });
+    const isWhole = answers.every((answered) => answered) &&
+      group.state === "open";
+    if (isWhole) this.#parts.onFoundWhole(key);
     this.#look();
   }
 
@@ -164,11 +168,25 @@
     const inForce = this.#parts.catalog.inForce;
     if (inForce === undefined) return;
     this.#ledger.retain(new Set([...this.#parts.hosts.hosts()].map((h) => h.id)));
+    this.#reaskSilent();
+    for (const key of this.#parts.evidence.doubted()) this.#probe(key);
     for (const service of inForce.services.values()) {
       if (service.engine !== undefined) this.#lookAt(service, service.engine);
     }
   }
 
+  /** Hosts that were silent may only have been cut off for a moment. */
+  #reaskSilent(): void {
+    const now = this.#parts.timers.now();
+    for (const host of this.#engineHosts()) {
+      if (!this.#ledger.belief(host, now).isDead) continue;
+      if (!this.#mayTry(`ask ${host.id}`, now, REASK_MS)) continue;
+      this.#desk.refresh(host).then((answered) => {
+        if (answered) this.#lookSoon();
+      });
+    }
+  }
+
   #lookAt(service: ServiceSpec, engine: EngineSpec): void {
     const now = this.#parts.timers.now();
     const beliefs = this.#parts.hosts.ofService(service.name).map((host) =>
@@ -177,9 +195,8 @@
     const groups = this.#collect(beliefs, engine);
     const kept = new Set<string>();
     for (const group of groups) {
-      if (this.#tend(group, now)) {
-        for (const { host } of group.members) kept.add(host.id);
-      }
+      this.#tend(group, now);
+      for (const { host } of group.members) kept.add(host.id);
     }
     const free = beliefs.filter((belief) =>
       !kept.has(belief.host.id) && this.#isUsable(belief) &&
@@ -189,7 +206,7 @@
     const steps = planLayout({
       models: engine.models,
       free: free.map((belief) => toFree(belief, this.#hosts, now)),
-      groups: groups.filter((g) => g.model && this.#counts(g)).map((group) => ({
+      groups: groups.filter((g) => this.#isSound(g)).map((group) => ({
         model: group.model?.name ?? "",
         domain: group.members[0].host.domain,
       })),
@@ -264,11 +281,6 @@
     });
   }
 
-  /** Whether a group counts as one that serves or will. */
-  #counts(group: KeptGroup): boolean {
-    return !this.#dissolved.has(group.key) && this.#isSound(group);
-  }
-
   #isSound(group: KeptGroup): boolean {
     const { model, members, head } = group;
     return model !== undefined && head !== undefined &&
@@ -277,20 +289,19 @@
       !["closing", "broken"].includes(head.membership?.state ?? "broken");
   }
 
-  /** Does what a group needs. Returns whether its members stay with it. */
-  #tend(group: KeptGroup, now: number): boolean {
-    if (this.#joining.has(group.key)) return true;
-    if (this.#dissolved.has(group.key)) return false;
-    if (group.members.some(({ host }) => this.#desk.isBusy(host.id))) return true;
+  /** Does what a group needs; its members stay with it until they have left. */
+  #tend(group: KeptGroup, now: number): void {
+    if (this.#joining.has(group.key)) return;
+    if (group.members.some(({ host }) => this.#desk.isBusy(host.id))) return;
     if (!this.#isSound(group)) return this.#dissolve(group, now);
     const states = group.members.map((belief) => belief.membership?.state);
-    const head = group.head;
-    if (head === undefined || head.membership?.state === "open") return true;
+    const { head } = group;
+    if (head === undefined || head.membership?.state === "open") return;
     if (states.every((state) => state === "ready")) {
       this.#open(group, head, now);
-      return true;
+    } else if (!this.#stillForms(group, now)) {
+      this.#dissolve(group, now);
     }
-    return this.#stillForms(group, now) || this.#dissolve(group, now);
   }
 
   #stillForms(group: KeptGroup, now: number): boolean {
@@ -308,77 +319,45 @@
     this.#lookSoon();
   }
 
-  /** Ends a group through its head. Returns whether its members must wait. */
-  #dissolve(group: KeptGroup, now: number): boolean {
-    const { head, key } = group;
-    if (head === undefined) {
-      if (!this.#headIsGone(group, now)) return true;
-      this.#release(group, "head gone");
-      return false;
-    }
-    if (head.isDead) return true;
-    if (head.membership?.state !== "open" &&
-      head.membership?.state !== "closing") {
-      this.#leave(group, head, now);
-      return true;
-    }
-    if (!this.#isOnlyDraining(group)) {
-      this.#leave(group, head, now);
-      return true;
-    }
-    const closedAt = this.#closedAt.get(key);
-    if (closedAt === undefined) {
-      this.#closedAt.set(key, now);
-      this.#close(group, head);
-    } else if (now - closedAt > FINISH_MS) {
-      this.#leave(group, head, now);
+  /** Ends a group: every member that lives leaves, and is free from then on. */
+  #dissolve(group: KeptGroup, now: number): void {
+    if (this.#isOnlyDraining(group) && !this.#isFinished(group, now)) return;
+    if (!this.#mayTry(`leave ${group.key}`, now)) return;
+    const living = group.members.filter((belief) => !belief.isDead);
+    this.#parts.log.info("group_dissolving", {
+      upstream: group.key,
+      state: group.head?.membership?.state ?? "no head",
+      members: group.members.map(({ host }) => host.id),
+      living: living.map(({ host }) => host.id),
+    });
+    const command = { kind: "leave", group: group.name, epoch: group.epoch };
+    for (const { host } of living) {
+      this.#desk.send(host, { ...command, kind: "leave" })
+        .then(() => this.#lookSoon());
     }
-    return true;
   }
 
+  /** Whether nothing is wrong with an open group but that a member is leaving. */
   #isOnlyDraining(group: KeptGroup): boolean {
+    const state = group.head?.membership?.state;
     return group.members.length === group.model?.size &&
       group.members.every((belief) => !belief.isDead) &&
-      group.head?.membership?.state !== "broken";
+      (state === "open" || state === "closing");
   }
 
-  async #close(group: KeptGroup, head: HostBelief): Promise<void> {
-    const { name, epoch } = group;
-    const command = { kind: "close", group: name, epoch, mode: "finish" } as const;
-    await this.#desk.send(head.host, command);
-    this.#lookSoon();
-  }
-
-  async #leave(group: KeptGroup, head: HostBelief, now: number): Promise<void> {
-    if (!this.#mayTry(`leave ${group.key}`, now)) return;
-    const { name, epoch } = group;
-    const command = { kind: "leave", group: name, epoch } as const;
-    const outcome = await this.#desk.send(head.host, command);
-    if (outcome === "done") this.#release(group, "head left");
-    this.#look();
-  }
-
-  #release(group: KeptGroup, why: string): void {
-    this.#dissolved.add(group.key);
-    this.#parts.log.info("group_dissolved", {
-      upstream: group.key,
-      why,
-      members: group.members.map(({ host }) => host.id),
-    });
-  }
-
-  /** Whether the head, known by the group's name, can't serve any more. */
-  #headIsGone(group: KeptGroup, now: number): boolean {
-    const headId = headIdOf(group.name);
-    if (headId === undefined) return true;
-    const announced = this.#parts.hosts.get(headId);
-    if (announced !== undefined) {
-      const { membership } = this.#ledger.belief(announced, now);
-      return membership === undefined ||
-        groupKey(membership.group, membership.epoch) !== group.key;
+  /** Closes a group, and tells when its work is done or has had its time. */
+  #isFinished(group: KeptGroup, now: number): boolean {
+    const { head, key, name, epoch } = group;
+    const closedAt = this.#closedAt.get(key);
+    if (closedAt !== undefined) {
+      const isDone = head?.membership?.state === "ready";
+      return isDone || now - closedAt > FINISH_MS;
     }
-    const lastEventAt = this.#parts.lastEventAt(group.key) ?? -Infinity;
-    return now - lastEventAt > HEAD_GONE_MS;
+    if (head === undefined) return true;
+    this.#closedAt.set(key, now);
+    this.#desk.send(head.host, { kind: "close", group: name, epoch, mode: "finish" })
+      .then(() => this.#lookSoon());
+    return false;
   }
 
   #execute(step: LayoutStep, engine: EngineSpec, now: number): void {
@@ -397,7 +376,7 @@
     const hosts = memberIds.flatMap((id) => this.#parts.hosts.get(id) ?? []);
     if (hosts.length !== memberIds.length) return;
     const epoch = this.#takeEpoch();
-    const group = `g-${memberIds[0]}-${epoch}`;
+    const group = `g-${epoch}`;
     this.#formedAt.set(groupKey(group, epoch), { model: model.name, at: now });
     this.#parts.log.info("group_forming", {
       group,
@@ -412,7 +391,7 @@
     }
     const key = groupKey(group, epoch);
     this.#joining.add(key);
-    const outcomes = await Promise.all(hosts.map((host) =>
+    await Promise.all(hosts.map((host) =>
       this.#desk.send(host, {
         kind: "join",
         group,
@@ -422,9 +401,6 @@
       })
     ));
     this.#joining.delete(key);
-    if (outcomes.some((outcome) => outcome !== "done")) {
-      this.#dissolved.add(key);
-    }
     this.#lookSoon();
   }
 
@@ -455,9 +431,9 @@
     return this.#nextEpoch;
   }
 
-  #mayTry(step: string, now: number): boolean {
+  #mayTry(step: string, now: number, pauseMs = RETRY_MS): boolean {
     const last = this.#triedAt.get(step);
-    if (last !== undefined && now - last < RETRY_MS) return false;
+    if (last !== undefined && now - last < pauseMs) return false;
     this.#triedAt.set(step, now);
     return true;
   }
@@ -487,8 +463,3 @@
   }
   return sizes;
 }
-
-/** The head's id, which the group's name carries between prefix and epoch. */
-function headIdOf(name: string): string | undefined {
-  return /^g-(.+)-\d+$/.exec(name)?.[1];
-}
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -36,6 +36,8 @@
 /** Pace of the watch over waiting requests and silent upstreams. */
 const TICK_MS = 20;
 const EXPIRE_MS = 1_000;
+/** An upstream that sent an event this long ago lives. */
+const ALIVE_MS = 150;
 
 /** Receives the story of each request. */
 export interface RelayObserver {
@@ -246,7 +248,9 @@
     load.lastEventAt = now;
     const tookMs = now - attempt.startedAt;
     this.#record.firstByte(key, tookMs, attempt.expectedMs, now);
-    this.#parts.evidence.trust(key, now);
+    if (this.#parts.evidence.isDoubted(key)) {
+      this.#parts.evidence.trust(key, now);
+    }
   }
 
   #attemptEnded(
@@ -283,6 +287,9 @@
     const now = this.#parts.timers.now();
     if (outcome === "answered") this.suspects.cleared(run.fingerprint);
     if (outcome === "not_sent" || outcome === "wrong_host") {
+      // One channel that did not open says little while others carry events.
+      const silentMs = now - (this.board.lastEventAt(key) ?? -Infinity);
+      if (silentMs < ALIVE_MS && run.model !== undefined) return;
       this.#parts.evidence.doubt({ key, kind: "unreachable", at: now });
     } else if (outcome === "refused" && head?.atFault !== undefined) {
       this.#parts.evidence.doubt({ key, kind: "silent", at: now });
--- a/src/platform/json_calls.ts
+++ b/src/platform/json_calls.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { clearTimeout, setTimeout } from "node:timers";
 import type { Agent } from "undici";
 import { request } from "undici";
 
@@ -14,6 +15,13 @@
   /** The call was sent and may have been carried out. */
   | { readonly kind: "lost"; readonly detail: string };
 
+/** The time of a call is up. */
+class LimitReached extends Error {
+  constructor() {
+    super("timeout");
+  }
+}
+
 /** Errors of a channel that could not be opened. */
 const NOT_SENT: ReadonlySet<string> = new Set([
   "ECONNREFUSED",
@@ -37,6 +45,9 @@
   limitMs: number,
   body?: unknown,
 ): Promise<JsonAnswer> {
+  // The library's own time-outs are only exact to half a second.
+  const abort = new AbortController();
+  const timer = setTimeout(() => abort.abort(new LimitReached()), limitMs);
   try {
     const res = await request(url, {
       dispatcher: agent,
@@ -45,15 +56,16 @@
         ? undefined
         : { "content-type": "application/json" },
       body: body === undefined ? undefined : JSON.stringify(body),
-      headersTimeout: limitMs,
-      bodyTimeout: limitMs,
+      signal: abort.signal,
     });
     const text = await res.body.text();
     return { kind: "answer", status: res.statusCode, body: parsed(text) };
   } catch (err) {
-    const code = (err as { code?: string }).code ?? "";
-    const detail = code === "" ? (err as Error).message : code;
+    const code = String((err as { code?: unknown }).code ?? "");
+    const detail = code || (err as Error).message;
     return { kind: NOT_SENT.has(code) ? "not_sent" : "lost", detail };
+  } finally {
+    clearTimeout(timer);
   }
 }
 
--- a/src/platform/server_channels.ts
+++ b/src/platform/server_channels.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Dispatcher } from "undici";
-import { Agent } from "undici";
+import { Agent, buildConnector } from "undici";
 import type { HostRef } from "../ports/host_control.ts";
 import type {
   RelayAttempt,
@@ -29,15 +29,21 @@
 
 /** {@linkcode RelayClient} over HTTP/1.1, one request at a time on a channel. */
 export class ServerChannels implements RelayClient {
-  readonly #kept = makeAgent(KEEP_CHANNEL_MS);
-  readonly #fresh = makeAgent(KEEP_FRESH_CHANNEL_MS);
+  readonly #ends: ChannelEnds = { byReset: false };
+  readonly #kept = makeAgent(KEEP_CHANNEL_MS, this.#ends);
+  readonly #fresh = makeAgent(KEEP_FRESH_CHANNEL_MS, this.#ends);
 
   send(
     host: HostRef,
     attempt: RelayAttempt,
     listener: RelayListener,
   ): RelayHandle {
-    const exchange = new Exchange(host.id, attempt.requestId, listener);
+    const exchange = new Exchange(
+      host.id,
+      attempt.requestId,
+      listener,
+      this.#ends,
+    );
     const agent = attempt.idempotent ? this.#kept : this.#fresh;
     agent.dispatch({
       origin: `http://${host.address}`,
@@ -50,10 +56,10 @@
   }
 }
 
-function makeAgent(keepMs: number): Agent {
+function makeAgent(keepMs: number, ends: ChannelEnds): Agent {
   return new Agent({
     pipelining: 1,
-    connectTimeout: CONNECT_LIMIT_MS,
+    connect: strictConnector(ends),
     headersTimeout: ANSWER_LIMIT_MS,
     bodyTimeout: ANSWER_LIMIT_MS,
     keepAliveTimeout: keepMs,
@@ -61,6 +67,37 @@
   });
 }
 
+/** Tells, while a channel ends, whether its peer reset it. */
+interface ChannelEnds {
+  byReset: boolean;
+}
+
+/**
+ * The library takes an answer without a length for whole when its channel is
+ * reset. A reset gets another error code; one that shows as an end of input
+ * leaves the channel without a peer.
+ */
+function strictConnector(
+  ends: ChannelEnds,
+): ReturnType<typeof buildConnector> {
+  const connect = buildConnector({ timeout: CONNECT_LIMIT_MS });
+  return (options, callback) => {
+    connect(options, (...result) => {
+      const [err, socket] = result;
+      if (err === null) {
+        socket.prependListener("error", (cause: NodeJS.ErrnoException) => {
+          if (cause.code === "ECONNRESET") cause.code = "RESET_BY_SERVER";
+        });
+        socket.prependListener("end", () => {
+          ends.byReset = socket.remoteAddress === undefined;
+          queueMicrotask(() => ends.byReset = false);
+        });
+      }
+      callback(...result);
+    });
+  };
+}
+
 function requestHeaders(host: HostRef, attempt: RelayAttempt): string[] {
   const headers = [
     ...attempt.headers,
@@ -90,8 +127,16 @@
   #controller: Dispatcher.DispatchController | undefined;
   #ended = false;
   #badAnswer: string | undefined;
+  #isUnframed = false;
+  readonly #ends: ChannelEnds;
 
-  constructor(hostId: string, requestId: string, listener: RelayListener) {
+  constructor(
+    hostId: string,
+    requestId: string,
+    listener: RelayListener,
+    ends: ChannelEnds,
+  ) {
+    this.#ends = ends;
     this.#hostId = hostId;
     this.#requestId = requestId;
     this.#listener = listener;
@@ -127,6 +172,8 @@
       controller.abort(new Error(this.#badAnswer));
       return;
     }
+    this.#isUnframed = headers["content-length"] === undefined &&
+      headers["transfer-encoding"] === undefined;
     this.#listener.onHead(this.#headOf(status, headers));
   }
 
@@ -138,6 +185,9 @@
   }
 
   onResponseEnd(): void {
+    if (this.#isUnframed && this.#ends.byReset) {
+      return this.#end({ kind: "reset", detail: "reset at the end of input" });
+    }
     this.#end({ kind: "ended" });
   }
 
--- a/src/platform/server_orders.ts
+++ b/src/platform/server_orders.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setTimeout as delay } from "node:timers/promises";
 import { Agent } from "undici";
 import type { Outcome } from "../base/outcome.ts";
 import { failure, success } from "../base/outcome.ts";
@@ -18,9 +19,10 @@
 import { callJson } from "./json_calls.ts";
 import { parseServerReport } from "./server_entry.ts";
 
-const CONNECT_LIMIT_MS = 300;
-const REPORT_LIMIT_MS = 300;
-const ORDER_LIMIT_MS = 700;
+const REPORT_LIMIT_MS = 220;
+/** A report not answered by then is asked for on another channel, too. */
+const ASK_TWICE_MS = 70;
+const ORDER_LIMIT_MS = 300;
 /** Servers close channels that stay idle; a new one costs a millisecond. */
 const KEEP_CHANNEL_MS = 500;
 
@@ -36,22 +38,31 @@
 /** {@linkcode HostControl} by orders and reports. */
 export class ServerOrders implements HostControl {
   readonly #agent = new Agent({
-    connections: 2,
+    connections: 4,
     pipelining: 1,
-    connectTimeout: CONNECT_LIMIT_MS,
     keepAliveTimeout: KEEP_CHANNEL_MS,
     keepAliveMaxTimeout: KEEP_CHANNEL_MS,
   });
 
   async report(host: HostRef): Promise<Outcome<HostReport, HostControlError>> {
-    const url = `http://${host.address}/report`;
-    const res = await callJson(this.#agent, "GET", url, REPORT_LIMIT_MS);
+    const res = await this.#ask(`http://${host.address}/report`);
     if (res.kind !== "answer") return failure(lost(res));
     const report = res.status === 200 ? parseServerReport(res.body) : undefined;
     if (report !== undefined) return success(report);
     return failure({ kind: "malformed", detail: `status ${res.status}` });
   }
 
+  /** Asks, and once more when a packet seems to be lost. */
+  async #ask(url: string): Promise<JsonAnswer> {
+    const first = callJson(this.#agent, "GET", url, REPORT_LIMIT_MS);
+    const early = await Promise.race([first, delay(ASK_TWICE_MS, undefined)]);
+    if (early !== undefined) return early;
+    const leftMs = REPORT_LIMIT_MS - ASK_TWICE_MS;
+    const second = callJson(this.#agent, "GET", url, leftMs);
+    const sooner = await Promise.race([first, second]);
+    return sooner.kind === "answer" ? sooner : await first;
+  }
+
   async command(
     host: HostRef,
     command: HostCommand,
--- a/target/core/fleet/evidence.js
+++ b/target/core/fleet/evidence.js
@@ -3,11 +3,12 @@
  *
  * @module
  */
-/** A doubt that nothing confirms ends after this time. */
-const DOUBT_TTL_MS = 1_500;
+/** By then the store shows that a doubted host is gone, or it is not. */
+const DOUBT_TTL_MS = 6_000;
 /** Keeps the doubts of this process and of its peers. */
 export class Evidence {
     #doubts = new Map();
+    #trusted = new Map();
     #listeners = [];
     /** Calls back for each new doubt. */
     onDoubt(listener) {
@@ -16,6 +17,8 @@
     /** Takes a doubt. Returns whether it is news. */
     doubt(doubt) {
         const known = this.#doubts.get(doubt.key);
+        if (doubt.at <= (this.#trusted.get(doubt.key) ?? -Infinity))
+            return false;
         if (known !== undefined && doubt.at <= known.at + 100)
             return false;
         this.#doubts.set(doubt.key, doubt);
@@ -25,16 +28,25 @@
             listener(doubt);
         return true;
     }
-    /** Ends a doubt: the upstream was seen to work after it. */
+    /** Ends a doubt: the upstream was seen to work, or found whole, after it. */
     trust(key, seenAt) {
         const known = this.#doubts.get(key);
         if (known !== undefined && seenAt > known.at)
             this.#doubts.delete(key);
+        this.#trusted.set(key, seenAt);
+    }
+    /** Upstreams found whole of late, for peers. */
+    trustedSince(since) {
+        return [...this.#trusted].filter(([, at]) => at >= since);
     }
     /** Tells whether an upstream is doubted. */
     isDoubted(key) {
         return this.#doubts.has(key);
     }
+    /** Upstreams that are doubted. */
+    doubted() {
+        return [...this.#doubts.keys()];
+    }
     /** Doubts of late, for peers. */
     recent(since) {
         return [...this.#doubts.values()].filter((doubt) => doubt.at >= since);
@@ -45,5 +57,9 @@
             if (now - doubt.at > DOUBT_TTL_MS)
                 this.#doubts.delete(key);
         }
+        for (const [key, at] of this.#trusted) {
+            if (now - at > DOUBT_TTL_MS)
+                this.#trusted.delete(key);
+        }
     }
 }
--- a/target/core/keeper/command_desk.js
+++ b/target/core/keeper/command_desk.js
@@ -39,6 +39,10 @@
             ledger.reported(host, res.value, timers.now());
         else if (res.err.kind !== "malformed")
             ledger.silent(host, timers.now());
+        if (!res.ok) {
+            const { kind, detail } = res.err;
+            this.#parts.log.info("host_silent", { host: host.id, why: kind, detail });
+        }
         return res.ok;
     }
     async #settle(host, command) {
@@ -62,7 +66,9 @@
             }
             ledger.answered(host);
             if (res.value === "begun" || res.value === "done") {
-                if (res.value === "begun")
+                // A leave is done at once and counted, so its answer says "done".
+                const isCounted = res.value === "begun" || command.kind === "leave";
+                if (isCounted)
                     this.#accepted(host, command, seq);
                 return "done";
             }
--- a/target/core/keeper/group_keeper.js
+++ b/target/core/keeper/group_keeper.js
@@ -18,8 +18,8 @@
 const RETRY_MS = 400;
 /** Part of an engine's time that demand may fill. */
 const USABLE_SHARE = 0.7;
-/** Silence of an unlisted head, to all nodes, after which it counts as gone. */
-const HEAD_GONE_MS = 1_500;
+/** Pause between two questions to a host that was silent. */
+const REASK_MS = 500;
 /** Names of groups that only keep a spare ready. */
 const SPARE_PREFIX = "s-";
 /** Keeps the replica groups of all services with engines. */
@@ -31,8 +31,6 @@
     /** Groups whose members have not all answered yet. */
     #joining = new Set();
     #formedAt = new Map();
-    /** Groups whose members may be used: the head has left or is gone. */
-    #dissolved = new Set();
     #closedAt = new Map();
     #triedAt = new Map();
     #term = 0;
@@ -63,7 +61,6 @@
         this.#term = term;
         this.#nextEpoch = term * EPOCHS_PER_TERM;
         this.#isLearned = false;
-        this.#dissolved.clear();
         this.#closedAt.clear();
         const hosts = this.#engineHosts();
         await Promise.all(hosts.map((host) => this.#desk.refresh(host)));
@@ -72,20 +69,27 @@
         this.#isLearned = true;
         this.#lookSoon();
     }
-    /** Looks into a doubt about a group. */
-    async doubted(doubt) {
-        if (!this.#parts.isActing())
-            return;
-        const group = this.#parts.hosts.groups.get(doubt.key);
-        if (group === undefined)
+    /** Looks into a new doubt at once. */
+    doubted(doubt) {
+        if (this.#parts.isActing())
+            this.#probe(doubt.key);
+    }
+    /** Asks every member of a doubted group whether it lives. */
+    async #probe(key) {
+        const group = this.#parts.hosts.groups.get(key);
+        const now = this.#parts.timers.now();
+        if (group === undefined || !this.#mayTry(`probe ${key}`, now))
             return;
         const answers = await Promise.all(group.members.map((host) => this.#desk.refresh(host)));
         this.#parts.log.info("group_probed", {
-            upstream: doubt.key,
-            why: doubt.kind,
+            upstream: key,
             members: group.members.map((host) => host.id),
             answers,
         });
+        const isWhole = answers.every((answered) => answered) &&
+            group.state === "open";
+        if (isWhole)
+            this.#parts.onFoundWhole(key);
         this.#look();
     }
     #engineHosts() {
@@ -110,21 +114,37 @@
         if (inForce === undefined)
             return;
         this.#ledger.retain(new Set([...this.#parts.hosts.hosts()].map((h) => h.id)));
+        this.#reaskSilent();
+        for (const key of this.#parts.evidence.doubted())
+            this.#probe(key);
         for (const service of inForce.services.values()) {
             if (service.engine !== undefined)
                 this.#lookAt(service, service.engine);
         }
     }
+    /** Hosts that were silent may only have been cut off for a moment. */
+    #reaskSilent() {
+        const now = this.#parts.timers.now();
+        for (const host of this.#engineHosts()) {
+            if (!this.#ledger.belief(host, now).isDead)
+                continue;
+            if (!this.#mayTry(`ask ${host.id}`, now, REASK_MS))
+                continue;
+            this.#desk.refresh(host).then((answered) => {
+                if (answered)
+                    this.#lookSoon();
+            });
+        }
+    }
     #lookAt(service, engine) {
         const now = this.#parts.timers.now();
         const beliefs = this.#parts.hosts.ofService(service.name).map((host) => this.#ledger.belief(host, now));
         const groups = this.#collect(beliefs, engine);
         const kept = new Set();
         for (const group of groups) {
-            if (this.#tend(group, now)) {
-                for (const { host } of group.members)
-                    kept.add(host.id);
-            }
+            this.#tend(group, now);
+            for (const { host } of group.members)
+                kept.add(host.id);
         }
         const free = beliefs.filter((belief) => !kept.has(belief.host.id) && this.#isUsable(belief) &&
             !this.#desk.isBusy(belief.host.id));
@@ -133,7 +153,7 @@
         const steps = planLayout({
             models: engine.models,
             free: free.map((belief) => toFree(belief, this.#hosts, now)),
-            groups: groups.filter((g) => g.model && this.#counts(g)).map((group) => ({
+            groups: groups.filter((g) => this.#isSound(g)).map((group) => ({
                 model: group.model?.name ?? "",
                 domain: group.members[0].host.domain,
             })),
@@ -206,10 +226,6 @@
             };
         });
     }
-    /** Whether a group counts as one that serves or will. */
-    #counts(group) {
-        return !this.#dissolved.has(group.key) && this.#isSound(group);
-    }
     #isSound(group) {
         const { model, members, head } = group;
         return model !== undefined && head !== undefined &&
@@ -217,25 +233,24 @@
             members.every((belief) => !belief.isDead && !belief.host.draining) &&
             !["closing", "broken"].includes(head.membership?.state ?? "broken");
     }
-    /** Does what a group needs. Returns whether its members stay with it. */
+    /** Does what a group needs; its members stay with it until they have left. */
     #tend(group, now) {
         if (this.#joining.has(group.key))
-            return true;
-        if (this.#dissolved.has(group.key))
-            return false;
+            return;
         if (group.members.some(({ host }) => this.#desk.isBusy(host.id)))
-            return true;
+            return;
         if (!this.#isSound(group))
             return this.#dissolve(group, now);
         const states = group.members.map((belief) => belief.membership?.state);
-        const head = group.head;
+        const { head } = group;
         if (head === undefined || head.membership?.state === "open")
-            return true;
+            return;
         if (states.every((state) => state === "ready")) {
             this.#open(group, head, now);
-            return true;
         }
-        return this.#stillForms(group, now) || this.#dissolve(group, now);
+        else if (!this.#stillForms(group, now)) {
+            this.#dissolve(group, now);
+        }
     }
     #stillForms(group, now) {
         const formed = this.#formedAt.get(group.key) ??
@@ -251,78 +266,46 @@
         await this.#desk.send(head.host, { kind: "open", group: name, epoch });
         this.#lookSoon();
     }
-    /** Ends a group through its head. Returns whether its members must wait. */
+    /** Ends a group: every member that lives leaves, and is free from then on. */
     #dissolve(group, now) {
-        const { head, key } = group;
-        if (head === undefined) {
-            if (!this.#headIsGone(group, now))
-                return true;
-            this.#release(group, "head gone");
-            return false;
-        }
-        if (head.isDead)
-            return true;
-        if (head.membership?.state !== "open" &&
-            head.membership?.state !== "closing") {
-            this.#leave(group, head, now);
-            return true;
-        }
-        if (!this.#isOnlyDraining(group)) {
-            this.#leave(group, head, now);
-            return true;
-        }
-        const closedAt = this.#closedAt.get(key);
-        if (closedAt === undefined) {
-            this.#closedAt.set(key, now);
-            this.#close(group, head);
-        }
-        else if (now - closedAt > FINISH_MS) {
-            this.#leave(group, head, now);
-        }
-        return true;
-    }
-    #isOnlyDraining(group) {
-        return group.members.length === group.model?.size &&
-            group.members.every((belief) => !belief.isDead) &&
-            group.head?.membership?.state !== "broken";
-    }
-    async #close(group, head) {
-        const { name, epoch } = group;
-        const command = { kind: "close", group: name, epoch, mode: "finish" };
-        await this.#desk.send(head.host, command);
-        this.#lookSoon();
-    }
-    async #leave(group, head, now) {
+        if (this.#isOnlyDraining(group) && !this.#isFinished(group, now))
+            return;
         if (!this.#mayTry(`leave ${group.key}`, now))
             return;
-        const { name, epoch } = group;
-        const command = { kind: "leave", group: name, epoch };
-        const outcome = await this.#desk.send(head.host, command);
-        if (outcome === "done")
-            this.#release(group, "head left");
-        this.#look();
-    }
-    #release(group, why) {
-        this.#dissolved.add(group.key);
-        this.#parts.log.info("group_dissolved", {
+        const living = group.members.filter((belief) => !belief.isDead);
+        this.#parts.log.info("group_dissolving", {
             upstream: group.key,
-            why,
+            state: group.head?.membership?.state ?? "no head",
             members: group.members.map(({ host }) => host.id),
+            living: living.map(({ host }) => host.id),
         });
+        const command = { kind: "leave", group: group.name, epoch: group.epoch };
+        for (const { host } of living) {
+            this.#desk.send(host, { ...command, kind: "leave" })
+                .then(() => this.#lookSoon());
+        }
     }
-    /** Whether the head, known by the group's name, can't serve any more. */
-    #headIsGone(group, now) {
-        const headId = headIdOf(group.name);
-        if (headId === undefined)
-            return true;
-        const announced = this.#parts.hosts.get(headId);
-        if (announced !== undefined) {
-            const { membership } = this.#ledger.belief(announced, now);
-            return membership === undefined ||
-                groupKey(membership.group, membership.epoch) !== group.key;
+    /** Whether nothing is wrong with an open group but that a member is leaving. */
+    #isOnlyDraining(group) {
+        const state = group.head?.membership?.state;
+        return group.members.length === group.model?.size &&
+            group.members.every((belief) => !belief.isDead) &&
+            (state === "open" || state === "closing");
+    }
+    /** Closes a group, and tells when its work is done or has had its time. */
+    #isFinished(group, now) {
+        const { head, key, name, epoch } = group;
+        const closedAt = this.#closedAt.get(key);
+        if (closedAt !== undefined) {
+            const isDone = head?.membership?.state === "ready";
+            return isDone || now - closedAt > FINISH_MS;
         }
-        const lastEventAt = this.#parts.lastEventAt(group.key) ?? -Infinity;
-        return now - lastEventAt > HEAD_GONE_MS;
+        if (head === undefined)
+            return true;
+        this.#closedAt.set(key, now);
+        this.#desk.send(head.host, { kind: "close", group: name, epoch, mode: "finish" })
+            .then(() => this.#lookSoon());
+        return false;
     }
     #execute(step, engine, now) {
         const model = engine.models.find((spec) => spec.name === step.model);
@@ -340,7 +323,7 @@
         if (hosts.length !== memberIds.length)
             return;
         const epoch = this.#takeEpoch();
-        const group = `g-${memberIds[0]}-${epoch}`;
+        const group = `g-${epoch}`;
         this.#formedAt.set(groupKey(group, epoch), { model: model.name, at: now });
         this.#parts.log.info("group_forming", {
             group,
@@ -356,7 +339,7 @@
         }
         const key = groupKey(group, epoch);
         this.#joining.add(key);
-        const outcomes = await Promise.all(hosts.map((host) => this.#desk.send(host, {
+        await Promise.all(hosts.map((host) => this.#desk.send(host, {
             kind: "join",
             group,
             epoch,
@@ -364,9 +347,6 @@
             members: memberIds,
         })));
         this.#joining.delete(key);
-        if (outcomes.some((outcome) => outcome !== "done")) {
-            this.#dissolved.add(key);
-        }
         this.#lookSoon();
     }
     async #warm(model, hostId, now) {
@@ -395,9 +375,9 @@
         this.#nextEpoch += 1;
         return this.#nextEpoch;
     }
-    #mayTry(step, now) {
+    #mayTry(step, now, pauseMs = RETRY_MS) {
         const last = this.#triedAt.get(step);
-        if (last !== undefined && now - last < RETRY_MS)
+        if (last !== undefined && now - last < pauseMs)
             return false;
         this.#triedAt.set(step, now);
         return true;
@@ -422,7 +402,3 @@
     }
     return sizes;
 }
-/** The head's id, which the group's name carries between prefix and epoch. */
-function headIdOf(name) {
-    return /^g-(.+)-\d+$/.exec(name)?.[1];
-}
--- a/target/node/node.js
+++ b/target/node/node.js
@@ -90,7 +90,10 @@
             log: parts.log,
             isActing: () => this.#acting.isActing,
             demand: () => this.#fleetDemand(),
-            lastEventAt: (key) => this.relay.board.lastEventAt(key),
+            onFoundWhole: (key) => {
+                this.#evidence.trust(key, timers.now());
+                this.#gossip.tellAll();
+            },
             loadWindowMs: bounds.load_window,
         });
         this.#evidence.onDoubt((doubt) => {
@@ -211,6 +214,10 @@
                 kind: doubt.kind,
                 ageMs: now - doubt.at,
             })),
+            trusted: this.#evidence.trustedSince(now - NEWS_MS).map(([key, at]) => [
+                key,
+                now - at,
+            ]),
             strikes: this.relay.suspects.news(now).slice(0, 16),
             demand: this.relay.demand.perSecond(now),
             peers,
@@ -223,6 +230,9 @@
             const { key, kind, ageMs } = doubt;
             this.#evidence.doubt({ key, kind, at: now - ageMs });
         }
+        for (const [key, ageMs] of status.trusted) {
+            this.#evidence.trust(key, now - ageMs);
+        }
         for (const strike of status.strikes) {
             this.relay.suspects.learn(strike, now);
         }
--- a/target/platform/json_calls.js
+++ b/target/platform/json_calls.js
@@ -1,4 +1,16 @@
+/**
+ * Calls with JSON bodies to the platform's store and to servers.
+ *
+ * @module
+ */
+import { clearTimeout, setTimeout } from "node:timers";
 import { request } from "undici";
+/** The time of a call is up. */
+class LimitReached extends Error {
+    constructor() {
+        super("timeout");
+    }
+}
 /** Errors of a channel that could not be opened. */
 const NOT_SENT = new Set([
     "ECONNREFUSED",
@@ -15,6 +27,9 @@
  * ```
  */
 export async function callJson(agent, method, url, limitMs, body) {
+    // The library's own time-outs are only exact to half a second.
+    const abort = new AbortController();
+    const timer = setTimeout(() => abort.abort(new LimitReached()), limitMs);
     try {
         const res = await request(url, {
             dispatcher: agent,
@@ -23,17 +38,19 @@
                 ? undefined
                 : { "content-type": "application/json" },
             body: body === undefined ? undefined : JSON.stringify(body),
-            headersTimeout: limitMs,
-            bodyTimeout: limitMs,
+            signal: abort.signal,
         });
         const text = await res.body.text();
         return { kind: "answer", status: res.statusCode, body: parsed(text) };
     }
     catch (err) {
-        const code = err.code ?? "";
-        const detail = code === "" ? err.message : code;
+        const code = String(err.code ?? "");
+        const detail = code || err.message;
         return { kind: NOT_SENT.has(code) ? "not_sent" : "lost", detail };
     }
+    finally {
+        clearTimeout(timer);
+    }
 }
 function parsed(text) {
     try {
--- a/target/platform/server_channels.js
+++ b/target/platform/server_channels.js
@@ -1,4 +1,4 @@
-import { Agent } from "undici";
+import { Agent, buildConnector } from "undici";
 import { answeredHeaders, HEADER } from "./wire_names.js";
 const CONNECT_LIMIT_MS = 600;
 /** Beyond every route's time; the request's own deadline comes first. */
@@ -12,10 +12,11 @@
 const EVENT_STREAM = "text/event-stream";
 /** {@linkcode RelayClient} over HTTP/1.1, one request at a time on a channel. */
 export class ServerChannels {
-    #kept = makeAgent(KEEP_CHANNEL_MS);
-    #fresh = makeAgent(KEEP_FRESH_CHANNEL_MS);
+    #ends = { byReset: false };
+    #kept = makeAgent(KEEP_CHANNEL_MS, this.#ends);
+    #fresh = makeAgent(KEEP_FRESH_CHANNEL_MS, this.#ends);
     send(host, attempt, listener) {
-        const exchange = new Exchange(host.id, attempt.requestId, listener);
+        const exchange = new Exchange(host.id, attempt.requestId, listener, this.#ends);
         const agent = attempt.idempotent ? this.#kept : this.#fresh;
         agent.dispatch({
             origin: `http://${host.address}`,
@@ -27,16 +28,40 @@
         return exchange;
     }
 }
-function makeAgent(keepMs) {
+function makeAgent(keepMs, ends) {
     return new Agent({
         pipelining: 1,
-        connectTimeout: CONNECT_LIMIT_MS,
+        connect: strictConnector(ends),
         headersTimeout: ANSWER_LIMIT_MS,
         bodyTimeout: ANSWER_LIMIT_MS,
         keepAliveTimeout: keepMs,
         keepAliveMaxTimeout: keepMs,
     });
 }
+/**
+ * The library takes an answer without a length for whole when its channel is
+ * reset. A reset gets another error code; one that shows as an end of input
+ * leaves the channel without a peer.
+ */
+function strictConnector(ends) {
+    const connect = buildConnector({ timeout: CONNECT_LIMIT_MS });
+    return (options, callback) => {
+        connect(options, (...result) => {
+            const [err, socket] = result;
+            if (err === null) {
+                socket.prependListener("error", (cause) => {
+                    if (cause.code === "ECONNRESET")
+                        cause.code = "RESET_BY_SERVER";
+                });
+                socket.prependListener("end", () => {
+                    ends.byReset = socket.remoteAddress === undefined;
+                    queueMicrotask(() => ends.byReset = false);
+                });
+            }
+            callback(...result);
+        });
+    };
+}
 function requestHeaders(host, attempt) {
     const headers = [
         ...attempt.headers,
@@ -63,7 +88,10 @@
     #controller;
     #ended = false;
     #badAnswer;
-    constructor(hostId, requestId, listener) {
+    #isUnframed = false;
+    #ends;
+    constructor(hostId, requestId, listener, ends) {
+        this.#ends = ends;
         this.#hostId = hostId;
         this.#requestId = requestId;
         this.#listener = listener;
@@ -93,6 +121,8 @@
             controller.abort(new Error(this.#badAnswer));
             return;
         }
+        this.#isUnframed = headers["content-length"] === undefined &&
+            headers["transfer-encoding"] === undefined;
         this.#listener.onHead(this.#headOf(status, headers));
     }
     onResponseData(_controller, chunk) {
@@ -100,6 +130,9 @@
             this.#listener.onData(chunk);
     }
     onResponseEnd() {
+        if (this.#isUnframed && this.#ends.byReset) {
+            return this.#end({ kind: "reset", detail: "reset at the end of input" });
+        }
         this.#end({ kind: "ended" });
     }
     onResponseError(_controller, err) {
--- a/target/platform/server_orders.js
+++ b/target/platform/server_orders.js
@@ -3,13 +3,15 @@
  *
  * @module
  */
+import { setTimeout as delay } from "node:timers/promises";
 import { Agent } from "undici";
 import { failure, success } from "../base/outcome.js";
 import { callJson } from "./json_calls.js";
 import { parseServerReport } from "./server_entry.js";
-const CONNECT_LIMIT_MS = 300;
-const REPORT_LIMIT_MS = 300;
-const ORDER_LIMIT_MS = 700;
+const REPORT_LIMIT_MS = 220;
+/** A report not answered by then is asked for on another channel, too. */
+const ASK_TWICE_MS = 70;
+const ORDER_LIMIT_MS = 300;
 /** Servers close channels that stay idle; a new one costs a millisecond. */
 const KEEP_CHANNEL_MS = 500;
 const ANSWERS = {
@@ -23,15 +25,13 @@
 /** {@linkcode HostControl} by orders and reports. */
 export class ServerOrders {
     #agent = new Agent({
-        connections: 2,
+        connections: 4,
         pipelining: 1,
-        connectTimeout: CONNECT_LIMIT_MS,
         keepAliveTimeout: KEEP_CHANNEL_MS,
         keepAliveMaxTimeout: KEEP_CHANNEL_MS,
     });
     async report(host) {
-        const url = `http://${host.address}/report`;
-        const res = await callJson(this.#agent, "GET", url, REPORT_LIMIT_MS);
+        const res = await this.#ask(`http://${host.address}/report`);
         if (res.kind !== "answer")
             return failure(lost(res));
         const report = res.status === 200 ? parseServerReport(res.body) : undefined;
@@ -39,6 +39,17 @@
             return success(report);
         return failure({ kind: "malformed", detail: `status ${res.status}` });
     }
+    /** Asks, and once more when a packet seems to be lost. */
+    async #ask(url) {
+        const first = callJson(this.#agent, "GET", url, REPORT_LIMIT_MS);
+        const early = await Promise.race([first, delay(ASK_TWICE_MS, undefined)]);
+        if (early !== undefined)
+            return early;
+        const leftMs = REPORT_LIMIT_MS - ASK_TWICE_MS;
+        const second = callJson(this.#agent, "GET", url, leftMs);
+        const sooner = await Promise.race([first, second]);
+        return sooner.kind === "answer" ? sooner : await first;
+    }
     async command(host, command, expectedSeq) {
         const url = `http://${host.address}/order`;
         const body = {
