Find lost members in a quarter of a second, and repair at once

Change: own doubts are told once and together; probes end after 220 ms; reports that lag don't replace what a command gave; a spare keeps its model for two seconds; domains are filled before the next is begun.

--- a/src/core/fleet/evidence.ts
+++ b/src/core/fleet/evidence.ts
@@ -15,6 +15,8 @@
   readonly at: number;
 }
 
+type DoubtListener = (doubt: Doubt, from: "own" | "peer") => void;
+
 /** By then the store shows that a doubted host is gone, or it is not. */
 const DOUBT_TTL_MS = 6_000;
 
@@ -22,21 +24,21 @@
 export class Evidence {
   readonly #doubts = new Map<string, Doubt>();
   readonly #trusted = new Map<string, number>();
-  readonly #listeners: ((doubt: Doubt) => void)[] = [];
+  readonly #listeners: DoubtListener[] = [];
 
   /** Calls back for each new doubt. */
-  onDoubt(listener: (doubt: Doubt) => void): void {
+  onDoubt(listener: DoubtListener): void {
     this.#listeners.push(listener);
   }
 
-  /** Takes a doubt. Returns whether it is news. */
-  doubt(doubt: Doubt): boolean {
+  /** Takes a doubt of this process or of a peer. Returns whether it is news. */
+  doubt(doubt: Doubt, from: "own" | "peer"): boolean {
     const known = this.#doubts.get(doubt.key);
     if (doubt.at <= (this.#trusted.get(doubt.key) ?? -Infinity)) return false;
     if (known !== undefined && doubt.at <= known.at + 100) return false;
     this.#doubts.set(doubt.key, doubt);
     if (known !== undefined) return false;
-    for (const listener of this.#listeners) listener(doubt);
+    for (const listener of this.#listeners) listener(doubt, from);
     return true;
   }
 
--- a/src/core/keeper/command_desk.ts
+++ b/src/core/keeper/command_desk.ts
@@ -5,6 +5,7 @@
  */
 import type { EventLog } from "../../base/event_log.ts";
 import type { Timers } from "../../base/timers.ts";
+import { sleep } from "../../base/timers.ts";
 import type {
   CommandAnswer,
   HostCommand,
@@ -19,6 +20,9 @@
 /** A host that refused a command gets no other for this time. */
 const REST_MS = 400;
 
+/** Reports lag behind commands by up to this time. */
+const REPORT_LAG_MS = 150;
+
 /** What became of a command. */
 export type CommandOutcome = "done" | "refused" | "silent";
 
@@ -35,6 +39,7 @@
 export class CommandDesk {
   readonly #parts: CommandDeskParts;
   readonly #busy = new Set<string>();
+  readonly #asking = new Map<string, Promise<boolean>>();
   readonly #restUntil = new Map<string, number>();
 
   constructor(parts: CommandDeskParts) {
@@ -66,10 +71,20 @@
   }
 
   /** Asks a host for its state. Returns whether it answered. */
-  async refresh(host: ServingHost): Promise<boolean> {
+  refresh(host: ServingHost, isRefused = false): Promise<boolean> {
+    const known = this.#asking.get(host.id);
+    if (known !== undefined) return known;
+    const asking = this.#ask(host, isRefused).finally(() =>
+      this.#asking.delete(host.id)
+    );
+    this.#asking.set(host.id, asking);
+    return asking;
+  }
+
+  async #ask(host: ServingHost, isRefused: boolean): Promise<boolean> {
     const { control, ledger, timers } = this.#parts;
     const res = await control.report(host);
-    if (res.ok) ledger.reported(host, res.value, timers.now());
+    if (res.ok) ledger.reported(host, res.value, timers.now(), isRefused);
     else if (res.err.kind !== "malformed") ledger.silent(host, timers.now());
     if (!res.ok) {
       const { kind, detail } = res.err;
@@ -83,6 +98,7 @@
     command: HostCommand,
   ): Promise<CommandOutcome> {
     const { control, ledger, timers } = this.#parts;
+    let isAnswered = false;
     for (let sends = 1; sends <= MAX_SENDS; sends++) {
       if (!this.#parts.isActing()) return "refused";
       // The same count voids a command that was lost and comes late.
@@ -98,17 +114,20 @@
         continue;
       }
       ledger.answered(host);
+      isAnswered = true;
       if (res.value === "begun" || res.value === "done") {
         // A leave is done at once and counted, so its answer says "done".
         const isCounted = res.value === "begun" || command.kind === "leave";
         if (isCounted) this.#accepted(host, command, seq);
         return "done";
       }
-      await this.refresh(host);
+      await this.refresh(host, true);
       const now = ledger.belief(host, timers.now());
       if (isFulfilled(command, now.membership)) return "done";
-      if (res.value !== "conflict" || now.seq === seq) return "refused";
+      if (res.value !== "conflict") return "refused";
+      if (now.seq === seq) await sleep(timers, REPORT_LAG_MS);
     }
+    if (isAnswered) return "refused";
     ledger.silent(host, timers.now());
     return "silent";
   }
--- a/src/core/keeper/group_keeper.ts
+++ b/src/core/keeper/group_keeper.ts
@@ -79,6 +79,7 @@
   /** Groups whose members have not all answered yet. */
   readonly #joining = new Set<string>();
   readonly #formedAt = new Map<string, { model: string; at: number }>();
+  readonly #freeSince = new Map<string, number>();
   readonly #closedAt = new Map<string, number>();
   readonly #triedAt = new Map<string, number>();
   #term = 0;
@@ -130,6 +131,8 @@
     const group = this.#parts.hosts.groups.get(key);
     const now = this.#parts.timers.now();
     if (group === undefined || !this.#mayTry(`probe ${key}`, now)) return;
+    const lives = (host: ServingHost) => !this.#ledger.belief(host, now).isDead;
+    if (!group.members.some(lives)) return;
     const answers = await Promise.all(
       group.members.map((host) => this.#desk.refresh(host)),
     );
@@ -202,10 +205,11 @@
       !kept.has(belief.host.id) && this.#isUsable(belief) &&
       !this.#desk.isBusy(belief.host.id)
     );
+    this.#noteFree(free, now);
     if (!this.#isSettled(beliefs.length, now)) return;
     const steps = planLayout({
       models: engine.models,
-      free: free.map((belief) => toFree(belief, this.#hosts, now)),
+      free: free.map((belief) => this.#toFree(belief, now)),
       groups: groups.filter((g) => this.#isSound(g)).map((group) => ({
         model: group.model?.name ?? "",
         domain: group.members[0].host.domain,
@@ -227,8 +231,29 @@
     return this.#hasTraffic || now - this.#countedAt >= START_SETTLE_MS;
   }
 
-  get #hosts(): HostRegistry {
-    return this.#parts.hosts;
+  #toFree(belief: HostBelief, now: number): FreeHost {
+    const { host, membership, staging } = belief;
+    const isJoining = membership?.state === "joining";
+    return {
+      id: host.id,
+      domain: host.domain,
+      hotModel: isJoining ? undefined : belief.lastModel,
+      staged: staging === undefined ? host.staged : [staging],
+      isLoading: staging !== undefined || isJoining,
+      isCold: this.#parts.hosts.coldUntil(host.id) > now,
+      idleMs: now - (this.#freeSince.get(host.id) ?? now),
+    };
+  }
+
+  /** Notes since when hosts are free. */
+  #noteFree(beliefs: readonly HostBelief[], now: number): void {
+    const ids = new Set(beliefs.map(({ host }) => host.id));
+    for (const id of this.#freeSince.keys()) {
+      if (!ids.has(id)) this.#freeSince.delete(id);
+    }
+    for (const id of ids) {
+      if (!this.#freeSince.has(id)) this.#freeSince.set(id, now);
+    }
   }
 
   get #hasTraffic(): boolean {
@@ -324,6 +349,7 @@
     if (this.#isOnlyDraining(group) && !this.#isFinished(group, now)) return;
     if (!this.#mayTry(`leave ${group.key}`, now)) return;
     const living = group.members.filter((belief) => !belief.isDead);
+    if (living.length === 0) return;
     this.#parts.log.info("group_dissolving", {
       upstream: group.key,
       state: group.head?.membership?.state ?? "no head",
@@ -439,23 +465,6 @@
   }
 }
 
-function toFree(
-  belief: HostBelief,
-  hosts: HostRegistry,
-  now: number,
-): FreeHost {
-  const { host, membership, staging } = belief;
-  const isJoining = membership?.state === "joining";
-  return {
-    id: host.id,
-    domain: host.domain,
-    hotModel: isJoining ? undefined : belief.lastModel,
-    staged: staging === undefined ? host.staged : [staging],
-    isLoading: staging !== undefined || isJoining,
-    isCold: hosts.coldUntil(host.id) > now,
-  };
-}
-
 function domainSizes(beliefs: readonly HostBelief[]): Map<string, number> {
   const sizes = new Map<string, number>();
   for (const { host } of beliefs) {
--- a/src/core/keeper/host_ledger.ts
+++ b/src/core/keeper/host_ledger.ts
@@ -12,6 +12,8 @@
 /** A host that did not answer is left out of plans for this time. */
 const DEAD_MS = 6_000;
 
+/** A report may be older than a command by this time. */
+const REPORT_LAG_MS = 500;
 /** An announcement that contradicts a command may be older for this time. */
 const ANNOUNCE_LAG_MS = 1_500;
 
@@ -69,8 +71,16 @@
     };
   }
 
-  /** Takes a report on request. */
-  reported(host: ServingHost, report: HostReport, now: number): void {
+  /**
+   * Takes a report on request. Reports lag: one that contradicts a command of
+   * a moment ago only counts when the host refused what was expected of it.
+   */
+  reported(
+    host: ServingHost,
+    report: HostReport,
+    now: number,
+    isRefused: boolean,
+  ): void {
     const record = this.#record(host);
     record.deadUntil = 0;
     if (report.born !== 0 && report.born !== record.born) {
@@ -78,7 +88,11 @@
       record.lastModel = undefined;
       record.seq = undefined;
     }
-    if (record.seq !== undefined && report.seq < record.seq) return;
+    const isOlder = record.seq !== undefined && report.seq < record.seq;
+    if (isOlder && !isRefused) return;
+    const changedAt = record.newer?.at ?? -Infinity;
+    const isSettled = now - changedAt > REPORT_LAG_MS;
+    if (record.seq === report.seq && !isSettled && !isRefused) return;
     record.seq = report.seq;
     record.newer = { membership: report.membership, at: now };
     if (report.membership !== undefined && report.models.length > 0) {
--- a/src/core/keeper/layout.ts
+++ b/src/core/keeper/layout.ts
@@ -17,6 +17,8 @@
   readonly isLoading: boolean;
   /** Whether the host is warm in its model, and not only staged. */
   readonly isCold: boolean;
+  /** Time since the host became free, in milliseconds. */
+  readonly idleMs: number;
 }
 
 /** What a layout is made of. */
@@ -48,6 +50,8 @@
 
 /** Groups per group needed beyond which spares are kept for repairs. */
 const COMFORT = 1.5;
+/** A spare keeps the model it has at least this long. */
+const RESTAGE_IDLE_MS = 2_000;
 /** Hosts of a domain for each that is kept as a spare. */
 const HOSTS_PER_SPARE = 5;
 
@@ -116,7 +120,7 @@
       if (chosen === undefined) continue;
       const cost = chosen.filter((h) => h.hotModel !== model.name).length;
       const isBetter = best === undefined || cost < best.cost ||
-        (cost === best.cost && left > best.left);
+        (cost === best.cost && left < best.left);
       if (isBetter) best = { hosts: chosen, cost, left };
     }
     if (best === undefined) return false;
@@ -169,6 +173,11 @@
     if (host.isLoading) return;
     const wanted = this.#wantedSpare(domain, host, spares);
     if (wanted === undefined || host.hotModel === wanted) return;
+    const own = host.hotModel ?? host.staged[0];
+    if (own !== undefined && own !== wanted && !this.#input.loadsAreCheap) {
+      if (host.idleMs < RESTAGE_IDLE_MS) return;
+      if (this.#readySpares(host, spares, own) === 0) return;
+    }
     if (host.staged.includes(wanted) || this.#input.loadsAreCheap) {
       this.steps.push({ kind: "warm", model: wanted, host: host.id });
     } else if (this.#loadRoom > 0) {
@@ -178,6 +187,18 @@
     this.#planned.set(host.id, wanted);
   }
 
+  /** Other spares that are ready in a model. */
+  #readySpares(
+    host: FreeHost,
+    spares: readonly FreeHost[],
+    model: string,
+  ): number {
+    return spares.filter((spare) =>
+      spare !== host && (this.#planned.get(spare.id) ?? spare.hotModel ??
+          spare.staged[0]) === model
+    ).length;
+  }
+
   readonly #planned = new Map<string, string>();
 
   #wantedSpare(
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -290,11 +290,11 @@
       // One channel that did not open says little while others carry events.
       const silentMs = now - (this.board.lastEventAt(key) ?? -Infinity);
       if (silentMs < ALIVE_MS && run.model !== undefined) return;
-      this.#parts.evidence.doubt({ key, kind: "unreachable", at: now });
+      this.#parts.evidence.doubt({ key, kind: "unreachable", at: now }, "own");
     } else if (outcome === "refused" && head?.atFault !== undefined) {
-      this.#parts.evidence.doubt({ key, kind: "silent", at: now });
+      this.#parts.evidence.doubt({ key, kind: "silent", at: now }, "own");
     } else if (outcome === "reset" && run.model !== undefined) {
-      this.#parts.evidence.doubt({ key, kind: "reset", at: now });
+      this.#parts.evidence.doubt({ key, kind: "reset", at: now }, "own");
     }
   }
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -142,9 +142,10 @@
       },
       loadWindowMs: bounds.load_window,
     });
-    this.#evidence.onDoubt((doubt) => {
-      parts.log.info("upstream_doubted", { upstream: doubt.key, why: doubt.kind });
-      this.#gossip.tellAll();
+    this.#evidence.onDoubt((doubt, from) => {
+      const { key, kind } = doubt;
+      parts.log.info("upstream_doubted", { upstream: key, why: kind, from });
+      if (from === "own") this.#gossip.tellAll();
       this.#keeper.doubted(doubt);
     });
   }
@@ -286,7 +287,7 @@
     this.relay.board.peerSays(status.node, status.loads, now);
     for (const doubt of status.doubts) {
       const { key, kind, ageMs } = doubt;
-      this.#evidence.doubt({ key, kind, at: now - ageMs });
+      this.#evidence.doubt({ key, kind, at: now - ageMs }, "peer");
     }
     for (const [key, ageMs] of status.trusted) {
       this.#evidence.trust(key, now - ageMs);
--- a/src/platform/json_calls.ts
+++ b/src/platform/json_calls.ts
@@ -15,13 +15,6 @@
   /** The call was sent and may have been carried out. */
   | { readonly kind: "lost"; readonly detail: string };
 
-/** The time of a call is up. */
-class LimitReached extends Error {
-  constructor() {
-    super("timeout");
-  }
-}
-
 /** Errors of a channel that could not be opened. */
 const NOT_SENT: ReadonlySet<string> = new Set([
   "ECONNREFUSED",
@@ -45,9 +38,29 @@
   limitMs: number,
   body?: unknown,
 ): Promise<JsonAnswer> {
-  // The library's own time-outs are only exact to half a second.
+  // The library's own time-outs are exact to half a second only, and its
+  // signals don't end a call whose channel is not open yet.
   const abort = new AbortController();
-  const timer = setTimeout(() => abort.abort(new LimitReached()), limitMs);
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<JsonAnswer>((resolve) => {
+    timer = setTimeout(() => {
+      resolve({ kind: "lost", detail: "timeout" });
+      abort.abort();
+    }, limitMs);
+  });
+  const call = sendJson(agent, method, url, abort.signal, body);
+  const res = await Promise.race([call, late]);
+  clearTimeout(timer);
+  return res;
+}
+
+async function sendJson(
+  agent: Agent,
+  method: "GET" | "POST" | "DELETE",
+  url: string,
+  signal: AbortSignal,
+  body: unknown,
+): Promise<JsonAnswer> {
   try {
     const res = await request(url, {
       dispatcher: agent,
@@ -56,7 +69,7 @@
         ? undefined
         : { "content-type": "application/json" },
       body: body === undefined ? undefined : JSON.stringify(body),
-      signal: abort.signal,
+      signal,
     });
     const text = await res.body.text();
     return { kind: "answer", status: res.statusCode, body: parsed(text) };
@@ -64,8 +77,6 @@
     const code = String((err as { code?: unknown }).code ?? "");
     const detail = code || (err as Error).message;
     return { kind: NOT_SENT.has(code) ? "not_sent" : "lost", detail };
-  } finally {
-    clearTimeout(timer);
   }
 }
 
--- a/src/platform/server_orders.ts
+++ b/src/platform/server_orders.ts
@@ -19,6 +19,7 @@
 import { callJson } from "./json_calls.ts";
 import { parseServerReport } from "./server_entry.ts";
 
+const CONNECT_LIMIT_MS = 1_000;
 const REPORT_LIMIT_MS = 220;
 /** A report not answered by then is asked for on another channel, too. */
 const ASK_TWICE_MS = 70;
@@ -39,6 +40,7 @@
 export class ServerOrders implements HostControl {
   readonly #agent = new Agent({
     connections: 4,
+    connectTimeout: CONNECT_LIMIT_MS,
     pipelining: 1,
     keepAliveTimeout: KEEP_CHANNEL_MS,
     keepAliveMaxTimeout: KEEP_CHANNEL_MS,
--- a/target/core/fleet/evidence.js
+++ b/target/core/fleet/evidence.js
@@ -14,8 +14,8 @@
     onDoubt(listener) {
         this.#listeners.push(listener);
     }
-    /** Takes a doubt. Returns whether it is news. */
-    doubt(doubt) {
+    /** Takes a doubt of this process or of a peer. Returns whether it is news. */
+    doubt(doubt, from) {
         const known = this.#doubts.get(doubt.key);
         if (doubt.at <= (this.#trusted.get(doubt.key) ?? -Infinity))
             return false;
@@ -25,7 +25,7 @@
         if (known !== undefined)
             return false;
         for (const listener of this.#listeners)
-            listener(doubt);
+            listener(doubt, from);
         return true;
     }
     /** Ends a doubt: the upstream was seen to work, or found whole, after it. */
--- a/target/core/gossip/peer_gossip.js
+++ b/target/core/gossip/peer_gossip.js
@@ -5,6 +5,8 @@
 const FORGET_MS = 10_000;
 /** Processes told in each round; all of them hear within a few rounds. */
 const FANOUT = 8;
+/** Pause before news is told at once. */
+const TELL_TOGETHER_MS = 10;
 /** Addresses told to processes that start. */
 const MAX_TOLD_PEERS = 16;
 /** Sends this process's status to peers and keeps theirs. */
@@ -14,6 +16,7 @@
     /** Internal addresses of processes that are registered but not heard yet. */
     #registered = [];
     #timer;
+    #tellScheduled = false;
     constructor(parts) {
         this.#parts = parts;
         parts.datagrams.onMessage((payload) => this.#receive(payload));
@@ -27,9 +30,15 @@
     stop() {
         this.#timer?.cancel();
     }
-    /** Tells everyone at once. */
+    /** Tells everyone at once; what changes together is told together. */
     tellAll() {
-        this.#round(Infinity);
+        if (this.#tellScheduled)
+            return;
+        this.#tellScheduled = true;
+        this.#parts.timers.after(TELL_TOGETHER_MS, () => {
+            this.#tellScheduled = false;
+            this.#round(Infinity);
+        });
     }
     /** Sets the processes that the store lists. */
     registered(addresses) {
--- a/target/core/keeper/command_desk.js
+++ b/target/core/keeper/command_desk.js
@@ -1,11 +1,15 @@
+import { sleep } from "../../base/timers.js";
 /** Sendings of one command before its host counts as silent. */
 const MAX_SENDS = 4;
 /** A host that refused a command gets no other for this time. */
 const REST_MS = 400;
+/** Reports lag behind commands by up to this time. */
+const REPORT_LAG_MS = 150;
 /** Sends one command at a time to each host, and keeps the ledger. */
 export class CommandDesk {
     #parts;
     #busy = new Set();
+    #asking = new Map();
     #restUntil = new Map();
     constructor(parts) {
         this.#parts = parts;
@@ -32,11 +36,19 @@
         }
     }
     /** Asks a host for its state. Returns whether it answered. */
-    async refresh(host) {
+    refresh(host, isRefused = false) {
+        const known = this.#asking.get(host.id);
+        if (known !== undefined)
+            return known;
+        const asking = this.#ask(host, isRefused).finally(() => this.#asking.delete(host.id));
+        this.#asking.set(host.id, asking);
+        return asking;
+    }
+    async #ask(host, isRefused) {
         const { control, ledger, timers } = this.#parts;
         const res = await control.report(host);
         if (res.ok)
-            ledger.reported(host, res.value, timers.now());
+            ledger.reported(host, res.value, timers.now(), isRefused);
         else if (res.err.kind !== "malformed")
             ledger.silent(host, timers.now());
         if (!res.ok) {
@@ -47,6 +59,7 @@
     }
     async #settle(host, command) {
         const { control, ledger, timers } = this.#parts;
+        let isAnswered = false;
         for (let sends = 1; sends <= MAX_SENDS; sends++) {
             if (!this.#parts.isActing())
                 return "refused";
@@ -65,6 +78,7 @@
                 continue;
             }
             ledger.answered(host);
+            isAnswered = true;
             if (res.value === "begun" || res.value === "done") {
                 // A leave is done at once and counted, so its answer says "done".
                 const isCounted = res.value === "begun" || command.kind === "leave";
@@ -72,13 +86,17 @@
                     this.#accepted(host, command, seq);
                 return "done";
             }
-            await this.refresh(host);
+            await this.refresh(host, true);
             const now = ledger.belief(host, timers.now());
             if (isFulfilled(command, now.membership))
                 return "done";
-            if (res.value !== "conflict" || now.seq === seq)
+            if (res.value !== "conflict")
                 return "refused";
+            if (now.seq === seq)
+                await sleep(timers, REPORT_LAG_MS);
         }
+        if (isAnswered)
+            return "refused";
         ledger.silent(host, timers.now());
         return "silent";
     }
--- a/target/core/keeper/group_keeper.js
+++ b/target/core/keeper/group_keeper.js
@@ -31,6 +31,7 @@
     /** Groups whose members have not all answered yet. */
     #joining = new Set();
     #formedAt = new Map();
+    #freeSince = new Map();
     #closedAt = new Map();
     #triedAt = new Map();
     #term = 0;
@@ -80,6 +81,9 @@
         const now = this.#parts.timers.now();
         if (group === undefined || !this.#mayTry(`probe ${key}`, now))
             return;
+        const lives = (host) => !this.#ledger.belief(host, now).isDead;
+        if (!group.members.some(lives))
+            return;
         const answers = await Promise.all(group.members.map((host) => this.#desk.refresh(host)));
         this.#parts.log.info("group_probed", {
             upstream: key,
@@ -148,11 +152,12 @@
         }
         const free = beliefs.filter((belief) => !kept.has(belief.host.id) && this.#isUsable(belief) &&
             !this.#desk.isBusy(belief.host.id));
+        this.#noteFree(free, now);
         if (!this.#isSettled(beliefs.length, now))
             return;
         const steps = planLayout({
             models: engine.models,
-            free: free.map((belief) => toFree(belief, this.#hosts, now)),
+            free: free.map((belief) => this.#toFree(belief, now)),
             groups: groups.filter((g) => this.#isSound(g)).map((group) => ({
                 model: group.model?.name ?? "",
                 domain: group.members[0].host.domain,
@@ -173,8 +178,30 @@
         }
         return this.#hasTraffic || now - this.#countedAt >= START_SETTLE_MS;
     }
-    get #hosts() {
-        return this.#parts.hosts;
+    #toFree(belief, now) {
+        const { host, membership, staging } = belief;
+        const isJoining = membership?.state === "joining";
+        return {
+            id: host.id,
+            domain: host.domain,
+            hotModel: isJoining ? undefined : belief.lastModel,
+            staged: staging === undefined ? host.staged : [staging],
+            isLoading: staging !== undefined || isJoining,
+            isCold: this.#parts.hosts.coldUntil(host.id) > now,
+            idleMs: now - (this.#freeSince.get(host.id) ?? now),
+        };
+    }
+    /** Notes since when hosts are free. */
+    #noteFree(beliefs, now) {
+        const ids = new Set(beliefs.map(({ host }) => host.id));
+        for (const id of this.#freeSince.keys()) {
+            if (!ids.has(id))
+                this.#freeSince.delete(id);
+        }
+        for (const id of ids) {
+            if (!this.#freeSince.has(id))
+                this.#freeSince.set(id, now);
+        }
     }
     get #hasTraffic() {
         for (const ms of this.#parts.demand().values())
@@ -273,6 +300,8 @@
         if (!this.#mayTry(`leave ${group.key}`, now))
             return;
         const living = group.members.filter((belief) => !belief.isDead);
+        if (living.length === 0)
+            return;
         this.#parts.log.info("group_dissolving", {
             upstream: group.key,
             state: group.head?.membership?.state ?? "no head",
@@ -383,18 +412,6 @@
         return true;
     }
 }
-function toFree(belief, hosts, now) {
-    const { host, membership, staging } = belief;
-    const isJoining = membership?.state === "joining";
-    return {
-        id: host.id,
-        domain: host.domain,
-        hotModel: isJoining ? undefined : belief.lastModel,
-        staged: staging === undefined ? host.staged : [staging],
-        isLoading: staging !== undefined || isJoining,
-        isCold: hosts.coldUntil(host.id) > now,
-    };
-}
 function domainSizes(beliefs) {
     const sizes = new Map();
     for (const { host } of beliefs) {
--- a/target/core/keeper/layout.js
+++ b/target/core/keeper/layout.js
@@ -1,5 +1,7 @@
 /** Groups per group needed beyond which spares are kept for repairs. */
 const COMFORT = 1.5;
+/** A spare keeps the model it has at least this long. */
+const RESTAGE_IDLE_MS = 2_000;
 /** Hosts of a domain for each that is kept as a spare. */
 const HOSTS_PER_SPARE = 5;
 /**
@@ -62,7 +64,7 @@
                 continue;
             const cost = chosen.filter((h) => h.hotModel !== model.name).length;
             const isBetter = best === undefined || cost < best.cost ||
-                (cost === best.cost && left > best.left);
+                (cost === best.cost && left < best.left);
             if (isBetter)
                 best = { hosts: chosen, cost, left };
         }
@@ -108,6 +110,13 @@
         const wanted = this.#wantedSpare(domain, host, spares);
         if (wanted === undefined || host.hotModel === wanted)
             return;
+        const own = host.hotModel ?? host.staged[0];
+        if (own !== undefined && own !== wanted && !this.#input.loadsAreCheap) {
+            if (host.idleMs < RESTAGE_IDLE_MS)
+                return;
+            if (this.#readySpares(host, spares, own) === 0)
+                return;
+        }
         if (host.staged.includes(wanted) || this.#input.loadsAreCheap) {
             this.steps.push({ kind: "warm", model: wanted, host: host.id });
         }
@@ -117,6 +126,11 @@
         }
         this.#planned.set(host.id, wanted);
     }
+    /** Other spares that are ready in a model. */
+    #readySpares(host, spares, model) {
+        return spares.filter((spare) => spare !== host && (this.#planned.get(spare.id) ?? spare.hotModel ??
+            spare.staged[0]) === model).length;
+    }
     #planned = new Map();
     #wantedSpare(domain, host, spares) {
         const modelOf = (spare) => this.#planned.get(spare.id) ?? spare.hotModel ?? spare.staged[0];
--- a/target/core/relay/relay.js
+++ b/target/core/relay/relay.js
@@ -211,13 +211,13 @@
             const silentMs = now - (this.board.lastEventAt(key) ?? -Infinity);
             if (silentMs < ALIVE_MS && run.model !== undefined)
                 return;
-            this.#parts.evidence.doubt({ key, kind: "unreachable", at: now });
+            this.#parts.evidence.doubt({ key, kind: "unreachable", at: now }, "own");
         }
         else if (outcome === "refused" && head?.atFault !== undefined) {
-            this.#parts.evidence.doubt({ key, kind: "silent", at: now });
+            this.#parts.evidence.doubt({ key, kind: "silent", at: now }, "own");
         }
         else if (outcome === "reset" && run.model !== undefined) {
-            this.#parts.evidence.doubt({ key, kind: "reset", at: now });
+            this.#parts.evidence.doubt({ key, kind: "reset", at: now }, "own");
         }
     }
     /** Moves the streams of a doubted upstream. */
--- a/target/core/relay/stall_watch.js
+++ b/target/core/relay/stall_watch.js
@@ -38,7 +38,7 @@
         for (const [key, runs] of this.#runs) {
             const silentMs = now - this.#lastProgress(key, runs, now);
             if (silentMs > this.#limitMs(key, runs, now)) {
-                this.#evidence.doubt({ key, kind: "silent", at: now });
+                this.#evidence.doubt({ key, kind: "silent", at: now }, "own");
             }
         }
     }
--- a/target/platform/json_calls.js
+++ b/target/platform/json_calls.js
@@ -5,12 +5,6 @@
  */
 import { clearTimeout, setTimeout } from "node:timers";
 import { request } from "undici";
-/** The time of a call is up. */
-class LimitReached extends Error {
-    constructor() {
-        super("timeout");
-    }
-}
 /** Errors of a channel that could not be opened. */
 const NOT_SENT = new Set([
     "ECONNREFUSED",
@@ -27,9 +21,22 @@
  * ```
  */
 export async function callJson(agent, method, url, limitMs, body) {
-    // The library's own time-outs are only exact to half a second.
+    // The library's own time-outs are exact to half a second only, and its
+    // signals don't end a call whose channel is not open yet.
     const abort = new AbortController();
-    const timer = setTimeout(() => abort.abort(new LimitReached()), limitMs);
+    let timer;
+    const late = new Promise((resolve) => {
+        timer = setTimeout(() => {
+            resolve({ kind: "lost", detail: "timeout" });
+            abort.abort();
+        }, limitMs);
+    });
+    const call = sendJson(agent, method, url, abort.signal, body);
+    const res = await Promise.race([call, late]);
+    clearTimeout(timer);
+    return res;
+}
+async function sendJson(agent, method, url, signal, body) {
     try {
         const res = await request(url, {
             dispatcher: agent,
@@ -38,7 +45,7 @@
                 ? undefined
                 : { "content-type": "application/json" },
             body: body === undefined ? undefined : JSON.stringify(body),
-            signal: abort.signal,
+            signal,
         });
         const text = await res.body.text();
         return { kind: "answer", status: res.statusCode, body: parsed(text) };
@@ -48,9 +55,6 @@
         const detail = code || err.message;
         return { kind: NOT_SENT.has(code) ? "not_sent" : "lost", detail };
     }
-    finally {
-        clearTimeout(timer);
-    }
 }
 function parsed(text) {
     try {
--- a/target/platform/server_orders.js
+++ b/target/platform/server_orders.js
@@ -8,6 +8,7 @@
 import { failure, success } from "../base/outcome.js";
 import { callJson } from "./json_calls.js";
 import { parseServerReport } from "./server_entry.js";
+const CONNECT_LIMIT_MS = 1_000;
 const REPORT_LIMIT_MS = 220;
 /** A report not answered by then is asked for on another channel, too. */
 const ASK_TWICE_MS = 70;
@@ -26,6 +27,7 @@
 export class ServerOrders {
     #agent = new Agent({
         connections: 4,
+        connectTimeout: CONNECT_LIMIT_MS,
         pipelining: 1,
         keepAliveTimeout: KEEP_CHANNEL_MS,
         keepAliveMaxTimeout: KEEP_CHANNEL_MS,
