Join what is left of several domains into slow groups, and admit what is in time

Cause: after losses, domains keep hosts that complete no group; requests expected late were sent all the same and made others late; spares were readied for the model with enough. Change: hosts of several domains of a zone form a group that counts 0.4 and gives its hosts back when a domain can complete one; requests are sent when their first event is expected within 0.8 of the goal (1.5 before); spares follow the shortage of models.

--- a/src/core/fleet/replica.ts
+++ b/src/core/fleet/replica.ts
@@ -27,6 +27,8 @@
   /** Host that takes the requests. */
   readonly host: ServingHost;
   readonly members: readonly string[];
+  /** Whether the members are in several fabric domains, which makes it slow. */
+  readonly isFar: boolean;
 }
 
 /**
--- a/src/core/fleet/replica_view.ts
+++ b/src/core/fleet/replica_view.ts
@@ -74,6 +74,7 @@
         model: undefined,
         host,
         members: [host.id],
+        isFar: false,
       }));
   }
 
@@ -95,6 +96,7 @@
       model: group.model,
       host: head,
       members: members.map((host) => host.id),
+      isFar: members.some((host) => host.domain !== head.domain),
     };
   }
 }
--- a/src/core/keeper/group_keeper.ts
+++ b/src/core/keeper/group_keeper.ts
@@ -197,9 +197,14 @@
     );
     const groups = this.#collect(beliefs, engine);
     const kept = new Set<string>();
+    const farOf = new Map<string, string>();
     for (const group of groups) {
       this.#tend(group, now);
-      for (const { host } of group.members) kept.add(host.id);
+      const isFar = isSpread(group) && this.#isSound(group);
+      for (const { host } of group.members) {
+        if (isFar) farOf.set(host.id, group.key);
+        else kept.add(host.id);
+      }
     }
     const free = beliefs.filter((belief) =>
       !kept.has(belief.host.id) && this.#isUsable(belief) &&
@@ -209,17 +214,22 @@
     if (!this.#isSettled(beliefs.length, now)) return;
     const steps = planLayout({
       models: engine.models,
-      free: free.map((belief) => this.#toFree(belief, now)),
+      free: free.map((belief) =>
+        this.#toFree(belief, farOf.get(belief.host.id), now)
+      ),
       groups: groups.filter((g) => this.#isSound(g)).map((group) => ({
         model: group.model?.name ?? "",
-        domain: group.members[0].host.domain,
+        domain: isSpread(group) ? "" : group.members[0].host.domain,
       })),
       needed: this.#needed(engine),
       hostsOf: domainSizes(beliefs.filter((b) => this.#isUsable(b))),
       loadsAreCheap: !this.#hasTraffic,
       loadRoom: this.#ceiling.room(engine, now),
     });
-    for (const step of steps) this.#execute(step, engine, now);
+    for (const step of steps) {
+      if (step.kind === "reclaim") this.#reclaim(step.farGroups, groups, now);
+      else this.#execute(step, engine, now);
+    }
   }
 
   /** Whether all hosts that start together have been announced. */
@@ -231,7 +241,11 @@
     return this.#hasTraffic || now - this.#countedAt >= START_SETTLE_MS;
   }
 
-  #toFree(belief: HostBelief, now: number): FreeHost {
+  #toFree(
+    belief: HostBelief,
+    farGroup: string | undefined,
+    now: number,
+  ): FreeHost {
     const { host, membership, staging } = belief;
     const isJoining = membership?.state === "joining";
     return {
@@ -241,6 +255,8 @@
       staged: staging === undefined ? host.staged : [staging],
       isLoading: staging !== undefined || isJoining,
       isCold: this.#parts.hosts.coldUntil(host.id) > now,
+      zone: host.zone,
+      farGroup,
       idleMs: now - (this.#freeSince.get(host.id) ?? now),
     };
   }
@@ -347,6 +363,10 @@
   /** Ends a group: every member that lives leaves, and is free from then on. */
   #dissolve(group: KeptGroup, now: number): void {
     if (this.#isOnlyDraining(group) && !this.#isFinished(group, now)) return;
+    this.#leaveAll(group, now);
+  }
+
+  #leaveAll(group: KeptGroup, now: number): void {
     if (!this.#mayTry(`leave ${group.key}`, now)) return;
     const living = group.members.filter((belief) => !belief.isDead);
     if (living.length === 0) return;
@@ -386,7 +406,19 @@
     return false;
   }
 
-  #execute(step: LayoutStep, engine: EngineSpec, now: number): void {
+  #reclaim(
+    keys: readonly string[],
+    groups: readonly KeptGroup[],
+    now: number,
+  ): void {
+    for (const group of groups) {
+      if (!keys.includes(group.key)) continue;
+      if (group.members.some(({ host }) => this.#desk.isBusy(host.id))) continue;
+      this.#leaveAll(group, now);
+    }
+  }
+
+  #execute(step: Exclude<LayoutStep, { kind: "reclaim" }>, engine: EngineSpec, now: number): void {
     const model = engine.models.find((spec) => spec.name === step.model);
     if (model === undefined) return;
     if (step.kind === "form") this.#form(model, step.members, now);
@@ -465,6 +497,12 @@
   }
 }
 
+/** Whether a group's hosts are in several fabric domains. */
+function isSpread(group: KeptGroup): boolean {
+  const [{ host }] = group.members;
+  return group.members.some((belief) => belief.host.domain !== host.domain);
+}
+
 function domainSizes(beliefs: readonly HostBelief[]): Map<string, number> {
   const sizes = new Map<string, number>();
   for (const { host } of beliefs) {
--- a/src/core/keeper/layout.ts
+++ b/src/core/keeper/layout.ts
@@ -19,6 +19,9 @@
   readonly isCold: boolean;
   /** Time since the host became free, in milliseconds. */
   readonly idleMs: number;
+  readonly zone: string;
+  /** The slow group over several domains that the host serves in meanwhile. */
+  readonly farGroup: string | undefined;
 }
 
 /** What a layout is made of. */
@@ -44,12 +47,18 @@
     readonly model: string;
     readonly members: readonly string[];
   }
+  /** Ends slow groups whose hosts complete a group of one domain. */
+  | { readonly kind: "reclaim"; readonly farGroups: readonly string[] }
   | { readonly kind: "stage"; readonly model: string; readonly host: string }
   /** Makes a spare join with the model alone, so that its next join is short. */
   | { readonly kind: "warm"; readonly model: string; readonly host: string };
 
 /** Groups per group needed beyond which spares are kept for repairs. */
 const COMFORT = 1.5;
+/** Groups per group needed below which slow groups are worth their hosts. */
+const FAR_BELOW = 1.3;
+/** Hosts that a loss has just freed wait for a repair in their domain first. */
+const FAR_IDLE_MS = 600;
 /** A spare keeps the model it has at least this long. */
 const RESTAGE_IDLE_MS = 2_000;
 /** Hosts of a domain for each that is kept as a spare. */
@@ -66,6 +75,7 @@
 export function planLayout(input: LayoutInput): LayoutStep[] {
   const plan = new Plan(input);
   plan.form();
+  plan.formFar();
   plan.prepareSpares();
   return plan.steps;
 }
@@ -129,11 +139,46 @@
     const rest = (this.#free.get(domain) ?? []).filter((h) => !chosen.has(h));
     this.#free.set(domain, rest);
     this.#counts.set(model.name, (this.#counts.get(model.name) ?? 0) + 1);
+    const farGroups = best.hosts.flatMap((host) => host.farGroup ?? []);
+    if (farGroups.length > 0) {
+      this.steps.push({ kind: "reclaim", farGroups: [...new Set(farGroups)] });
+      return true;
+    }
     const members = best.hosts.map((host) => host.id);
     this.steps.push({ kind: "form", model: model.name, members });
     return true;
   }
 
+  /** Joins what is left in the domains of a zone into slow groups. */
+  formFar(): void {
+    if (this.#input.loadsAreCheap) return;
+    for (const model of this.#byShortage()) {
+      while (this.#supply(model) < FAR_BELOW && this.#formOneFar(model));
+    }
+  }
+
+  #formOneFar(model: EngineModel): boolean {
+    const byZone = new Map<string, FreeHost[]>();
+    for (const host of [...this.#free.values()].flat()) {
+      const isAble = host.farGroup === undefined && !host.isLoading &&
+        host.idleMs >= FAR_IDLE_MS &&
+        (host.hotModel === model.name || host.staged.includes(model.name));
+      if (!isAble) continue;
+      byZone.set(host.zone, [...byZone.get(host.zone) ?? [], host]);
+    }
+    const hosts = [...byZone.values()].find((h) => h.length >= model.size);
+    if (hosts === undefined) return false;
+    const chosen = hosts.slice(0, model.size);
+    for (const host of chosen) {
+      const rest = this.#free.get(host.domain) ?? [];
+      this.#free.set(host.domain, rest.filter((other) => other !== host));
+    }
+    this.#counts.set(model.name, (this.#counts.get(model.name) ?? 0) + 0.4);
+    const members = chosen.map((host) => host.id);
+    this.steps.push({ kind: "form", model: model.name, members });
+    return true;
+  }
+
   /** Spares to keep when the model has enough groups already. */
   #reserve(domain: string, model: EngineModel): number {
     if (!this.#input.loadsAreCheap && this.#supply(model) < COMFORT) return 0;
@@ -154,7 +199,8 @@
     if (able.length < model.size) return undefined;
     const rank = (host: FreeHost) =>
       (host.hotModel === model.name ? 0 : 2) +
-      (host.staged.includes(model.name) ? 0 : 4) + (host.isCold ? 1 : 0);
+      (host.staged.includes(model.name) ? 0 : 4) + (host.isCold ? 1 : 0) +
+      (host.farGroup === undefined ? 0 : 1);
     return [...able].sort((a, b) => rank(a) - rank(b)).slice(0, model.size);
   }
 
@@ -170,7 +216,7 @@
     host: FreeHost,
     spares: readonly FreeHost[],
   ): void {
-    if (host.isLoading) return;
+    if (host.isLoading || host.farGroup !== undefined) return;
     const wanted = this.#wantedSpare(domain, host, spares);
     if (wanted === undefined || host.hotModel === wanted) return;
     const own = host.hotModel ?? host.staged[0];
@@ -218,7 +264,11 @@
       const use = (groups + 0.3) * Math.min(1, model.size / 4) /
         (ready + 1);
       const keep = model.name === own ? 1.5 : 1;
-      return { model: model.name, score: use * keep + 0.01 / missing };
+      const shortage = 1 / Math.max(0.2, this.#supply(model));
+      return {
+        model: model.name,
+        score: use * keep * shortage + 0.01 / missing,
+      };
     });
     scores.sort((a, b) => b.score - a.score);
     return scores[0]?.model;
--- a/src/core/relay/engine_times.ts
+++ b/src/core/relay/engine_times.ts
@@ -8,11 +8,11 @@
 /** Predicts times of one model on one engine. Times are milliseconds. */
 export class EngineTimes {
   readonly #engine: EngineSpec;
-  readonly #model: EngineModel;
+  readonly #pace: number;
 
-  constructor(engine: EngineSpec, model: EngineModel) {
+  constructor(engine: EngineSpec, model: EngineModel, isFar = false) {
     this.#engine = engine;
-    this.#model = model;
+    this.#pace = model.pace * (isFar ? engine.farFactor : 1);
   }
 
   /** Requests that run at once. */
@@ -23,7 +23,7 @@
   /** Time to read a prompt alone. */
   readMs(tokens: number): number {
     return tokens / this.#engine.readTokensPerSecond * 1_000 *
-      this.#model.pace;
+      this.#pace;
   }
 
   /** One token step with so many requests writing. */
@@ -31,7 +31,7 @@
     const { stepMs, perSequenceMs, contextMsPerThousand, usual } = this.#engine;
     const context = (usual.prompt + usual.answer / 2) / 1_000;
     return (stepMs + writing * (perSequenceMs + contextMsPerThousand * context)) *
-      this.#model.pace;
+      this.#pace;
   }
 
   /** One pass: the pause between two events of a stream. */
--- a/src/core/relay/placer.ts
+++ b/src/core/relay/placer.ts
@@ -105,7 +105,7 @@
     const load = board.total(replica.key, now);
     const away = replica.host.zone === zone ? 0 : OTHER_ZONE_MS;
     const slowness = Math.max(1, record.slowness(replica.key, now));
-    const times = engineTimes(query.service, query.model);
+    const times = engineTimes(query.service, query.model, replica.isFar);
     const baseMs = times === undefined
       ? plainMs(load.inFlight, replica.host.slots)
       : times.firstEventMs(load.inFlight, load.reading, query.promptTokens);
@@ -132,8 +132,9 @@
 function engineTimes(
   service: ServiceSpec,
   model: string | undefined,
+  isFar: boolean,
 ): EngineTimes | undefined {
   const spec = service.engine?.models.find((m) => m.name === model);
   if (service.engine === undefined || spec === undefined) return undefined;
-  return new EngineTimes(service.engine, spec);
+  return new EngineTimes(service.engine, spec, isFar);
 }
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -24,7 +24,7 @@
 /** Longest wait for an upstream of a stream that goes on elsewhere. */
 const RESUME_HOLD_MS = 600;
 /** Goals beyond which a first byte is not worth sending for. */
-const LATE_FACTOR = 1.5;
+const LATE_FACTOR = 0.8;
 
 /** Why an attempt ended, for logs and records. */
 export type AttemptOutcome =
@@ -101,6 +101,9 @@
   #failedHead: { head: RelayHead; body: Uint8Array[] } | undefined;
   #mayHaveRun = false;
   #sends = 0;
+  #firstAt: number | undefined;
+  #lastAt = 0;
+  #longestGapMs = 0;
   #waitUntil: number;
   #done = false;
 
@@ -160,6 +163,18 @@
     return this.#sends;
   }
 
+  /** Time from arrival to the first byte; undefined before it. */
+  get firstByteMs(): number | undefined {
+    return this.#firstAt === undefined
+      ? undefined
+      : this.#firstAt - this.arrivedAt;
+  }
+
+  /** Longest pause between bytes for the caller, in milliseconds. */
+  get longestGapMs(): number {
+    return this.#longestGapMs;
+  }
+
   get withinMs(): number {
     const { goalMs, gapMs } = this.contract.route;
     const now = this.#parts.timers.now();
@@ -273,6 +288,7 @@
       this.#failedHead?.body.push(chunk);
       return;
     }
+    this.#noteGap(now);
     const verdict = this.#sink.data(chunk);
     if (verdict === "broken") {
       attempt.handle?.cancel();
@@ -282,6 +298,12 @@
     }
   }
 
+  #noteGap(now: number): void {
+    if (this.#firstAt === undefined) this.#firstAt = now;
+    else this.#longestGapMs = Math.max(this.#longestGapMs, now - this.#lastAt);
+    this.#lastAt = now;
+  }
+
   #awaitCaller(attempt: RunningAttempt): void {
     if (attempt.paused) return;
     attempt.paused = true;
--- a/src/core/relay/stall_watch.ts
+++ b/src/core/relay/stall_watch.ts
@@ -76,9 +76,11 @@
     let expectedMs = 0;
     let service: ServiceSpec | undefined;
     let model: string | undefined;
+    let isFar = false;
     for (const run of runs) {
       service = run.service;
       model = run.model;
+      isFar = run.attempt?.replica.isFar ?? isFar;
       if (run.attempt?.lastDataAt !== undefined) writing += 1;
       expectedMs = Math.max(expectedMs, run.attempt?.expectedMs ?? 0);
     }
@@ -86,7 +88,7 @@
     if (service?.engine === undefined || spec === undefined) return Infinity;
     if (writing === 0) return expectedMs + FIRST_EVENT_MARGIN_MS;
     const load = this.#board.total(key, now);
-    const times = new EngineTimes(service.engine, spec);
+    const times = new EngineTimes(service.engine, spec, isFar);
     const passMs = times.passMs(
       Math.min(load.inFlight, times.slots),
       load.reading,
--- a/src/node/request_log.ts
+++ b/src/node/request_log.ts
@@ -36,7 +36,14 @@
       outcome: event.outcome,
       detail: event.detail === "" ? undefined : event.detail,
       ...(event.event === "ended"
-        ? { route: run.contract.route.name, sends: run.sends }
+        ? {
+          route: run.contract.route.name,
+          model: run.model,
+          sends: run.sends,
+          firstMs: run.firstByteMs && Math.round(run.firstByteMs),
+          gapMs: Math.round(run.longestGapMs),
+          goalMs: run.contract.route.goalMs,
+        }
         : {}),
     });
   }
--- a/src/world/catalog.ts
+++ b/src/world/catalog.ts
@@ -67,6 +67,8 @@
   readonly loadsAtOnce: number;
   /** Mean token counts of prompts and answers. */
   readonly usual: { readonly prompt: number; readonly answer: number };
+  /** Factor on all times of a group whose hosts are in several domains. */
+  readonly farFactor: number;
   /** Time from the command to open until a group serves. */
   readonly formMs: number;
 }
--- a/target/core/fleet/replica_view.js
+++ b/target/core/fleet/replica_view.js
@@ -54,6 +54,7 @@
             model: undefined,
             host,
             members: [host.id],
+            isFar: false,
         }));
     }
     /** The group as a replica, if it is open and no member is missing or leaving. */
@@ -72,6 +73,7 @@
             model: group.model,
             host: head,
             members: members.map((host) => host.id),
+            isFar: members.some((host) => host.domain !== head.domain),
         };
     }
 }
--- a/target/core/keeper/group_keeper.js
+++ b/target/core/keeper/group_keeper.js
@@ -145,10 +145,16 @@
         const beliefs = this.#parts.hosts.ofService(service.name).map((host) => this.#ledger.belief(host, now));
         const groups = this.#collect(beliefs, engine);
         const kept = new Set();
+        const farOf = new Map();
         for (const group of groups) {
             this.#tend(group, now);
-            for (const { host } of group.members)
-                kept.add(host.id);
+            const isFar = isSpread(group) && this.#isSound(group);
+            for (const { host } of group.members) {
+                if (isFar)
+                    farOf.set(host.id, group.key);
+                else
+                    kept.add(host.id);
+            }
         }
         const free = beliefs.filter((belief) => !kept.has(belief.host.id) && this.#isUsable(belief) &&
             !this.#desk.isBusy(belief.host.id));
@@ -157,18 +163,22 @@
             return;
         const steps = planLayout({
             models: engine.models,
-            free: free.map((belief) => this.#toFree(belief, now)),
+            free: free.map((belief) => this.#toFree(belief, farOf.get(belief.host.id), now)),
             groups: groups.filter((g) => this.#isSound(g)).map((group) => ({
                 model: group.model?.name ?? "",
-                domain: group.members[0].host.domain,
+                domain: isSpread(group) ? "" : group.members[0].host.domain,
             })),
             needed: this.#needed(engine),
             hostsOf: domainSizes(beliefs.filter((b) => this.#isUsable(b))),
             loadsAreCheap: !this.#hasTraffic,
             loadRoom: this.#ceiling.room(engine, now),
         });
-        for (const step of steps)
-            this.#execute(step, engine, now);
+        for (const step of steps) {
+            if (step.kind === "reclaim")
+                this.#reclaim(step.farGroups, groups, now);
+            else
+                this.#execute(step, engine, now);
+        }
     }
     /** Whether all hosts that start together have been announced. */
     #isSettled(hostCount, now) {
@@ -178,7 +188,7 @@
         }
         return this.#hasTraffic || now - this.#countedAt >= START_SETTLE_MS;
     }
-    #toFree(belief, now) {
+    #toFree(belief, farGroup, now) {
         const { host, membership, staging } = belief;
         const isJoining = membership?.state === "joining";
         return {
@@ -188,6 +198,8 @@
             staged: staging === undefined ? host.staged : [staging],
             isLoading: staging !== undefined || isJoining,
             isCold: this.#parts.hosts.coldUntil(host.id) > now,
+            zone: host.zone,
+            farGroup,
             idleMs: now - (this.#freeSince.get(host.id) ?? now),
         };
     }
@@ -297,6 +309,9 @@
     #dissolve(group, now) {
         if (this.#isOnlyDraining(group) && !this.#isFinished(group, now))
             return;
+        this.#leaveAll(group, now);
+    }
+    #leaveAll(group, now) {
         if (!this.#mayTry(`leave ${group.key}`, now))
             return;
         const living = group.members.filter((belief) => !belief.isDead);
@@ -336,6 +351,15 @@
             .then(() => this.#lookSoon());
         return false;
     }
+    #reclaim(keys, groups, now) {
+        for (const group of groups) {
+            if (!keys.includes(group.key))
+                continue;
+            if (group.members.some(({ host }) => this.#desk.isBusy(host.id)))
+                continue;
+            this.#leaveAll(group, now);
+        }
+    }
     #execute(step, engine, now) {
         const model = engine.models.find((spec) => spec.name === step.model);
         if (model === undefined)
@@ -412,6 +436,11 @@
         return true;
     }
 }
+/** Whether a group's hosts are in several fabric domains. */
+function isSpread(group) {
+    const [{ host }] = group.members;
+    return group.members.some((belief) => belief.host.domain !== host.domain);
+}
 function domainSizes(beliefs) {
     const sizes = new Map();
     for (const { host } of beliefs) {
--- a/target/core/relay/engine_times.js
+++ b/target/core/relay/engine_times.js
@@ -1,10 +1,10 @@
 /** Predicts times of one model on one engine. Times are milliseconds. */
 export class EngineTimes {
     #engine;
-    #model;
-    constructor(engine, model) {
+    #pace;
+    constructor(engine, model, isFar = false) {
         this.#engine = engine;
-        this.#model = model;
+        this.#pace = model.pace * (isFar ? engine.farFactor : 1);
     }
     /** Requests that run at once. */
     get slots() {
@@ -13,14 +13,14 @@
     /** Time to read a prompt alone. */
     readMs(tokens) {
         return tokens / this.#engine.readTokensPerSecond * 1_000 *
-            this.#model.pace;
+            this.#pace;
     }
     /** One token step with so many requests writing. */
     stepMs(writing) {
         const { stepMs, perSequenceMs, contextMsPerThousand, usual } = this.#engine;
         const context = (usual.prompt + usual.answer / 2) / 1_000;
         return (stepMs + writing * (perSequenceMs + contextMsPerThousand * context)) *
-            this.#model.pace;
+            this.#pace;
     }
     /** One pass: the pause between two events of a stream. */
     passMs(writing, reading) {
--- a/target/core/relay/placer.js
+++ b/target/core/relay/placer.js
@@ -56,7 +56,7 @@
         const load = board.total(replica.key, now);
         const away = replica.host.zone === zone ? 0 : OTHER_ZONE_MS;
         const slowness = Math.max(1, record.slowness(replica.key, now));
-        const times = engineTimes(query.service, query.model);
+        const times = engineTimes(query.service, query.model, replica.isFar);
         const baseMs = times === undefined
             ? plainMs(load.inFlight, replica.host.slots)
             : times.firstEventMs(load.inFlight, load.reading, query.promptTokens);
@@ -79,9 +79,9 @@
     const full = perSlot >= PLAIN_FULL ? 10_000 : 0;
     return PLAIN_TIME_MS * (1 + perSlot * 0.3 + queued) + full;
 }
-function engineTimes(service, model) {
+function engineTimes(service, model, isFar) {
     const spec = service.engine?.models.find((m) => m.name === model);
     if (service.engine === undefined || spec === undefined)
         return undefined;
-    return new EngineTimes(service.engine, spec);
+    return new EngineTimes(service.engine, spec, isFar);
 }
--- a/target/core/relay/relay_run.js
+++ b/target/core/relay/relay_run.js
@@ -4,7 +4,7 @@
 /** Longest wait for an upstream of a stream that goes on elsewhere. */
 const RESUME_HOLD_MS = 600;
 /** Goals beyond which a first byte is not worth sending for. */
-const LATE_FACTOR = 1.5;
+const LATE_FACTOR = 0.8;
 /** Runs one request to its one end. */
 export class RelayRun {
     call;
@@ -22,6 +22,9 @@
     #failedHead;
     #mayHaveRun = false;
     #sends = 0;
+    #firstAt;
+    #lastAt = 0;
+    #longestGapMs = 0;
     #waitUntil;
     #done = false;
     constructor(parts, call, reply, contract, service, customer, fingerprint) {
@@ -64,6 +67,16 @@
     get sends() {
         return this.#sends;
     }
+    /** Time from arrival to the first byte; undefined before it. */
+    get firstByteMs() {
+        return this.#firstAt === undefined
+            ? undefined
+            : this.#firstAt - this.arrivedAt;
+    }
+    /** Longest pause between bytes for the caller, in milliseconds. */
+    get longestGapMs() {
+        return this.#longestGapMs;
+    }
     get withinMs() {
         const { goalMs, gapMs } = this.contract.route;
         const now = this.#parts.timers.now();
@@ -177,6 +190,7 @@
             this.#failedHead?.body.push(chunk);
             return;
         }
+        this.#noteGap(now);
         const verdict = this.#sink.data(chunk);
         if (verdict === "broken") {
             attempt.handle?.cancel();
@@ -186,6 +200,13 @@
             this.#awaitCaller(attempt);
         }
     }
+    #noteGap(now) {
+        if (this.#firstAt === undefined)
+            this.#firstAt = now;
+        else
+            this.#longestGapMs = Math.max(this.#longestGapMs, now - this.#lastAt);
+        this.#lastAt = now;
+    }
     #awaitCaller(attempt) {
         if (attempt.paused)
             return;
--- a/target/platform/manifest.js
+++ b/target/platform/manifest.js
@@ -40,6 +40,7 @@
     loads_at_once: z.number(),
     usual: z.object({ prompt: z.number(), answer: z.number() }),
     form_ms: z.number(),
+    far_x: z.number().default(1),
 });
 const ServiceDoc = z.object({
     name: z.string(),
@@ -144,6 +145,7 @@
         loadsPerSecond: doc.loads_per_s,
         loadsAtOnce: doc.loads_at_once,
         usual: doc.usual,
+        farFactor: doc.far_x,
         formMs: doc.form_ms,
     };
 }
