--- a/src/core/controller/controller_lease.ts
+++ b/src/core/controller/controller_lease.ts
@@ -4,10 +4,7 @@
  * @module
  */
 import type { Timers } from "../../base/timers.ts";
-import type {
-  KeyValueStore,
-  StoreLease,
-} from "../../ports/key_value_store.ts";
+import type { KeyValueStore, StoreLease } from "../../ports/key_value_store.ts";
 import { CONTROLLER_KEY } from "../configuration/store_keys.ts";
 
 /** Time without renewal after which another controller may take over. */
--- a/src/core/fleet/acting_lease.ts
+++ b/src/core/fleet/acting_lease.ts
@@ -71,7 +71,9 @@
     this.#lose("resigned");
     const lease = this.#lease;
     this.#lease = undefined;
-    if (lease !== undefined) await this.#limited(this.#parts.store.endLease(lease));
+    if (lease !== undefined) {
+      await this.#limited(this.#parts.store.endLease(lease));
+    }
   }
 
   /** Takes what the store says of the key; undefined when nobody holds it. */
--- a/src/core/fleet/host_registry.ts
+++ b/src/core/fleet/host_registry.ts
@@ -157,9 +157,7 @@
   }
   const groups = new Map<string, ReplicaGroupView>();
   for (const [key, list] of members) {
-    list.sort((a, b) =>
-      (a.membership?.rank ?? 0) - (b.membership?.rank ?? 0)
-    );
+    list.sort((a, b) => (a.membership?.rank ?? 0) - (b.membership?.rank ?? 0));
     const [first] = list;
     if (first.membership === undefined) continue;
     const head = first.membership.rank === 0 ? first : undefined;
--- a/src/core/keeper/group_keeper.ts
+++ b/src/core/keeper/group_keeper.ts
@@ -170,7 +170,9 @@
     if (!this.#parts.isActing() || !this.#isLearned) return;
     const inForce = this.#parts.catalog.inForce;
     if (inForce === undefined) return;
-    this.#ledger.retain(new Set([...this.#parts.hosts.hosts()].map((h) => h.id)));
+    this.#ledger.retain(
+      new Set([...this.#parts.hosts.hosts()].map((h) => h.id)),
+    );
     this.#reaskSilent();
     for (const key of this.#parts.evidence.doubted()) this.#probe(key);
     for (const service of inForce.services.values()) {
@@ -401,7 +403,12 @@
     }
     if (head === undefined) return true;
     this.#closedAt.set(key, now);
-    this.#desk.send(head.host, { kind: "close", group: name, epoch, mode: "finish" })
+    this.#desk.send(head.host, {
+      kind: "close",
+      group: name,
+      epoch,
+      mode: "finish",
+    })
       .then(() => this.#lookSoon());
     return false;
   }
@@ -413,12 +420,18 @@
   ): void {
     for (const group of groups) {
       if (!keys.includes(group.key)) continue;
-      if (group.members.some(({ host }) => this.#desk.isBusy(host.id))) continue;
+      if (group.members.some(({ host }) => this.#desk.isBusy(host.id))) {
+        continue;
+      }
       this.#leaveAll(group, now);
     }
   }
 
-  #execute(step: Exclude<LayoutStep, { kind: "reclaim" }>, engine: EngineSpec, now: number): void {
+  #execute(
+    step: Exclude<LayoutStep, { kind: "reclaim" }>,
+    engine: EngineSpec,
+    now: number,
+  ): void {
     const model = engine.models.find((spec) => spec.name === step.model);
     if (model === undefined) return;
     if (step.kind === "form") this.#form(model, step.members, now);
--- a/src/core/keeper/layout.ts
+++ b/src/core/keeper/layout.ts
@@ -29,7 +29,10 @@
   readonly models: readonly EngineModel[];
   readonly free: readonly FreeHost[];
   /** Groups that serve or are being formed, by model and domain. */
-  readonly groups: readonly { readonly model: string; readonly domain: string }[];
+  readonly groups: readonly {
+    readonly model: string;
+    readonly domain: string;
+  }[];
   /** Groups that the demand for each model fills. */
   readonly needed: ReadonlyMap<string, number>;
   /** Hosts of each domain that can be used at all. */
--- a/src/core/membership/registration.ts
+++ b/src/core/membership/registration.ts
@@ -4,10 +4,7 @@
  * @module
  */
 import type { Timer, Timers } from "../../base/timers.ts";
-import type {
-  KeyValueStore,
-  StoreLease,
-} from "../../ports/key_value_store.ts";
+import type { KeyValueStore, StoreLease } from "../../ports/key_value_store.ts";
 import type { GatewayMember } from "../../world/configuration.ts";
 import { gatewayKey } from "../configuration/store_keys.ts";
 
--- a/src/core/relay/engine_times.ts
+++ b/src/core/relay/engine_times.ts
@@ -30,7 +30,8 @@
   stepMs(writing: number): number {
     const { stepMs, perSequenceMs, contextMsPerThousand, usual } = this.#engine;
     const context = (usual.prompt + usual.answer / 2) / 1_000;
-    return (stepMs + writing * (perSequenceMs + contextMsPerThousand * context)) *
+    return (stepMs +
+      writing * (perSequenceMs + contextMsPerThousand * context)) *
       this.#pace;
   }
 
@@ -44,8 +45,8 @@
     const { slots } = this.#engine;
     const waiting = Math.max(0, inFlight + 1 - slots);
     const writing = Math.min(inFlight, slots);
-    const queueMs = waiting * this.requestMs(this.#engine.usual.prompt,
-      this.#engine.usual.answer) ;
+    const queueMs = waiting *
+      this.requestMs(this.#engine.usual.prompt, this.#engine.usual.answer);
     return queueMs + this.passMs(writing, reading) + this.readMs(prompt) +
       this.stepMs(writing);
   }
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -8,7 +8,10 @@
 import type { Timers } from "../../base/timers.ts";
 import type { RelayClient, RelayHead } from "../../ports/relay_client.ts";
 import type { KeyedCustomer, Route, ServiceSpec } from "../../world/catalog.ts";
-import type { CatalogHolder, CatalogInForce } from "../catalog/catalog_holder.ts";
+import type {
+  CatalogHolder,
+  CatalogInForce,
+} from "../catalog/catalog_holder.ts";
 import type { Doubt, Evidence } from "../fleet/evidence.ts";
 import type { HostRegistry } from "../fleet/host_registry.ts";
 import type { Replica } from "../fleet/replica.ts";
@@ -265,8 +268,10 @@
     load.inFlight -= 1;
     if (attempt.lastDataAt === undefined) {
       load.reading = Math.max(0, load.reading - run.promptTokens);
-    } else if (load.lastEventAt === undefined ||
-      attempt.lastDataAt > load.lastEventAt) {
+    } else if (
+      load.lastEventAt === undefined ||
+      attempt.lastDataAt > load.lastEventAt
+    ) {
       load.lastEventAt = attempt.lastDataAt;
     }
     if (run.model !== undefined) this.#stalls.ended(run, attempt);
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -16,7 +16,12 @@
 import type { AnswerSink } from "./answer_sink.ts";
 import { HeldAnswer, StreamAnswer } from "./answer_sink.ts";
 import type { Placement, PlacementQuery } from "./placer.ts";
-import type { Refusal, RefusalKind, RelayCall, RelayReply } from "./relay_call.ts";
+import type {
+  Refusal,
+  RefusalKind,
+  RelayCall,
+  RelayReply,
+} from "./relay_call.ts";
 import type { RequestContract } from "./request_contract.ts";
 
 /** Part of the goal that a request may wait for an upstream. */
@@ -39,7 +44,11 @@
   | "cancelled";
 
 /** How a request ended. */
-export type RunOutcome = "answered" | "passed_failure" | "caller_gone" | RefusalKind;
+export type RunOutcome =
+  | "answered"
+  | "passed_failure"
+  | "caller_gone"
+  | RefusalKind;
 
 /** One line of a request's story. */
 export interface RunEvent {
@@ -383,7 +392,9 @@
       ? "timed_out"
       : "expired";
     const attempt = this.#attempt;
-    if (attempt !== undefined) this.#endAttempt(attempt, "cancelled", "time up");
+    if (attempt !== undefined) {
+      this.#endAttempt(attempt, "cancelled", "time up");
+    }
     this.#refuse({ kind, detail: "The time is up" });
   }
 
@@ -392,7 +403,9 @@
     if (this.#mayHaveRun && !this.contract.repeatable) {
       return this.#refuse({ kind: "upstream_failed", detail });
     }
-    if (this.#mayHaveRun) return this.#refuse({ kind: "upstream_failed", detail });
+    if (this.#mayHaveRun) {
+      return this.#refuse({ kind: "upstream_failed", detail });
+    }
     this.#refuse({ kind, detail, retryAfterMs });
   }
 
@@ -426,7 +439,12 @@
     if (cut) attempt.handle?.cancel();
     this.#parts.attemptEnded(this, attempt, outcome, attempt.head);
     const { replica } = attempt;
-    this.#parts.note(this, { event: "attempt_ended", outcome, detail, replica });
+    this.#parts.note(this, {
+      event: "attempt_ended",
+      outcome,
+      detail,
+      replica,
+    });
   }
 
   #finish(outcome: RunOutcome, detail = ""): void {
--- a/src/core/relay/replica_record.ts
+++ b/src/core/relay/replica_record.ts
@@ -27,7 +27,12 @@
   }
 
   /** Notes a first byte: the time it took against the time expected. */
-  firstByte(key: string, tookMs: number, expectedMs: number, now: number): void {
+  firstByte(
+    key: string,
+    tookMs: number,
+    expectedMs: number,
+    now: number,
+  ): void {
     const marks = this.#aged(key, now);
     const ratio = Math.min(SLOWEST, tookMs / Math.max(1, expectedMs));
     marks.slowness += SAMPLE_WEIGHT * (ratio - marks.slowness);
--- a/src/logging/event_log.ts
+++ b/src/logging/event_log.ts
@@ -39,5 +39,7 @@
     { event: string; fields: EventFields },
   ];
   const at = entry.date.toISOString();
-  buffer.push(JSON.stringify({ at, level: entry.type, node, event, ...fields }));
+  buffer.push(
+    JSON.stringify({ at, level: entry.type, node, event, ...fields }),
+  );
 }
--- a/src/logging/line_buffer.ts
+++ b/src/logging/line_buffer.ts
@@ -44,7 +44,9 @@
   flush(): void {
     if (this.#lines.length === 0) return;
     if (this.#dropped > 0) {
-      this.#lines.push(JSON.stringify({ event: "log_lines_dropped", count: this.#dropped }));
+      this.#lines.push(
+        JSON.stringify({ event: "log_lines_dropped", count: this.#dropped }),
+      );
       this.#dropped = 0;
     }
     const text = `${this.#lines.join("\n")}\n`;
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -87,14 +87,19 @@
     await this.#serve(readyDoor(node), ...split(ready_address));
     await this.#serve(directoryDoor(node), ...split(directory_address));
     const metrics = new Hono();
-    metrics.get("/metrics", async (ctx) =>
-      ctx.text(await node.metrics.registry.metrics()));
+    metrics.get(
+      "/metrics",
+      async (ctx) => ctx.text(await node.metrics.registry.metrics()),
+    );
     await this.#serve(metrics, ip, this.#settings.node.metrics_port);
   }
 
   #serve(app: Hono, hostname: string, port: number): Promise<void> {
     return new Promise((resolve) => {
-      const server = serve({ fetch: app.fetch, hostname, port }, () => resolve());
+      const server = serve(
+        { fetch: app.fetch, hostname, port },
+        () => resolve(),
+      );
       this.#servers.push(server as Server);
     });
   }
@@ -105,14 +110,19 @@
     this.#stopping = true;
     const startedAt = this.#timers.now();
     const limitMs = this.#settings.bounds.shutdown_within - END_EARLY_MS;
-    this.#log.info("stop_begun", { reason, inFlight: this.#node.relay.inFlight });
+    this.#log.info("stop_begun", {
+      reason,
+      inFlight: this.#node.relay.inFlight,
+    });
     this.#node.withdraw();
     await sleep(this.#timers, ACCEPT_MS);
     this.#node.relay.refuseNew();
     this.#door?.closeChannels();
     while (this.#timers.now() - startedAt < limitMs) {
-      if (this.#node.relay.inFlight === 0 &&
-        this.#timers.now() - startedAt > ACCEPT_MS + 1_200) break;
+      if (
+        this.#node.relay.inFlight === 0 &&
+        this.#timers.now() - startedAt > ACCEPT_MS + 1_200
+      ) break;
       await sleep(this.#timers, 50);
     }
     this.#log.info("stopped", { inFlight: this.#node.relay.inFlight });
--- a/src/platform/server_orders.ts
+++ b/src/platform/server_orders.ts
@@ -104,6 +104,7 @@
 }
 
 function lost(res: JsonAnswer & { detail: string }): HostControlError {
-  const isRefused = res.detail === "ECONNREFUSED" || res.detail === "ECONNRESET";
+  const isRefused = res.detail === "ECONNREFUSED" ||
+    res.detail === "ECONNRESET";
   return { kind: isRefused ? "refused" : "silent", detail: res.detail };
 }
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -62,8 +62,10 @@
  * ```
  */
 export function forwardedHeaders(raw: readonly string[]): string[] {
-  return withoutNames(raw, (name) =>
-    CHANNEL_HEADERS.has(name) || OWN_HEADERS.has(name));
+  return withoutNames(
+    raw,
+    (name) => CHANNEL_HEADERS.has(name) || OWN_HEADERS.has(name),
+  );
 }
 
 /**
--- a/target/base/event_log.js
+++ /dev/null
@@ -1,6 +0,0 @@
-/**
- * Structured events: decisions, beliefs, dependencies.
- *
- * @module
- */
-export {};
--- a/target/ports/datagrams.js
+++ /dev/null
@@ -1,6 +0,0 @@
-/**
- * Small unreliable messages between the processes of the fleet.
- *
- * @module
- */
-export {};
