--- /dev/null
+++ b/features/groups.feature
@@ -0,0 +1,79 @@
+@groups
+Feature: Replica groups on engine hosts
+
+  Scenario: should form groups of both models and open them only when every member is ready
+    Given 2 fabric domains of 9 engine hosts
+    When the fleet runs for 25 seconds
+    Then 2 groups of "large" and 2 groups of "small" serve
+    And no rule of groups was broken
+
+  Scenario: should serve again within a second and a half of losing a member
+    Given 2 fabric domains of 9 engine hosts
+    And the fleet runs for 25 seconds
+    When a member of a group of "large" goes dark and is doubted
+    And the fleet runs for 1500 milliseconds
+    Then 2 groups of "large" and 2 groups of "small" serve
+    And no rule of groups was broken
+
+  Scenario: should free the members of a dead head without waiting for the store
+    Given 2 fabric domains of 9 engine hosts
+    And the fleet runs for 25 seconds
+    When the head of a group of "large" goes dark and is doubted
+    And the fleet runs for 1500 milliseconds
+    Then 2 groups of "large" and 2 groups of "small" serve
+    And no rule of groups was broken
+
+  Scenario: should never join members of a group whose head is only cut off
+    Given 2 fabric domains of 9 engine hosts
+    And the fleet runs for 25 seconds
+    When the head of a group of "large" is cut off and is doubted
+    And the fleet runs for 5 seconds
+    And the head is back
+    And the fleet runs for 5 seconds
+    Then no rule of groups was broken
+
+  Scenario Outline: should keep its count of commands when <lost> answers are lost
+    Given 2 fabric domains of 9 engine hosts
+    And the next <lost> answers of every host are lost
+    When the fleet runs for 40 seconds
+    Then 2 groups of "large" and 2 groups of "small" serve
+    And no rule of groups was broken
+
+    Examples:
+      | lost |
+      | 1    |
+      | 2    |
+
+  Scenario: should replace a leaving member
+    Given 2 fabric domains of 9 engine hosts
+    And the fleet runs for 25 seconds
+    When a member of a group of "small" announces that it leaves
+    And the fleet runs for 4 seconds
+    Then 2 groups of "large" and 2 groups of "small" serve without the leaving host
+    And no rule of groups was broken
+
+  Scenario: should learn every host's state before it acts for another
+    Given 2 fabric domains of 9 engine hosts
+    And the fleet runs for 25 seconds
+    When another node acts from now on
+    And a member of a group of "large" goes dark and is doubted
+    And the fleet runs for 1500 milliseconds
+    Then 2 groups of "large" and 2 groups of "small" serve
+    And no rule of groups was broken
+
+  Scenario: should do nothing while another node acts
+    Given 2 fabric domains of 9 engine hosts
+    And another process holds the lease
+    When the fleet runs for 25 seconds
+    Then no host got a command
+
+  Scenario: should join what is left of two domains of a zone until one is whole
+    Given hosts that can join "large" at once: 2 in domain "a", 2 in domain "b" of one zone
+    When the layout is planned while "large" is short
+    Then one group over both domains is formed
+    When one more host each can join in domain "a" and 1 more in domain "a"
+    Then the slow group gives its hosts back
+
+  Scenario: should not begin more loads than the weight store allows
+    Given a ceiling of 4.5 loads a second over 5 seconds and 6 at once
+    Then at most 6 loads begin at once and at most 20 in any 5 seconds
--- /dev/null
+++ b/features/steps/group_steps.ts
@@ -0,0 +1,238 @@
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import type { FreeHost, LayoutStep } from "../../src/core/keeper/layout.ts";
+import { planLayout } from "../../src/core/keeper/layout.ts";
+import { LoadCeiling } from "../../src/core/keeper/load_ceiling.ts";
+import {
+  EXAMPLE_MODELS,
+  exampleCatalog,
+} from "../../src/standins/fleet/example_catalog.ts";
+import { KeptFleet } from "./keeper_world.ts";
+
+interface GroupWorld {
+  fleet: KeptFleet;
+  chosen: string;
+  free: FreeHost[];
+  steps: LayoutStep[];
+  ceiling: LoadCeiling;
+}
+
+Given(
+  "{int} fabric domains of {int} engine hosts",
+  function (this: GroupWorld, domains: number, hosts: number) {
+    this.fleet = new KeptFleet(domains, hosts);
+  },
+);
+
+Given(
+  "the next {int} answers of every host are lost",
+  function (this: GroupWorld, count: number) {
+    for (const host of this.fleet.hosts.hosts()) {
+      this.fleet.engine.loseNextAnswer(host.id);
+    }
+    if (count < 2) return;
+    this.fleet.timers.after(6_000, () => {
+      for (const host of this.fleet.hosts.hosts()) {
+        this.fleet.engine.loseNextAnswer(host.id);
+      }
+    });
+  },
+);
+
+Given("another process holds the lease", function (this: GroupWorld) {
+  this.fleet.acting = false;
+});
+
+When(
+  "the fleet runs for {int} seconds",
+  async function (this: GroupWorld, seconds: number) {
+    await this.fleet.run(seconds * 1_000);
+  },
+);
+
+When(
+  "the fleet runs for {int} milliseconds",
+  async function (this: GroupWorld, ms: number) {
+    await this.fleet.run(ms);
+  },
+);
+
+When(
+  "a member of a group of {string} goes dark and is doubted",
+  async function (this: GroupWorld, model: string) {
+    const group = this.fleet.groupOf(model);
+    this.fleet.engine.goDark(group.members[1]);
+    await this.fleet.doubt(group.key);
+  },
+);
+
+When(
+  "the head of a group of {string} goes dark and is doubted",
+  async function (this: GroupWorld, model: string) {
+    const group = this.fleet.groupOf(model);
+    this.fleet.engine.goDark(group.members[0]);
+    await this.fleet.doubt(group.key);
+  },
+);
+
+When(
+  "the head of a group of {string} is cut off and is doubted",
+  async function (this: GroupWorld, model: string) {
+    const group = this.fleet.groupOf(model);
+    this.chosen = group.members[0];
+    this.fleet.engine.cutOff(this.chosen);
+    await this.fleet.doubt(group.key);
+  },
+);
+
+When("the head is back", function (this: GroupWorld) {
+  this.fleet.engine.heal(this.chosen);
+});
+
+When(
+  "a member of a group of {string} announces that it leaves",
+  function (this: GroupWorld, model: string) {
+    this.chosen = this.fleet.groupOf(model).members[1];
+    this.fleet.engine.drain(this.chosen);
+  },
+);
+
+When("another node acts from now on", async function (this: GroupWorld) {
+  this.fleet.replaceKeeper();
+  await this.fleet.run(100);
+});
+
+function assertServing(fleet: KeptFleet, large: number, small: number): void {
+  const models = fleet.engine.serving.map((group) => group.model);
+  const count = (model: string) => models.filter((m) => m === model).length;
+  assert.deepEqual([count("large"), count("small")], [large, small]);
+}
+
+Then(
+  "{int} groups of {string} and {int} groups of {string} serve",
+  function (
+    this: GroupWorld,
+    large: number,
+    _large: string,
+    small: number,
+    _small: string,
+  ) {
+    assertServing(this.fleet, large, small);
+  },
+);
+
+Then(
+  "{int} groups of {string} and {int} groups of {string} serve without the leaving host",
+  function (
+    this: GroupWorld,
+    large: number,
+    _large: string,
+    small: number,
+    _small: string,
+  ) {
+    assertServing(this.fleet, large, small);
+    const members = this.fleet.engine.serving.flatMap((g) => g.members);
+    assert.ok(!members.includes(this.chosen));
+  },
+);
+
+Then("no rule of groups was broken", function (this: GroupWorld) {
+  assert.deepEqual(this.fleet.engine.breaches, []);
+});
+
+Then("no host got a command", function (this: GroupWorld) {
+  assert.deepEqual(this.fleet.log.named("command"), []);
+});
+
+function hotHosts(domain: string, count: number, from: number): FreeHost[] {
+  return Array.from({ length: count }, (_, i) => ({
+    id: `${domain}-${from + i}`,
+    domain,
+    hotModel: "large",
+    staged: ["large"],
+    isLoading: false,
+    isCold: false,
+    idleMs: 5_000,
+    zone: "z",
+    farGroup: undefined,
+  }));
+}
+
+function plan(free: readonly FreeHost[]): LayoutStep[] {
+  return planLayout({
+    models: EXAMPLE_MODELS,
+    free,
+    groups: [],
+    needed: new Map([["large", 2], ["small", 0.01]]),
+    hostsOf: new Map([["a", 9], ["b", 9]]),
+    loadsAreCheap: false,
+    loadRoom: 0,
+  });
+}
+
+Given(
+  "hosts that can join {string} at once: {int} in domain {string}, {int} in domain {string} of one zone",
+  function (
+    this: GroupWorld,
+    _model: string,
+    inA: number,
+    a: string,
+    inB: number,
+    b: string,
+  ) {
+    this.free = [...hotHosts(a, inA, 0), ...hotHosts(b, inB, 0)];
+  },
+);
+
+When(
+  "the layout is planned while {string} is short",
+  function (this: GroupWorld, _model: string) {
+    this.steps = plan(this.free);
+  },
+);
+
+Then("one group over both domains is formed", function (this: GroupWorld) {
+  const [step, ...rest] = this.steps;
+  assert.deepEqual(rest, []);
+  assert.ok(step.kind === "form" && step.model === "large");
+  assert.deepEqual([...step.members].sort(), ["a-0", "a-1", "b-0", "b-1"]);
+});
+
+When(
+  "one more host each can join in domain {string} and {int} more in domain {string}",
+  function (this: GroupWorld, a: string, more: number, _a: string) {
+    const far = this.free.map((host) => ({ ...host, farGroup: "g-1@1" }));
+    this.steps = plan([...far, ...hotHosts(a, 1 + more, 2)]);
+  },
+);
+
+Then("the slow group gives its hosts back", function (this: GroupWorld) {
+  assert.deepEqual(this.steps[0], { kind: "reclaim", farGroups: ["g-1@1"] });
+});
+
+Given(
+  "a ceiling of 4.5 loads a second over 5 seconds and 6 at once",
+  function (this: GroupWorld) {
+    this.ceiling = new LoadCeiling(5_000);
+  },
+);
+
+Then(
+  "at most {int} loads begin at once and at most {int} in any 5 seconds",
+  function (this: GroupWorld, atOnce: number, inWindow: number) {
+    const engine = exampleCatalog(1).services[0].engine;
+    assert.ok(engine);
+    assert.equal(this.ceiling.room(engine, 0), atOnce);
+    const begun: number[] = [];
+    for (let now = 0; now < 20_000; now += 10) {
+      const room = this.ceiling.room(engine, now);
+      for (let i = 0; i < room; i++) {
+        this.ceiling.begun(now, 40);
+        begun.push(now);
+      }
+      const recent = begun.filter((at) => now - at < 5_000).length;
+      assert.ok(recent <= inWindow, `${recent} loads by ${now}`);
+    }
+    assert.ok(begun.length > inWindow);
+  },
+);
--- /dev/null
+++ b/features/steps/keeper_world.ts
@@ -0,0 +1,124 @@
+import assert from "node:assert/strict";
+import type { EventFields, EventLog } from "../../src/base/event_log.ts";
+import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import { CatalogHolder } from "../../src/core/catalog/catalog_holder.ts";
+import { Evidence } from "../../src/core/fleet/evidence.ts";
+import { HostRegistry } from "../../src/core/fleet/host_registry.ts";
+import { groupKey } from "../../src/core/fleet/replica.ts";
+import { GroupKeeper } from "../../src/core/keeper/group_keeper.ts";
+import { EngineHosts } from "../../src/standins/fleet/engine_hosts.ts";
+import {
+  EXAMPLE_MODELS,
+  exampleCatalog,
+} from "../../src/standins/fleet/example_catalog.ts";
+
+/** Keeps what was logged. */
+export class RecordedLog implements EventLog {
+  readonly events: { event: string; fields: EventFields }[] = [];
+
+  info(event: string, fields: EventFields): void {
+    this.events.push({ event, fields });
+  }
+
+  warn(event: string, fields: EventFields): void {
+    this.info(event, fields);
+  }
+
+  debug(event: string, fields: EventFields): void {
+    this.info(event, fields);
+  }
+
+  named(event: string): EventFields[] {
+    return this.events.filter((e) => e.event === event).map((e) => e.fields);
+  }
+}
+
+/** A keeper before simulated engine hosts, in virtual time. */
+export class KeptFleet {
+  readonly timers = new VirtualTimers();
+  readonly log = new RecordedLog();
+  readonly hosts = new HostRegistry();
+  readonly evidence = new Evidence();
+  readonly engine: EngineHosts;
+  readonly #catalog: CatalogHolder;
+  keeper: GroupKeeper;
+  acting = true;
+  #term = 1;
+  #started = false;
+
+  constructor(domains: number, hostsPerDomain: number) {
+    this.engine = new EngineHosts(this.timers, EXAMPLE_MODELS, {
+      announced: (host) => this.hosts.announce(host, this.timers.now()),
+      withdrawn: (id) => this.hosts.withdraw(id, this.timers.now(), false),
+    });
+    const now = () => this.timers.now();
+    this.#catalog = new CatalogHolder(now, now);
+    this.#catalog.offer(exampleCatalog(1));
+    for (let d = 0; d < domains; d++) {
+      for (let h = 0; h < hostsPerDomain; h++) {
+        this.engine.add(`i-${d}-${h}`, `domain-${d}`, `zone-${d}`);
+      }
+    }
+    this.keeper = this.#makeKeeper(() => this.acting);
+  }
+
+  /** Another process, which knows nothing yet, acts from now on. */
+  replaceKeeper(): void {
+    this.acting = false;
+    this.#term += 1;
+    this.keeper = this.#makeKeeper(() => true);
+    this.keeper.start();
+    this.keeper.gained(this.#term);
+  }
+
+  async run(ms: number): Promise<void> {
+    if (!this.#started) {
+      this.#started = true;
+      this.keeper.start();
+      this.keeper.gained(this.#term);
+    }
+    await this.timers.run(ms);
+  }
+
+  /** A group that serves a model. */
+  groupOf(model: string): { key: string; members: readonly string[] } {
+    const serving = this.engine.serving.find((group) => group.model === model);
+    assert.ok(serving, `No group of ${model} serves`);
+    const membership = this.hosts.get(serving.members[0])?.membership;
+    assert.ok(membership);
+    return {
+      key: groupKey(membership.group, membership.epoch),
+      members: serving.members,
+    };
+  }
+
+  /** Callers' streams show that a group went silent. */
+  async doubt(key: string): Promise<void> {
+    await this.timers.run(150);
+    const doubt = { key, kind: "silent", at: this.timers.now() } as const;
+    this.evidence.doubt(doubt, "own");
+    this.keeper.doubted(doubt);
+  }
+
+  #makeKeeper(isActing: () => boolean): GroupKeeper {
+    return new GroupKeeper({
+      timers: this.timers,
+      control: this.engine,
+      hosts: this.hosts,
+      evidence: this.evidence,
+      catalog: this.#catalog,
+      zonesOut: new Set(),
+      log: this.log,
+      isActing,
+      demand: () => this.#demand(),
+      onFoundWhole: (key) => this.evidence.trust(key, this.timers.now()),
+      loadWindowMs: 5_000,
+    });
+  }
+
+  /** Callers come once groups have had time to form. */
+  #demand(): ReadonlyMap<string, number> {
+    const isEarly = this.timers.now() < 20_000;
+    return new Map(isEarly ? [] : [["large", 600], ["small", 600]]);
+  }
+}
--- /dev/null
+++ b/features/steps/relay_world.ts
@@ -0,0 +1,174 @@
+import { Buffer } from "node:buffer";
+import { Random } from "../../src/base/random.ts";
+import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import { CatalogHolder } from "../../src/core/catalog/catalog_holder.ts";
+import { Evidence } from "../../src/core/fleet/evidence.ts";
+import { HostRegistry } from "../../src/core/fleet/host_registry.ts";
+import { ReplicaView } from "../../src/core/fleet/replica_view.ts";
+import type {
+  Refusal,
+  RelayCall,
+  RelayReply,
+} from "../../src/core/relay/relay_call.ts";
+import { Relay } from "../../src/core/relay/relay.ts";
+import type { RawHeaders } from "../../src/ports/relay_client.ts";
+import { exampleCatalog } from "../../src/standins/fleet/example_catalog.ts";
+import { ScriptedUpstreams } from "../../src/standins/fleet/scripted_upstreams.ts";
+import type { ServingHost } from "../../src/world/serving_host.ts";
+
+/** What one caller sees. */
+export class CallerView implements RelayReply {
+  readonly #now: () => number;
+  readonly startedAt: number;
+  status: number | undefined;
+  headers: RawHeaders = [];
+  body = "";
+  isWhole = false;
+  isCut = false;
+  refusal: Refusal | undefined;
+  firstMs: number | undefined;
+  endedMs: number | undefined;
+  onEvent: (count: number) => void = () => {};
+
+  constructor(now: () => number) {
+    this.#now = now;
+    this.startedAt = now();
+  }
+
+  get eventIds(): number[] {
+    return [...this.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+  }
+
+  head(status: number, headers: RawHeaders): void {
+    this.status = status;
+    this.headers = headers;
+  }
+
+  data(chunk: Uint8Array): boolean {
+    this.firstMs ??= this.#now() - this.startedAt;
+    this.body += Buffer.from(chunk).toString();
+    this.onEvent(this.eventIds.length);
+    return true;
+  }
+
+  end(): void {
+    this.isWhole = true;
+    this.#ended();
+  }
+
+  refuse(refusal: Refusal): void {
+    this.refusal = refusal;
+    this.#ended();
+  }
+
+  cut(): void {
+    this.isCut = true;
+    this.#ended();
+  }
+
+  onDrain(callback: () => void): void {
+    callback();
+  }
+
+  #ended(): void {
+    this.endedMs = this.#now() - this.startedAt;
+  }
+}
+
+/** A relay before scripted upstreams, in virtual time. */
+export class RelayedFleet {
+  readonly timers = new VirtualTimers();
+  readonly upstreams = new ScriptedUpstreams(this.timers);
+  readonly catalog: CatalogHolder;
+  readonly relay: Relay;
+  readonly #hosts = new HostRegistry();
+  #nextId = 0;
+
+  constructor() {
+    const now = () => this.timers.now();
+    this.catalog = new CatalogHolder(now, now);
+    this.catalog.offer(exampleCatalog(1));
+    this.catalog.confirmed(1, this.catalog.now());
+    const evidence = new Evidence();
+    this.relay = new Relay({
+      timers: this.timers,
+      random: new Random(7),
+      client: this.upstreams,
+      catalog: this.catalog,
+      hosts: this.#hosts,
+      view: new ReplicaView(this.#hosts, evidence, this.catalog, new Set()),
+      evidence,
+      observer: { noted() {}, turnedAway() {} },
+      zone: "zone-0",
+      retryBounds: { ratio: 0.2, windowMs: 10_000, slack: 136 },
+      keyTrustMs: 4_250,
+      fleetSize: () => 1,
+    });
+    this.relay.start();
+  }
+
+  addGroups(count: number, model: string): void {
+    for (let g = 0; g < count; g++) {
+      for (let rank = 0; rank < 3; rank++) {
+        const state = rank === 0 ? "open" : "ready";
+        this.#announce({
+          id: `i-${g}-${rank}`,
+          service: "pool",
+          domain: `domain-${g}`,
+          models: [model],
+          membership: { group: `g-${g}`, epoch: 1, rank, state },
+        });
+      }
+    }
+  }
+
+  addCounters(count: number): void {
+    for (let i = 0; i < count; i++) {
+      this.#announce({ id: `counter-${i}`, service: "counter" });
+    }
+  }
+
+  /** Sends a request; a key is given unless the caller has another. */
+  ask(path: string, apiKey = "bindery-key"): CallerView {
+    const view = new CallerView(() => this.timers.now());
+    const isStream = path.startsWith("/draft/") || path.startsWith("/once/");
+    const call: RelayCall = {
+      id: `request-${this.#nextId++}`,
+      method: "POST",
+      hostName: "album.example",
+      target: `${path}${this.#nextId}`,
+      headers: [],
+      body: Buffer.from(`body ${this.#nextId}`),
+      apiKey,
+      deadlineMs: 8_000,
+      lastEventId: undefined,
+      model: isStream ? "small" : undefined,
+      promptTokens: isStream ? 600 : 0,
+      maxTokens: 0,
+      expectedTokens: undefined,
+    };
+    const run = this.relay.handle(call, view);
+    view.onEvent = (count) => {
+      if (count === this.leaveAfterEvents) run?.callerGone();
+    };
+    return view;
+  }
+
+  leaveAfterEvents = -1;
+
+  #announce(part: Partial<ServingHost> & { id: string; service: string }) {
+    this.#hosts.announce({
+      address: `${part.id}:1`,
+      zone: "zone-0",
+      slots: 6,
+      draining: false,
+      coldLeftMs: 0,
+      born: 1,
+      domain: "",
+      staged: [],
+      models: [],
+      membership: undefined,
+      ...part,
+    }, this.timers.now());
+  }
+}
--- /dev/null
+++ b/src/standins/fleet/engine_hosts.ts
@@ -0,0 +1,326 @@
+/**
+ * Engine hosts in groups, as their commands and reports show them.
+ *
+ * @module
+ */
+import type { Outcome } from "../../base/outcome.ts";
+import { failure, success } from "../../base/outcome.ts";
+import type { Timers } from "../../base/timers.ts";
+import { sleep } from "../../base/timers.ts";
+import type {
+  CommandAnswer,
+  HostCommand,
+  HostControl,
+  HostControlError,
+  HostRef,
+} from "../../ports/host_control.ts";
+import type {
+  HostReport,
+  Membership,
+  ServingHost,
+} from "../../world/serving_host.ts";
+import type { EngineModel } from "../../world/catalog.ts";
+
+const JOIN_HOT_MS = 200;
+const FORM_MS = 300;
+const ANSWER_MS = 2;
+const SILENT_MS = 220;
+
+interface HostState {
+  readonly host: ServingHost;
+  seq: number;
+  membership: Membership | undefined;
+  members: readonly string[];
+  lastModel: string | undefined;
+  staged: string[];
+  reach: "fine" | "dark" | "cut";
+  isDraining: boolean;
+  /** The next command is carried out, and its answer is lost. */
+  losesNextAnswer: boolean;
+}
+
+/** One thing that must never happen. */
+export interface GroupBreach {
+  readonly rule: "two_groups" | "partial_group";
+  readonly host: string;
+  readonly at: number;
+}
+
+/** What the simulated hosts tell. */
+export interface EngineHostsListener {
+  announced(host: ServingHost): void;
+  withdrawn(hostId: string): void;
+}
+
+/** Simulates hosts, and notes breaches of the rules of groups. */
+export class EngineHosts implements HostControl {
+  readonly breaches: GroupBreach[] = [];
+  readonly #timers: Timers;
+  readonly #models: ReadonlyMap<string, EngineModel>;
+  readonly #listener: EngineHostsListener;
+  readonly #hosts = new Map<string, HostState>();
+
+  constructor(
+    timers: Timers,
+    models: readonly EngineModel[],
+    listener: EngineHostsListener,
+  ) {
+    this.#timers = timers;
+    this.#models = new Map(models.map((model) => [model.name, model]));
+    this.#listener = listener;
+  }
+
+  /** Starts a host without weights. */
+  add(id: string, domain: string, zone: string): void {
+    const host: ServingHost = {
+      id,
+      service: "pool",
+      address: `${id}:1`,
+      zone,
+      slots: 18,
+      draining: false,
+      coldLeftMs: 0,
+      born: 1,
+      domain,
+      staged: [],
+      models: [],
+      membership: undefined,
+    };
+    this.#hosts.set(id, {
+      host,
+      seq: 0,
+      membership: undefined,
+      members: [],
+      lastModel: undefined,
+      staged: [],
+      reach: "fine",
+      isDraining: false,
+      losesNextAnswer: false,
+    });
+    this.#announce(id);
+  }
+
+  /** The host falls silent; its announcement lapses after three heartbeats. */
+  goDark(id: string): void {
+    this.#state(id).reach = "dark";
+    this.#timers.after(3_600, () => this.#listener.withdrawn(id));
+  }
+
+  /** The host is cut off from everyone but its group, and goes on serving. */
+  cutOff(id: string): void {
+    this.#state(id).reach = "cut";
+    this.#timers.after(3_600, () => {
+      if (this.#state(id).reach === "cut") this.#listener.withdrawn(id);
+    });
+  }
+
+  /** The cut ends. */
+  heal(id: string): void {
+    this.#state(id).reach = "fine";
+    this.#announce(id);
+  }
+
+  /** The host announces that it leaves. */
+  drain(id: string): void {
+    this.#state(id).isDraining = true;
+    this.#announce(id);
+  }
+
+  /** The next command's answer is lost on the way back. */
+  loseNextAnswer(id: string): void {
+    this.#state(id).losesNextAnswer = true;
+  }
+
+  /** Groups whose head is open and whose members are all there. */
+  get serving(): { model: string; members: readonly string[] }[] {
+    return [...this.#hosts.values()].flatMap((state) => {
+      const { membership, members, reach } = state;
+      const isHead = membership?.rank === 0 && membership.state === "open";
+      if (!isHead || reach === "dark") return [];
+      const isWhole = members.every((id) => this.#isIn(id, membership));
+      return isWhole ? [{ model: state.lastModel ?? "", members }] : [];
+    });
+  }
+
+  async report(host: HostRef): Promise<Outcome<HostReport, HostControlError>> {
+    const state = this.#state(host.id);
+    if (state.reach !== "fine") return await this.#silence();
+    await sleep(this.#timers, ANSWER_MS);
+    return success({
+      seq: state.seq,
+      born: 1,
+      busy: false,
+      queued: 0,
+      active: 0,
+      staged: state.staged,
+      models: state.lastModel === undefined ? [] : [state.lastModel],
+      membership: state.membership,
+    });
+  }
+
+  async command(
+    host: HostRef,
+    command: HostCommand,
+    expectedSeq: number | undefined,
+  ): Promise<Outcome<CommandAnswer, HostControlError>> {
+    const state = this.#state(host.id);
+    if (state.reach !== "fine") return await this.#silence();
+    await sleep(this.#timers, ANSWER_MS);
+    const answer = expectedSeq !== undefined && expectedSeq !== state.seq
+      ? "conflict"
+      : this.#apply(host.id, state, command);
+    if (!state.losesNextAnswer) return success(answer);
+    state.losesNextAnswer = false;
+    return await this.#silence();
+  }
+
+  #apply(
+    id: string,
+    state: HostState,
+    command: HostCommand,
+  ): CommandAnswer {
+    switch (command.kind) {
+      case "join":
+        return this.#join(id, state, command);
+      case "open":
+        return this.#open(id, state, command);
+      case "leave":
+        if (!isNamed(state, command)) return "done";
+        state.seq += 1;
+        state.membership = undefined;
+        this.#announce(id);
+        return "done";
+      case "close":
+        if (!isNamed(state, command)) return "conflict";
+        state.seq += 1;
+        this.#become(id, state, "ready");
+        return "begun";
+      case "stage":
+        return this.#stage(id, state, command.model);
+    }
+  }
+
+  #join(
+    id: string,
+    state: HostState,
+    command: HostCommand & { kind: "join" },
+  ): CommandAnswer {
+    const { group, epoch, members, model } = command;
+    if ((state.membership?.epoch ?? 0) > epoch) return "stale";
+    this.#checkFree(id, state);
+    state.seq += 1;
+    state.members = members;
+    state.membership = {
+      group,
+      epoch,
+      rank: members.indexOf(id),
+      state: "joining",
+    };
+    this.#announce(id);
+    const spec = this.#models.get(model);
+    const tookMs = state.lastModel === model
+      ? JOIN_HOT_MS
+      : state.staged.includes(model)
+      ? spec?.warmMs ?? 0
+      : spec?.loadMs ?? 0;
+    const { seq } = state;
+    this.#timers.after(tookMs, () => {
+      if (state.seq !== seq) return;
+      state.lastModel = model;
+      state.staged = [model];
+      this.#become(id, state, "ready");
+    });
+    return "begun";
+  }
+
+  /** A host that is in a group whose head serves must not join another. */
+  #checkFree(id: string, state: HostState): void {
+    const { membership, members } = state;
+    if (membership === undefined) return;
+    const head = this.#hosts.get(members[0]);
+    const headMembership = head?.membership;
+    const isOpen = head?.reach !== "dark" &&
+      headMembership?.group === membership.group &&
+      (headMembership.state === "open" || headMembership.state === "closing");
+    if (isOpen) this.#breach("two_groups", id);
+  }
+
+  #open(
+    id: string,
+    state: HostState,
+    command: HostCommand & { kind: "open" },
+  ): CommandAnswer {
+    if (!isNamed(state, command)) return "conflict";
+    const { membership, members } = state;
+    if (membership?.state === "open") return "done";
+    if (membership?.state !== "ready") return "conflict";
+    const isWhole = members.every((member) => this.#isIn(member, membership));
+    if (!isWhole) this.#breach("partial_group", id);
+    state.seq += 1;
+    const { seq } = state;
+    this.#timers.after(FORM_MS, () => {
+      if (state.seq === seq) this.#become(id, state, "open");
+    });
+    return "begun";
+  }
+
+  #stage(id: string, state: HostState, model: string): CommandAnswer {
+    state.seq += 1;
+    this.#timers.after(this.#models.get(model)?.loadMs ?? 0, () => {
+      state.staged = [model];
+      this.#announce(id);
+    });
+    return "begun";
+  }
+
+  #isIn(id: string, group: Membership): boolean {
+    const state = this.#hosts.get(id);
+    return state?.reach !== "dark" &&
+      state?.membership?.group === group.group &&
+      state.membership.state !== "joining";
+  }
+
+  #become(id: string, state: HostState, next: Membership["state"]): void {
+    if (state.membership === undefined) return;
+    state.membership = { ...state.membership, state: next };
+    this.#announce(id);
+  }
+
+  #breach(rule: GroupBreach["rule"], host: string): void {
+    this.breaches.push({ rule, host, at: this.#timers.now() });
+  }
+
+  #announce(id: string): void {
+    const state = this.#state(id);
+    if (state.reach === "fine") this.#listener.announced(this.#view(state));
+  }
+
+  #view(state: HostState): ServingHost {
+    return {
+      ...state.host,
+      draining: state.isDraining,
+      staged: state.staged,
+      models: state.lastModel === undefined ? [] : [state.lastModel],
+      membership: state.membership,
+    };
+  }
+
+  #state(id: string): HostState {
+    const state = this.#hosts.get(id);
+    if (state === undefined) throw new Error(`No host ${id}`);
+    return state;
+  }
+
+  async #silence(): Promise<Outcome<never, HostControlError>> {
+    await sleep(this.#timers, SILENT_MS);
+    return failure({ kind: "silent", detail: "timeout" });
+  }
+}
+
+function isNamed(
+  state: HostState,
+  command: { readonly group: string; readonly epoch: number },
+): boolean {
+  return state.membership?.group === command.group &&
+    state.membership.epoch === command.epoch;
+}
--- /dev/null
+++ b/src/standins/fleet/example_catalog.ts
@@ -0,0 +1,124 @@
+/**
+ * A small catalog for tests and for the stand-ins.
+ *
+ * @module
+ */
+import type { Catalog, EngineModel, Route } from "../../world/catalog.ts";
+
+const STREAM: Omit<Route, "name" | "pathPrefix"> = {
+  hostName: "album.example",
+  kind: "streaming",
+  resumable: true,
+  attempts: 2,
+  timeoutMs: 5_000,
+  goalMs: 200,
+  gapMs: 200,
+  priority: 1,
+  isPublic: false,
+  targets: [{ service: "pool", weight: 1 }],
+};
+
+/** Models of the example: groups of four and of three. */
+export const EXAMPLE_MODELS: readonly EngineModel[] = [
+  {
+    name: "large",
+    size: 4,
+    share: 0.57,
+    pace: 1,
+    loadMs: 16_000,
+    warmMs: 1_600,
+  },
+  {
+    name: "small",
+    size: 3,
+    share: 0.43,
+    pace: 0.6,
+    loadMs: 12_000,
+    warmMs: 1_100,
+  },
+];
+
+/**
+ * Makes a catalog with a route of each kind.
+ *
+ * @example
+ * ```ts
+ * holder.offer(exampleCatalog(1));
+ * ```
+ */
+export function exampleCatalog(version: number): Catalog {
+  const plain = { targets: [{ service: "counter", weight: 1 }] };
+  return {
+    version,
+    routes: [
+      { ...STREAM, name: "draft", pathPrefix: "/draft/" },
+      {
+        ...STREAM,
+        name: "draft-once",
+        pathPrefix: "/once/",
+        resumable: false,
+      },
+      {
+        ...STREAM,
+        ...plain,
+        name: "order",
+        pathPrefix: "/order/",
+        kind: "non_idempotent",
+        resumable: false,
+        attempts: 1,
+        timeoutMs: 800,
+      },
+      {
+        ...STREAM,
+        ...plain,
+        name: "look",
+        pathPrefix: "/look/",
+        kind: "idempotent",
+        resumable: false,
+        timeoutMs: 800,
+      },
+    ],
+    services: [
+      {
+        name: "pool",
+        healthPath: "/health",
+        maxConnections: 100,
+        coldMs: 3_000,
+        coldPerSecond: 36,
+        engine: {
+          slots: 18,
+          kvTokens: 1_000_000,
+          stride: 7,
+          models: EXAMPLE_MODELS,
+          stepMs: 5.95,
+          perSequenceMs: 0.064,
+          contextMsPerThousand: 0.0117,
+          readTokensPerSecond: 50_700,
+          loadsPerSecond: 4.5,
+          loadsAtOnce: 6,
+          usual: { prompt: 1_115, answer: 178 },
+          farFactor: 2.5,
+          formMs: 300,
+        },
+      },
+      {
+        name: "counter",
+        healthPath: "/health",
+        maxConnections: 100,
+        coldMs: 0,
+        coldPerSecond: 0,
+        engine: undefined,
+      },
+    ],
+    limits: {
+      maxHeaderBytes: 4_096,
+      maxBodyBytes: 65_536,
+      headerTimeoutMs: 1_000,
+      idleTimeoutMs: 15_000,
+    },
+    customers: [
+      { name: "bindery", keys: ["bindery-key"], priority: 1 },
+      { name: "front-desk", keys: ["desk-key"], priority: undefined },
+    ],
+  };
+}
