Test the translation to the platform over real sockets

Change: scenarios with raw channels on both sides of the front door and of the channels to servers, entries of other writers, the manifest, and the store's calls before a stand-in. Conclusion: what the platform says is checked without it.

--- a/src/platform/front_door.ts
+++ b/src/platform/front_door.ts
@@ -84,6 +84,18 @@
     });
   }
 
+  /** The port that is listened on. */
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === "object" && address !== null ? address.port : 0;
+  }
+
+  /** Stops listening, and ends all channels at once. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
   /** Ends each channel after its next answer. */
   closeChannels(): void {
     this.#closing = true;
--- a/src/platform/server_channels.ts
+++ b/src/platform/server_channels.ts
@@ -197,7 +197,9 @@
   ): void {
     const code = (err as { code?: string }).code ?? "";
     const detail = `${code} ${err.message}`.trim();
-    if (this.#badAnswer !== undefined || code.startsWith("HPE_")) {
+    const isNonsense = err.name === "HTTPParserError" ||
+      code.startsWith("HPE_");
+    if (this.#badAnswer !== undefined || isNonsense) {
       return this.#end({ kind: "malformed", detail });
     }
     // Without a channel the request was never begun.
--- /dev/null
+++ b/src/standins/platform/store_calls.ts
@@ -0,0 +1,151 @@
+/**
+ * The calls of the platform's store, answered from memory.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type {
+  IncomingMessage,
+  RequestListener,
+  ServerResponse,
+} from "node:http";
+import type { Outcome } from "../../base/outcome.ts";
+import type {
+  CoordinationError,
+  CoordinationItem,
+} from "../../ports/coordination_store.ts";
+import type { MemoryCoordination } from "../fleet/memory_coordination.ts";
+
+interface Answer {
+  readonly status: number;
+  readonly body?: unknown;
+}
+
+interface TxnBody {
+  readonly expected?: { key: string; rev: number }[];
+  readonly puts?: { key: string; value: string; lease?: number }[];
+  readonly remove?: string[];
+}
+
+/**
+ * Makes a listener that serves the store's calls.
+ *
+ * @example
+ * ```ts
+ * createServer(serveStore(new MemoryCoordination(timers))).listen(port);
+ * ```
+ */
+export function serveStore(state: MemoryCoordination): RequestListener {
+  const store = state.client();
+  const calls: Record<
+    string,
+    (url: URL, body: unknown) => Promise<Answer | "silent">
+  > = {
+    "/kv-range": async (url) => {
+      const res = await store.list(url.searchParams.get("path_prefix") ?? "");
+      return answer(res, (listing) => ({
+        items: listing.items.map(itemBody),
+        has_more: false,
+        as_of: listing.asOf,
+      }));
+    },
+    "/kv-watch": async (url) => {
+      const number = (name: string) => Number(url.searchParams.get(name));
+      const prefix = url.searchParams.get("path_prefix") ?? "";
+      const res = await store.changes(
+        prefix,
+        number("after"),
+        number("wait_ms"),
+      );
+      return answer(res, (changes) => ({
+        events: changes.events.map(({ key, revision, value }) =>
+          value === undefined
+            ? { key, rev: revision, tombstone: true }
+            : { key, rev: revision, value: base64(value) }
+        ),
+        as_of: changes.asOf,
+      }));
+    },
+    "/kv-txn": async (_url, body) => {
+      const { expected = [], puts = [], remove = [] } = body as TxnBody;
+      const res = await store.write(
+        expected.map(({ key, rev }) => ({ key, revision: rev })),
+        puts.map(({ key, value, lease }) => ({
+          key,
+          value: Buffer.from(value, "base64").toString("utf8"),
+          leaseId: lease,
+        })),
+        remove,
+      );
+      if (!res.ok) return failed(res.err);
+      if (res.value.kind === "lease_ended") return { status: 404 };
+      if (res.value.kind === "conflict") {
+        return {
+          status: 412,
+          body: { items: res.value.current.map(itemBody) },
+        };
+      }
+      return { status: 200, body: { rev: res.value.revision } };
+    },
+    "/kv-lease": async (_url, body) => {
+      const { ttl_ms } = body as { ttl_ms: number };
+      const res = await store.grantLease(ttl_ms);
+      return answer(res, ({ id, ttlMs }) => ({ lease: id, ttl_ms: ttlMs }));
+    },
+    "/kv-keep": async (url) => {
+      const res = await store.renewLease(lastNumber(url));
+      if (res.ok && !res.value) return { status: 404 };
+      return answer(res, () => ({}));
+    },
+    "/kv-lease-end": async (url) =>
+      answer(await store.endLease(lastNumber(url)), () => ({})),
+  };
+  return (req, res) => {
+    handle(calls, req, res).catch(() => res.destroy());
+  };
+}
+
+async function handle(
+  calls: Record<
+    string,
+    (url: URL, body: unknown) => Promise<Answer | "silent">
+  >,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  const url = new URL(req.url ?? "/", "http://store");
+  const name = url.pathname.replace(/\/\d+$/, "");
+  const body = chunks.length === 0
+    ? undefined
+    : JSON.parse(Buffer.concat(chunks).toString("utf8"));
+  const result = await calls[name]?.(url, body) ?? { status: 404 };
+  if (result === "silent") return void res.destroy();
+  res.writeHead(result.status, { "content-type": "application/json" });
+  res.end(JSON.stringify(result.body ?? {}));
+}
+
+function answer<T>(
+  res: Outcome<T, CoordinationError>,
+  body: (value: T) => unknown,
+): Answer | "silent" {
+  return res.ok ? { status: 200, body: body(res.value) } : failed(res.err);
+}
+
+function failed(err: CoordinationError): Answer | "silent" {
+  if (err.kind === "compacted") return { status: 410 };
+  return err.kind === "ambiguous" ? "silent" : { status: 503 };
+}
+
+function itemBody(item: CoordinationItem) {
+  return { key: item.key, value: base64(item.value), rev: item.revision };
+}
+
+function base64(value: Uint8Array): string {
+  return Buffer.from(value).toString("base64");
+}
+
+function lastNumber(url: URL): number {
+  return Number(url.pathname.split("/").at(-1));
+}
