--- a/src/platform/server_channels.ts
+++ b/src/platform/server_channels.ts
@@ -197,8 +197,8 @@
   ): void {
     const code = (err as { code?: string }).code ?? "";
     const detail = `${code} ${err.message}`.trim();
-    const isNonsense = err.name === "HTTPParserError" ||
-      code.startsWith("HPE_");
+    const isNonsense = err.name === "HTTPParserError" &&
+      !err.message.includes("Invalid EOF");
     if (this.#badAnswer !== undefined || isNonsense) {
       return this.#end({ kind: "malformed", detail });
     }
