--- a/features/relay.feature
+++ b/features/relay.feature
@@ -150,3 +150,13 @@
     Given a log buffer whose reader is slow
     When 10000 long lines are written at once
     Then memory stays bounded and the number of dropped lines is told
+
+  Scenario Outline: should <do> a host that is missing after the store was away for <seconds> seconds
+    Given a fleet's state before a store that names a host
+    When the store is away for <seconds> seconds and the host leaves meanwhile
+    Then the host is <known> half a second after the store's return, and dropped 3 seconds after
+
+    Examples:
+      | do           | seconds | known   |
+      | drop at once | 1       | dropped |
+      | keep         | 5       | kept    |
--- /dev/null
+++ b/features/steps/fleet_state_steps.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import { CatalogHolder } from "../../src/core/catalog/catalog_holder.ts";
+import { FleetState } from "../../src/core/fleet/fleet_state.ts";
+import { HostRegistry } from "../../src/core/fleet/host_registry.ts";
+import type { FleetSchema } from "../../src/ports/fleet_schema.ts";
+import { MemoryCoordination } from "../../src/standins/fleet/memory_coordination.ts";
+import type { ServingHost } from "../../src/world/serving_host.ts";
+
+interface FleetStateWorld {
+  timers: VirtualTimers;
+  store: MemoryCoordination;
+  hosts: HostRegistry;
+}
+
+const SCHEMA: FleetSchema = {
+  hostPrefix: "hosts/",
+  operatorPrefix: "operator/",
+  parseHost: (_key, value) =>
+    JSON.parse(Buffer.from(value).toString()) as ServingHost,
+  isCatalog: () => false,
+  parseCatalog: () => undefined,
+  zoneTakenOut: () => undefined,
+};
+
+const HOST: Partial<ServingHost> = {
+  id: "h",
+  service: "pool",
+  address: "h:1",
+  zone: "z",
+  slots: 1,
+  draining: false,
+  coldLeftMs: 0,
+};
+
+Given(
+  "a fleet's state before a store that names a host",
+  async function (this: FleetStateWorld) {
+    this.timers = new VirtualTimers();
+    this.store = new MemoryCoordination(this.timers);
+    this.store.put("hosts/h", HOST);
+    this.hosts = new HostRegistry();
+    const now = () => this.timers.now();
+    const state = new FleetState({
+      timers: this.timers,
+      store: this.store.client(),
+      schema: SCHEMA,
+      catalog: new CatalogHolder(now, now),
+      hosts: this.hosts,
+      zonesOut: new Set(),
+      lapseAfterMs: 2_400,
+      listener: {
+        catalogChanged() {},
+        zonesChanged() {},
+        nodesChanged() {},
+        actingIs() {},
+        feedLost() {},
+        feedRegained() {},
+      },
+    });
+    state.start();
+    this.timers.subscribe(100, () => this.hosts.expire(this.timers.now()));
+    await this.timers.run(1_000);
+    assert.ok(this.hosts.get("h"));
+  },
+);
+
+When(
+  "the store is away for {int} seconds and the host leaves meanwhile",
+  async function (this: FleetStateWorld, seconds: number) {
+    this.store.faults.down = true;
+    await this.timers.run(seconds * 500);
+    this.store.remove("hosts/h");
+    await this.timers.run(seconds * 500);
+    this.store.faults.down = false;
+  },
+);
+
+Then(
+  "the host is {word} half a second after the store's return, and dropped 3 seconds after",
+  async function (this: FleetStateWorld, known: string) {
+    await this.timers.run(500);
+    assert.equal(this.hosts.get("h") !== undefined, known === "kept");
+    await this.timers.run(2_500);
+    assert.equal(this.hosts.get("h"), undefined);
+  },
+);
--- a/src/core/fleet/fleet_state.ts
+++ b/src/core/fleet/fleet_state.ts
@@ -42,6 +42,8 @@
   readonly hosts: HostRegistry;
   readonly zonesOut: Set<string>;
   readonly listener: FleetStateListener;
+  /** Shortest outage in which a living host's announcement can lapse. */
+  readonly lapseAfterMs: number;
 }
 
 /** Follows hosts, operators' documents and the fleet's own keys. */
@@ -50,7 +52,7 @@
   readonly #feeds: readonly ChangeFeed[];
   readonly #lostAt = new Map<string, number>();
   readonly #nodes = new Map<string, string>();
-  #regainedAt = -Infinity;
+  #outageEndedAt = -Infinity;
 
   constructor(parts: FleetStateParts) {
     this.#parts = parts;
@@ -67,10 +69,14 @@
     return this.#lostAt.size > 0;
   }
 
+  /** Whether announcements may only have lapsed while the store was away. */
   get #afterOutage(): boolean {
-    const { timers } = this.#parts;
-    return this.isCutOff ||
-      timers.now() - this.#regainedAt < AFTER_OUTAGE_MS;
+    const { timers, lapseAfterMs } = this.#parts;
+    const now = timers.now();
+    const isLong = [...this.#lostAt.values()].some((at) =>
+      now - at >= lapseAfterMs
+    );
+    return isLong || now - this.#outageEndedAt < AFTER_OUTAGE_MS;
   }
 
   #hostFeed(): ChangeFeed {
@@ -163,14 +169,15 @@
   }
 
   #contact(feed: string) {
-    const { timers, listener } = this.#parts;
+    const { timers, listener, lapseAfterMs } = this.#parts;
     return {
       onConfirmed: (_askedAt: Age) => {
         const lostAt = this.#lostAt.get(feed);
         if (lostAt === undefined) return;
         this.#lostAt.delete(feed);
-        this.#regainedAt = timers.now();
-        listener.feedRegained(feed, timers.now() - lostAt);
+        const silentMs = timers.now() - lostAt;
+        if (silentMs >= lapseAfterMs) this.#outageEndedAt = timers.now();
+        listener.feedRegained(feed, silentMs);
       },
       onLost: (detail: string) => {
         if (this.#lostAt.has(feed)) return;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -28,6 +28,8 @@
 import { RequestLog } from "./request_log.ts";
 
 const GOSSIP_PERIOD_MS = 100;
+/** An announcement lapses after three missed heartbeats, one of them begun. */
+const LAPSE_HEARTBEATS = 2;
 /** Part of the bound on lost keys for which a confirmation is trusted. */
 const KEY_TRUST_SHARE = 0.85;
 /** Doubts and strikes told to peers are at most this old. */
@@ -204,7 +206,7 @@
   }
 
   #makeState(): FleetState {
-    const { timers, store, schema, log, onLimits } = this.#parts;
+    const { timers, store, schema, log, onLimits, settings } = this.#parts;
     return new FleetState({
       timers,
       store,
@@ -212,6 +214,7 @@
       catalog: this.#catalog,
       hosts: this.#hosts,
       zonesOut: this.#zonesOut,
+      lapseAfterMs: LAPSE_HEARTBEATS * settings.platform.heartbeat,
       listener: {
         catalogChanged: (version) => {
           const catalog = this.#catalog.inForce?.catalog;
