Read the store from few nodes, and doubt lone streams later

Change: three nodes confirm the catalog each second, the others hear them and wait longer; host changes are read at the acting node's pace of 40 ms, elsewhere at 350 and 700 ms; only three nodes stand for acting. A lone stream's silence counts later; the last attempt that a route allows is not given up on a doubt.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -160,3 +160,9 @@
       | do           | seconds | known   |
       | drop at once | 1       | dropped |
       | keep         | 5       | kept    |
+
+  Scenario: should stay with the last attempt that is allowed when its group is doubted
+    Given a relay before 2 groups of "small"
+    And every group pauses for 700 milliseconds after its first 2 events
+    When a stream of 10 events is asked for
+    Then the caller has events 1 to 10 and a whole answer after 2 sends
--- a/features/steps/fleet_state_steps.ts
+++ b/features/steps/fleet_state_steps.ts
@@ -50,6 +50,7 @@
       catalog: new CatalogHolder(now, now),
       hosts: this.hosts,
       zonesOut: new Set(),
+      role: () => ({ isActing: true, isReader: true, fleetSize: 1 }),
       lapseAfterMs: 2_400,
       listener: {
         catalogChanged() {},
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -62,6 +62,19 @@
   },
 );
 
+Given(
+  "every group pauses for {int} milliseconds after its first {int} events",
+  function (this: RelayWorld, pauseMs: number, firstEvents: number) {
+    for (const id of ["i-0-0", "i-1-0"]) {
+      this.fleet.upstreams.script(id, {
+        kind: "pause_after",
+        firstEvents,
+        pauseMs,
+      });
+    }
+  },
+);
+
 Given("the first host is reset before it answers", function (this: RelayWorld) {
   this.fleet.upstreams.scriptFirst({ kind: "reset_unanswered" });
 });
--- a/src/core/fleet/change_feed.ts
+++ b/src/core/fleet/change_feed.ts
@@ -46,7 +46,7 @@
   readonly #prefix: string;
   readonly #listener: FeedListener;
   readonly #clocks: () => Age;
-  #pace: FeedPace;
+  readonly #pace: () => FeedPace;
   #asOf: number | undefined;
   #retryMs = RETRY_MIN_MS;
   #stopped = false;
@@ -55,7 +55,7 @@
     timers: Timers,
     store: CoordinationStore,
     prefix: string,
-    pace: FeedPace,
+    pace: () => FeedPace,
     clocks: () => Age,
     listener: FeedListener,
   ) {
@@ -67,11 +67,6 @@
     this.#listener = listener;
   }
 
-  /** Changes the pace from the next call on. */
-  set pace(pace: FeedPace) {
-    this.#pace = pace;
-  }
-
   /** Begins to follow. */
   start(): void {
     this.#follow();
@@ -92,7 +87,7 @@
       if (this.#stopped) return;
       if (err === undefined) this.#retryMs = RETRY_MIN_MS;
       else await this.#failed(err);
-      const early = startedAt + this.#pace.pauseMs - this.#timers.now();
+      const early = startedAt + this.#pace().pauseMs - this.#timers.now();
       if (early > 0) await sleep(this.#timers, early);
     }
   }
@@ -113,7 +108,7 @@
     after: number,
     askedAt: Age,
   ): Promise<CoordinationError | undefined> {
-    const { waitMs } = this.#pace;
+    const { waitMs } = this.#pace();
     const res = await this.#limited(
       this.#store.changes(this.#prefix, after, waitMs),
       waitMs,
--- a/src/core/fleet/fleet_state.ts
+++ b/src/core/fleet/fleet_state.ts
@@ -13,15 +13,24 @@
 import type { CatalogHolder } from "../catalog/catalog_holder.ts";
 import type { Age } from "../catalog/confirmation.ts";
 import { ACTING_KEY } from "./acting_lease.ts";
+import type { FeedPace } from "./change_feed.ts";
 import { ChangeFeed } from "./change_feed.ts";
 import type { HostRegistry } from "./host_registry.ts";
 import { FLEET_PREFIX, isNodeKey } from "./registration.ts";
 
 /** An outage that ended this long ago still excuses missing hosts. */
 const AFTER_OUTAGE_MS = 2_500;
-const HOST_PACE = { waitMs: 5_000, pauseMs: 120 };
-const OPERATOR_PACE = { waitMs: 900, pauseMs: 100 };
-const FLEET_PACE = { waitMs: 10_000, pauseMs: 200 };
+/** The acting node sees hosts change at once; the others hear of losses. */
+const ACTING_HOST_PACE = { waitMs: 5_000, pauseMs: 40 };
+const HOST_PACE = { waitMs: 10_000, pauseMs: 350 };
+const LARGE_FLEET_HOST_PACE = { waitMs: 10_000, pauseMs: 700 };
+const LARGE_FLEET = 8;
+/** Readers confirm the catalog for the nodes that hear them. */
+const READER_PACE = { waitMs: 900, pauseMs: 100 };
+const OPERATOR_PACE = { waitMs: 2_500, pauseMs: 100 };
+/** A confirmation older than this is asked for by each node itself. */
+const CONFIRM_AGE_MS = 1_300;
+const FLEET_PACE = { waitMs: 20_000, pauseMs: 300 };
 
 /** Told of what changes. */
 export interface FleetStateListener {
@@ -42,6 +51,12 @@
   readonly hosts: HostRegistry;
   readonly zonesOut: Set<string>;
   readonly listener: FleetStateListener;
+  /** What this node does for the others, and how many they are. */
+  readonly role: () => {
+    readonly isActing: boolean;
+    readonly isReader: boolean;
+    readonly fleetSize: number;
+  };
   /** Shortest outage in which a living host's announcement can lapse. */
   readonly lapseAfterMs: number;
 }
@@ -79,29 +94,47 @@
     return isLong || now - this.#outageEndedAt < AFTER_OUTAGE_MS;
   }
 
+  #hostPace(): FeedPace {
+    const { isActing, fleetSize } = this.#parts.role();
+    if (isActing) return ACTING_HOST_PACE;
+    return fleetSize > LARGE_FLEET ? LARGE_FLEET_HOST_PACE : HOST_PACE;
+  }
+
+  #operatorPace(): FeedPace {
+    const isOld = this.#parts.catalog.confirmationAgeMs > CONFIRM_AGE_MS;
+    return isOld || this.#parts.role().isReader ? READER_PACE : OPERATOR_PACE;
+  }
+
   #hostFeed(): ChangeFeed {
     const { timers, store, schema, hosts } = this.#parts;
     const clocks = () => this.#parts.catalog.now();
     const parse = (item: CoordinationItem) =>
       schema.parseHost(item.key, item.value);
-    return new ChangeFeed(timers, store, schema.hostPrefix, HOST_PACE, clocks, {
-      onListing: (items) => {
-        const listed = items.flatMap((item) => parse(item) ?? []);
-        hosts.replaceAll(listed, timers.now(), this.#afterOutage);
-      },
-      onEvents: (events) => {
-        for (const { key, value, revision } of events) {
-          const host = value && parse({ key, value, revision });
-          const now = timers.now();
-          if (host !== undefined) hosts.announce(host, now);
-          else {
-            const id = key.slice(schema.hostPrefix.length);
-            hosts.withdraw(id, now, this.#afterOutage);
+    return new ChangeFeed(
+      timers,
+      store,
+      schema.hostPrefix,
+      () => this.#hostPace(),
+      clocks,
+      {
+        onListing: (items) => {
+          const listed = items.flatMap((item) => parse(item) ?? []);
+          hosts.replaceAll(listed, timers.now(), this.#afterOutage);
+        },
+        onEvents: (events) => {
+          for (const { key, value, revision } of events) {
+            const host = value && parse({ key, value, revision });
+            const now = timers.now();
+            if (host !== undefined) hosts.announce(host, now);
+            else {
+              const id = key.slice(schema.hostPrefix.length);
+              hosts.withdraw(id, now, this.#afterOutage);
+            }
           }
-        }
+        },
+        ...this.#contact("hosts"),
       },
-      ...this.#contact("hosts"),
-    });
+    );
   }
 
   #operatorFeed(): ChangeFeed {
@@ -109,21 +142,30 @@
     const clocks = () => catalog.now();
     const prefix = schema.operatorPrefix;
     const contact = this.#contact("operator");
-    return new ChangeFeed(timers, store, prefix, OPERATOR_PACE, clocks, {
-      onListing: (items) => {
-        zonesOut.clear();
-        for (const item of items) this.#operatorSays(item.key, item.value);
-        this.#parts.listener.zonesChanged([...zonesOut]);
-      },
-      onEvents: (events) => {
-        for (const event of events) this.#operatorSays(event.key, event.value);
-      },
-      onConfirmed: (askedAt) => {
-        contact.onConfirmed(askedAt);
-        catalog.confirmed(catalog.version, askedAt);
+    return new ChangeFeed(
+      timers,
+      store,
+      prefix,
+      () => this.#operatorPace(),
+      clocks,
+      {
+        onListing: (items) => {
+          zonesOut.clear();
+          for (const item of items) this.#operatorSays(item.key, item.value);
+          this.#parts.listener.zonesChanged([...zonesOut]);
+        },
+        onEvents: (events) => {
+          for (const event of events) {
+            this.#operatorSays(event.key, event.value);
+          }
+        },
+        onConfirmed: (askedAt) => {
+          contact.onConfirmed(askedAt);
+          catalog.confirmed(catalog.version, askedAt);
+        },
+        onLost: contact.onLost,
       },
-      onLost: contact.onLost,
-    });
+    );
   }
 
   #operatorSays(key: string, value: Uint8Array | undefined): void {
@@ -145,27 +187,34 @@
   #fleetFeed(): ChangeFeed {
     const { timers, store, listener } = this.#parts;
     const clocks = () => this.#parts.catalog.now();
-    return new ChangeFeed(timers, store, FLEET_PREFIX, FLEET_PACE, clocks, {
-      onListing: (items) => {
-        this.#nodes.clear();
-        const acting = items.find((item) => item.key === ACTING_KEY);
-        listener.actingIs(acting && text(acting.value));
-        for (const { key, value } of items) {
-          if (isNodeKey(key)) this.#nodes.set(key, text(value));
-        }
-        listener.nodesChanged([...this.#nodes.values()]);
-      },
-      onEvents: (events) => {
-        for (const { key, value } of events) {
-          if (key === ACTING_KEY) listener.actingIs(value && text(value));
-          if (!isNodeKey(key)) continue;
-          if (value === undefined) this.#nodes.delete(key);
-          else this.#nodes.set(key, text(value));
-        }
-        listener.nodesChanged([...this.#nodes.values()]);
+    return new ChangeFeed(
+      timers,
+      store,
+      FLEET_PREFIX,
+      () => FLEET_PACE,
+      clocks,
+      {
+        onListing: (items) => {
+          this.#nodes.clear();
+          const acting = items.find((item) => item.key === ACTING_KEY);
+          listener.actingIs(acting && text(acting.value));
+          for (const { key, value } of items) {
+            if (isNodeKey(key)) this.#nodes.set(key, text(value));
+          }
+          listener.nodesChanged([...this.#nodes.values()]);
+        },
+        onEvents: (events) => {
+          for (const { key, value } of events) {
+            if (key === ACTING_KEY) listener.actingIs(value && text(value));
+            if (!isNodeKey(key)) continue;
+            if (value === undefined) this.#nodes.delete(key);
+            else this.#nodes.set(key, text(value));
+          }
+          listener.nodesChanged([...this.#nodes.values()]);
+        },
+        ...this.#contact("fleet"),
       },
-      ...this.#contact("fleet"),
-    });
+    );
   }
 
   #contact(feed: string) {
--- a/src/core/gossip/peer_gossip.ts
+++ b/src/core/gossip/peer_gossip.ts
@@ -95,6 +95,15 @@
     return this.live().length + 1;
   }
 
+  /** Whether this node is among the first `count` of those that serve. */
+  isAmongFirst(count: number): boolean {
+    const before = this.live().filter((peer) =>
+      peer.status.state === "serving" &&
+      peer.status.node < this.#parts.selfId
+    );
+    return before.length < count;
+  }
+
   #round(fanout: number): void {
     const now = this.#parts.timers.now();
     for (const [node, peer] of this.#peers) {
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -253,6 +253,10 @@
   upstreamLost(detail: string): void {
     const attempt = this.#attempt;
     if (attempt === undefined || !this.contract.repeatable) return;
+    // The last attempt may yet go on: the doubt may be wrong.
+    const isLast = this.#parts.hostLives(attempt.replica) &&
+      !this.contract.hasAnotherAttempt;
+    if (isLast) return;
     this.#endAttempt(attempt, "stalled", detail);
     this.#mayHaveRun = true;
     this.#sendAgain(attempt, true, detail);
--- a/src/core/relay/request_contract.ts
+++ b/src/core/relay/request_contract.ts
@@ -38,6 +38,11 @@
     else this.#free += 1;
   }
 
+  /** Whether an attempt would be left after the one that is under way. */
+  get hasAnotherAttempt(): boolean {
+    return this.#counted + 1 < this.route.attempts;
+  }
+
   /** Whether the request may be sent once more. */
   maySendAgain(now: number): boolean {
     return this.#counted < this.route.attempts &&
--- a/src/core/relay/stall_watch.ts
+++ b/src/core/relay/stall_watch.ts
@@ -13,6 +13,8 @@
 const PASSES = 1.6;
 /** Added to the expected pause, in milliseconds. */
 const MARGIN_MS = 60;
+/** Added for a lone stream; the more streams pause together, the less. */
+const LONE_STREAM_MS = 120;
 /** Silence before the first event of any request, beyond what was expected. */
 const FIRST_EVENT_MARGIN_MS = 350;
 
@@ -93,6 +95,8 @@
       Math.min(load.inFlight, times.slots),
       load.reading,
     );
-    return passMs * PASSES + MARGIN_MS;
+    // A prompt that another node has just sent is not known here yet.
+    const unseenMs = times.readMs(service.engine.usual.prompt);
+    return passMs * PASSES + unseenMs + MARGIN_MS + LONE_STREAM_MS / writing;
   }
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -28,6 +28,10 @@
 import { RequestLog } from "./request_log.ts";
 
 const GOSSIP_PERIOD_MS = 100;
+/** Nodes that confirm the catalog for those that hear them. */
+const READERS = 3;
+/** Nodes that try to act when nobody does. */
+const CANDIDATES = 3;
 /** An announcement lapses after three missed heartbeats, one of them begun. */
 const LAPSE_HEARTBEATS = 2;
 /** Part of the bound on lost keys for which a confirmation is trusted. */
@@ -124,7 +128,7 @@
       store,
       nodeId: node.id,
       wall: parts.wall,
-      mayAct: () => !this.#leaving,
+      mayAct: () => !this.#leaving && this.#gossip.isAmongFirst(CANDIDATES),
       onGained: (term) => this.#actingGained(term),
       onLost: (reason) => parts.log.warn("acting_lost", { reason }),
     });
@@ -214,6 +218,11 @@
       catalog: this.#catalog,
       hosts: this.#hosts,
       zonesOut: this.#zonesOut,
+      role: () => ({
+        isActing: this.#acting.isActing,
+        isReader: this.#gossip.isAmongFirst(READERS),
+        fleetSize: this.#gossip.fleetSize,
+      }),
       lapseAfterMs: LAPSE_HEARTBEATS * settings.platform.heartbeat,
       listener: {
         catalogChanged: (version) => {
--- a/src/standins/fleet/scripted_upstreams.ts
+++ b/src/standins/fleet/scripted_upstreams.ts
@@ -18,6 +18,11 @@
 export type UpstreamScript =
   | { readonly kind: "serve" }
   | { readonly kind: "silent_after"; readonly events: number }
+  | {
+    readonly kind: "pause_after";
+    readonly firstEvents: number;
+    readonly pauseMs: number;
+  }
   /** Reset after half of the event that follows these. */
   | { readonly kind: "reset_after"; readonly events: number }
   | { readonly kind: "reset_unanswered" }
@@ -142,7 +147,10 @@
       if (id > limit) return this.#breakOff(work, script, id);
       listener.onData(event(id));
       if (id < this.events) {
-        this.#later(work, GAP_MS, () => next(id + 1));
+        const pauses = script.kind === "pause_after" &&
+          id === from - 1 + script.firstEvents;
+        const gapMs = pauses ? script.pauseMs : GAP_MS;
+        this.#later(work, gapMs, () => next(id + 1));
         return;
       }
       this.#end(work);
