Go on repairing groups while the store is away

Change: the last holder goes on as long as its store is lost and no peer tells of a later term; it asks forming groups for their state, and tells peers what the store can't. Hosts refuse commands that don't fit the count their sender has seen, so two that act do no harm. Waits for changes are short, since a channel may fall silent for good. Ruled out: a longer lease, which would delay the successor of a node that died.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -61,6 +61,16 @@
     Then 2 groups of "large" and 2 groups of "small" serve
     And no rule of groups was broken
 
+  Scenario: should repair groups while the store tells nothing
+    Given 2 fabric domains of 9 engine hosts
+    And the fleet runs for 25 seconds
+    When the store is lost
+    And a member of a group of "large" goes dark and is doubted
+    And the fleet runs for 2500 milliseconds
+    Then 2 groups of "large" and 2 groups of "small" serve
+    And the node knows them as open
+    And no rule of groups was broken
+
   Scenario: should do nothing while another node acts
     Given 2 fabric domains of 9 engine hosts
     And another process holds the lease
--- a/features/steps/group_steps.ts
+++ b/features/steps/group_steps.ts
@@ -136,6 +136,18 @@
   },
 );
 
+When("the store is lost", function (this: GroupWorld) {
+  this.fleet.storeLost = true;
+});
+
+Then("the node knows them as open", function (this: GroupWorld) {
+  for (const { members } of this.fleet.engine.serving) {
+    const head = this.fleet.hosts.get(members[0]);
+    assert.equal(head?.membership?.state, "open");
+  }
+  assert.ok(this.fleet.keeper.observed().length > 0);
+});
+
 Then("no rule of groups was broken", function (this: GroupWorld) {
   assert.deepEqual(this.fleet.engine.breaches, []);
 });
--- a/features/steps/keeper_world.ts
+++ b/features/steps/keeper_world.ts
@@ -43,13 +43,18 @@
   readonly #catalog: CatalogHolder;
   keeper: GroupKeeper;
   acting = true;
+  storeLost = false;
   #term = 1;
   #started = false;
 
   constructor(domains: number, hostsPerDomain: number) {
     this.engine = new EngineHosts(this.timers, EXAMPLE_MODELS, {
-      announced: (host) => this.hosts.announce(host, this.timers.now()),
-      withdrawn: (id) => this.hosts.withdraw(id, this.timers.now(), false),
+      announced: (host) => {
+        if (!this.storeLost) this.hosts.announce(host, this.timers.now());
+      },
+      withdrawn: (id) => {
+        if (!this.storeLost) this.hosts.withdraw(id, this.timers.now(), false);
+      },
     });
     const now = () => this.timers.now();
     this.#catalog = new CatalogHolder(now, now);
@@ -110,6 +115,7 @@
       zonesOut: new Set(),
       log: this.log,
       isActing,
+      isStoreLost: () => this.storeLost,
       demand: () => this.#demand(),
       onFoundWhole: (key) => this.evidence.trust(key, this.timers.now()),
       loadWindowMs: 5_000,
--- a/src/core/fleet/change_feed.ts
+++ b/src/core/fleet/change_feed.ts
@@ -16,7 +16,7 @@
 import type { Age } from "../catalog/confirmation.ts";
 
 /** Time beyond the wait after which a call counts as silent. */
-const CALL_LIMIT_MS = 1_200;
+const CALL_LIMIT_MS = 800;
 /** First pause after a failed call; doubles up to the maximum. */
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 400;
--- a/src/core/fleet/fleet_state.ts
+++ b/src/core/fleet/fleet_state.ts
@@ -21,16 +21,16 @@
 /** An outage that ended this long ago still excuses missing hosts. */
 const AFTER_OUTAGE_MS = 2_500;
 /** The acting node sees hosts change at once; the others hear of losses. */
-const ACTING_HOST_PACE = { waitMs: 5_000, pauseMs: 40 };
-const HOST_PACE = { waitMs: 10_000, pauseMs: 350 };
-const LARGE_FLEET_HOST_PACE = { waitMs: 10_000, pauseMs: 700 };
+const ACTING_HOST_PACE = { waitMs: 1_500, pauseMs: 40 };
+const HOST_PACE = { waitMs: 2_000, pauseMs: 350 };
+const LARGE_FLEET_HOST_PACE = { waitMs: 2_000, pauseMs: 700 };
 const LARGE_FLEET = 8;
 /** Readers confirm the catalog for the nodes that hear them. */
 const READER_PACE = { waitMs: 900, pauseMs: 100 };
-const OPERATOR_PACE = { waitMs: 2_500, pauseMs: 100 };
+const OPERATOR_PACE = { waitMs: 2_000, pauseMs: 100 };
 /** A confirmation older than this is asked for by each node itself. */
 const CONFIRM_AGE_MS = 1_300;
-const FLEET_PACE = { waitMs: 20_000, pauseMs: 300 };
+const FLEET_PACE = { waitMs: 6_000, pauseMs: 300 };
 
 /** Told of what changes. */
 export interface FleetStateListener {
--- a/src/core/gossip/message_codec.ts
+++ b/src/core/gossip/message_codec.ts
@@ -15,6 +15,15 @@
 ]);
 const Strike = z.tuple([z.string(), z.array(z.string()).max(8)]);
 
+const Host = z.tuple([
+  z.string(),
+  z.string(),
+  z.string(),
+  z.number(),
+  z.number(),
+  z.enum(["none", "joining", "ready", "open", "closing", "broken"]),
+]);
+
 /** Short names keep a message within one datagram. */
 const WireSchema = z.object({
   n: z.string(),
@@ -29,6 +38,8 @@
   d: z.array(Doubt),
   u: z.array(z.tuple([z.string(), z.number()])),
   k: z.array(Strike),
+  x: z.number(),
+  h: z.array(Host),
   w: z.record(z.string(), z.number()),
   p: z.array(z.string()),
 });
@@ -64,6 +75,15 @@
     ]),
     u: msg.trusted.map(([key, ageMs]) => [key, Math.round(ageMs)]),
     k: msg.strikes.map((strike) => [strike.fingerprint, strike.crashed]),
+    x: msg.actingTerm,
+    h: msg.hosts.map(({ id, model, membership }) => [
+      id,
+      model,
+      membership?.group ?? "",
+      membership?.epoch ?? 0,
+      membership?.rank ?? 0,
+      membership?.state ?? "none",
+    ]),
     w: msg.demand,
     p: msg.peers,
   }));
@@ -106,6 +126,12 @@
     doubts: wire.d.map(([key, kind, ageMs]) => ({ key, kind, ageMs })),
     trusted: wire.u,
     strikes: wire.k.map(([fingerprint, crashed]) => ({ fingerprint, crashed })),
+    actingTerm: wire.x,
+    hosts: wire.h.map(([id, model, group, epoch, rank, state]) => ({
+      id,
+      model,
+      membership: state === "none" ? undefined : { group, epoch, rank, state },
+    })),
     demand: wire.w,
     peers: wire.p,
   };
--- a/src/core/gossip/messages.ts
+++ b/src/core/gossip/messages.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Membership } from "../../world/serving_host.ts";
 import type { DoubtKind } from "../fleet/evidence.ts";
 
 /** Work of one process on one upstream. */
@@ -22,6 +23,13 @@
   readonly ageMs: number;
 }
 
+/** State of a host that the store can't tell at present. */
+export interface HostNews {
+  readonly id: string;
+  readonly model: string;
+  readonly membership: Membership | undefined;
+}
+
 /** A request that was running when upstreams crashed. */
 export interface StrikeNews {
   readonly fingerprint: string;
@@ -45,6 +53,9 @@
   /** Upstreams that were doubted and found whole, with the age of the finding. */
   readonly trusted: readonly (readonly [key: string, ageMs: number])[];
   readonly strikes: readonly StrikeNews[];
+  /** Term in which the process acts for the fleet; 0 when it does not. */
+  readonly actingTerm: number;
+  readonly hosts: readonly HostNews[];
   /** Engine time asked for per second, by model, in milliseconds. */
   readonly demand: Readonly<Record<string, number>>;
   /** Internal addresses of processes known, for those that start. */
--- a/src/core/keeper/group_keeper.ts
+++ b/src/core/keeper/group_keeper.ts
@@ -11,7 +11,7 @@
   EngineSpec,
   ServiceSpec,
 } from "../../world/catalog.ts";
-import type { ServingHost } from "../../world/serving_host.ts";
+import type { Membership, ServingHost } from "../../world/serving_host.ts";
 import type { CatalogHolder } from "../catalog/catalog_holder.ts";
 import type { Doubt, Evidence } from "../fleet/evidence.ts";
 import type { HostRegistry } from "../fleet/host_registry.ts";
@@ -36,6 +36,8 @@
 const FINISH_MS = 1_500;
 /** Pause between two attempts at the same step. */
 const RETRY_MS = 400;
+/** Pause between questions to a group that forms while the store is lost. */
+const ASK_FORMING_MS = 100;
 /** Part of an engine's time that demand may fill. */
 const USABLE_SHARE = 0.7;
 /** Pause between two questions to a host that was silent. */
@@ -53,6 +55,8 @@
   readonly zonesOut: ReadonlySet<string>;
   readonly log: EventLog;
   readonly isActing: () => boolean;
+  /** Whether hosts' announcements can't be read at present. */
+  readonly isStoreLost: () => boolean;
   /** Engine milliseconds asked for per second, by model, by all callers. */
   readonly demand: () => ReadonlyMap<string, number>;
   /** Told when a doubted group was found whole. */
@@ -73,9 +77,10 @@
 /** Keeps the replica groups of all services with engines. */
 export class GroupKeeper {
   readonly #parts: GroupKeeperParts;
-  readonly #ledger = new HostLedger();
+  readonly #ledger: HostLedger;
   readonly #desk: CommandDesk;
   readonly #ceiling: LoadCeiling;
+  readonly #observed = new Map<string, ServingHost>();
   /** Groups whose members have not all answered yet. */
   readonly #joining = new Set<string>();
   readonly #formedAt = new Map<string, { model: string; at: number }>();
@@ -92,6 +97,7 @@
   constructor(parts: GroupKeeperParts) {
     this.#parts = parts;
     const { timers, control, log, isActing } = parts;
+    this.#ledger = new HostLedger(parts.isStoreLost);
     this.#desk = new CommandDesk({
       timers,
       control,
@@ -194,6 +200,7 @@
 
   #lookAt(service: ServiceSpec, engine: EngineSpec): void {
     const now = this.#parts.timers.now();
+    if (this.#parts.isStoreLost()) this.#tellObserved(service.name, now);
     const beliefs = this.#parts.hosts.ofService(service.name).map((host) =>
       this.#ledger.belief(host, now)
     );
@@ -234,6 +241,22 @@
     }
   }
 
+  /** Without the store, what commands and reports show is announced here. */
+  #tellObserved(service: string, now: number): void {
+    for (const host of [...this.#parts.hosts.ofService(service)]) {
+      const observed = this.#ledger.observed(host, now);
+      if (isSameState(observed.membership, host.membership)) continue;
+      this.#observed.set(host.id, observed);
+      this.#parts.hosts.announce(observed, now);
+    }
+  }
+
+  /** Hosts whose state the store has not told, for peers. */
+  observed(): readonly ServingHost[] {
+    if (!this.#parts.isStoreLost()) this.#observed.clear();
+    return [...this.#observed.values()];
+  }
+
   /** Whether all hosts that start together have been announced. */
   #isSettled(hostCount: number, now: number): boolean {
     if (hostCount !== this.#hostCount) {
@@ -340,6 +363,7 @@
     const states = group.members.map((belief) => belief.membership?.state);
     const { head } = group;
     if (head === undefined || head.membership?.state === "open") return;
+    if (this.#parts.isStoreLost()) this.#ask(group, now);
     if (states.every((state) => state === "ready")) {
       this.#open(group, head, now);
     } else if (!this.#stillForms(group, now)) {
@@ -347,6 +371,14 @@
     }
   }
 
+  /** Asks members for what the store would tell. */
+  #ask(group: KeptGroup, now: number): void {
+    if (!this.#mayTry(`ask ${group.key}`, now, ASK_FORMING_MS)) return;
+    for (const { host } of group.members) {
+      this.#desk.refresh(host).then(() => this.#lookSoon());
+    }
+  }
+
   #stillForms(group: KeptGroup, now: number): boolean {
     const formed = this.#formedAt.get(group.key) ??
       { model: group.model?.name ?? "", at: now };
@@ -510,6 +542,14 @@
   }
 }
 
+function isSameState(
+  a: Membership | undefined,
+  b: Membership | undefined,
+): boolean {
+  if (a === undefined || b === undefined) return a === b;
+  return a.group === b.group && a.epoch === b.epoch && a.state === b.state;
+}
+
 /** Whether a group's hosts are in several fabric domains. */
 function isSpread(group: KeptGroup): boolean {
   const [{ host }] = group.members;
--- a/src/core/keeper/host_ledger.ts
+++ b/src/core/keeper/host_ledger.ts
@@ -44,14 +44,21 @@
 /** Overlays announcements with the outcome of commands and reports. */
 export class HostLedger {
   readonly #records = new Map<string, Record>();
+  readonly #isStoreLost: () => boolean;
+
+  constructor(isStoreLost: () => boolean) {
+    this.#isStoreLost = isStoreLost;
+  }
 
   /** What is believed of an announced host. */
   belief(host: ServingHost, now: number): HostBelief {
     const record = this.#record(host);
     const { newer } = record;
     if (newer !== undefined) {
-      const isShown = isSameGroup(newer.membership, host.membership);
-      if (isShown || now - newer.at > ANNOUNCE_LAG_MS) record.newer = undefined;
+      const isShown = isSameGroup(newer.membership, host.membership) &&
+        !this.#isStoreLost();
+      const isOver = now - newer.at > ANNOUNCE_LAG_MS && !this.#isStoreLost();
+      if (isShown || isOver) record.newer = undefined;
     }
     if (host.membership !== undefined && host.models.length > 0) {
       record.lastModel ??= host.models[0];
@@ -90,8 +97,9 @@
     }
     const isOlder = record.seq !== undefined && report.seq < record.seq;
     if (isOlder && !isRefused) return;
-    const changedAt = record.newer?.at ?? -Infinity;
-    const isSettled = now - changedAt > REPORT_LAG_MS;
+    const { newer } = record;
+    const isSettled = newer === undefined || now - newer.at > REPORT_LAG_MS ||
+      isSameGroup(newer.membership, report.membership);
     if (record.seq === report.seq && !isSettled && !isRefused) return;
     record.seq = report.seq;
     record.newer = { membership: report.membership, at: now };
@@ -112,6 +120,13 @@
     record.newer = { membership, at: now };
   }
 
+  /** The host as it is now known, for those that the store does not tell. */
+  observed(host: ServingHost, now: number): ServingHost {
+    const { membership, lastModel } = this.belief(host, now);
+    const models = lastModel === undefined ? host.models : [lastModel];
+    return { ...host, membership, models };
+  }
+
   /** Notes the model that a host was told to join with. */
   joined(host: ServingHost, model: string): void {
     this.#record(host).lastModel = model;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -12,7 +12,7 @@
 import { HostRegistry } from "../core/fleet/host_registry.ts";
 import { Registration } from "../core/fleet/registration.ts";
 import { ReplicaView } from "../core/fleet/replica_view.ts";
-import type { StatusMessage } from "../core/gossip/messages.ts";
+import type { HostNews, StatusMessage } from "../core/gossip/messages.ts";
 import { PeerGossip } from "../core/gossip/peer_gossip.ts";
 import { GroupKeeper } from "../core/keeper/group_keeper.ts";
 import { Relay } from "../core/relay/relay.ts";
@@ -73,6 +73,8 @@
   readonly #keeper: GroupKeeper;
   readonly #internalAddress: string;
   #leaving = false;
+  /** Whether another node, or nobody, was last seen to hold the lease. */
+  #followed = true;
 
   constructor(parts: NodeParts) {
     this.#parts = parts;
@@ -140,7 +142,8 @@
       catalog: this.#catalog,
       zonesOut: this.#zonesOut,
       log: parts.log,
-      isActing: () => this.#acting.isActing,
+      isActing: () => this.#isActing,
+      isStoreLost: () => this.#state.isCutOff,
       demand: () => this.#fleetDemand(),
       onFoundWhole: (key) => {
         this.#evidence.trust(key, timers.now());
@@ -192,6 +195,19 @@
     return { addresses: serving.slice(0, 64), ttlMs: this.#parts.addressTtlMs };
   }
 
+  /**
+   * Whether this node acts. Without the store the last holder of the lease
+   * goes on, since nobody can follow it: hosts refuse a command that does not
+   * fit the count of commands that its sender has seen.
+   */
+  get #isActing(): boolean {
+    if (this.#acting.isActing) return true;
+    if (this.#leaving || !this.#state.isCutOff) return false;
+    const { term } = this.#acting;
+    if (term === 0 || this.#followed) return false;
+    return this.#gossip.live().every((peer) => peer.status.actingTerm < term);
+  }
+
   get #isConfirmed(): boolean {
     const { confirm_keys_within } = this.#parts.settings.bounds;
     return this.#catalog.confirmationAgeMs <
@@ -205,7 +221,7 @@
       peers: () => this.#gossip.live().length,
       catalogVersion: () => this.#catalog.version,
       confirmationAgeMs: () => Math.min(1e9, this.#catalog.confirmationAgeMs),
-      acting: () => this.#acting.isActing,
+      acting: () => this.#isActing,
     });
   }
 
@@ -219,7 +235,7 @@
       hosts: this.#hosts,
       zonesOut: this.#zonesOut,
       role: () => ({
-        isActing: this.#acting.isActing,
+        isActing: this.#isActing,
         isReader: this.#gossip.isAmongFirst(READERS),
         fleetSize: this.#gossip.fleetSize,
       }),
@@ -241,6 +257,7 @@
         nodesChanged: (addresses) => this.#gossip.registered(addresses),
         actingIs: (nodeId) => {
           this.#acting.holderIs(nodeId);
+          this.#followed = nodeId !== settings.node.id;
           log.info("acting_node", { acting: nodeId });
         },
         feedLost: (feed, detail) => log.warn("store_lost", { feed, detail }),
@@ -289,6 +306,14 @@
         now - at,
       ]),
       strikes: this.relay.suspects.news(now).slice(0, 16),
+      actingTerm: this.#isActing ? this.#acting.term : 0,
+      hosts: this.#isActing
+        ? this.#keeper.observed().map(({ id, models, membership }) => ({
+          id,
+          model: models[0] ?? "",
+          membership,
+        }))
+        : [],
       demand: this.relay.demand.perSecond(now),
       peers,
     };
@@ -307,12 +332,28 @@
     for (const strike of status.strikes) {
       this.relay.suspects.learn(strike, now);
     }
+    if (this.#state.isCutOff && !this.#isActing) {
+      for (const news of status.hosts) this.#hostNews(news);
+    }
     if (status.confirmedMs >= 0) {
       const { catalogVersion, confirmedMs } = status;
       this.#catalog.confirmedByPeer(catalogVersion, confirmedMs);
     }
   }
 
+  /** Takes what the acting node saw of a host while the store is lost. */
+  #hostNews(news: HostNews): void {
+    const host = this.#hosts.get(news.id);
+    if (host === undefined) return;
+    const { model, membership } = news;
+    const isSame = host.membership?.epoch === membership?.epoch &&
+      host.membership?.state === membership?.state;
+    if (isSame) return;
+    const models = model === "" ? host.models : [model];
+    const now = this.#parts.timers.now();
+    this.#hosts.announce({ ...host, models, membership }, now);
+  }
+
   #fleetDemand(): ReadonlyMap<string, number> {
     const demand = new Map<string, number>();
     const add = (part: Readonly<Record<string, number>>) => {
--- a/src/platform/platform_store.ts
+++ b/src/platform/platform_store.ts
@@ -23,7 +23,7 @@
 
 const CONNECT_LIMIT_MS = 700;
 /** Answers take longer than this only when the store is in trouble. */
-const CALL_LIMIT_MS = 1_000;
+const CALL_LIMIT_MS = 800;
 
 const Item = z.object({ key: z.string(), value: z.string(), rev: z.number() });
 const Listing = z.object({
