Add a seeded soak of the real node processes

Change: a platform on loopback (store calls, servers in groups, operator), a proxy that delays, silences, resets and cuts one way, SIGKILL, SIGTERM, SIGSTOP and SIGCONT, manifests, keys that go, hosts that go dark; a checker that sees only what callers and servers see.

--- a/src/standins/fleet/engine_hosts.ts
+++ b/src/standins/fleet/engine_hosts.ts
@@ -103,7 +103,9 @@
   /** The host falls silent; its announcement lapses after three heartbeats. */
   goDark(id: string): void {
     this.#state(id).reach = "dark";
-    this.#timers.after(3_600, () => this.#listener.withdrawn(id));
+    this.#timers.after(3_600, () => {
+      if (this.#state(id).reach === "dark") this.#listener.withdrawn(id);
+    });
   }
 
   /** The host is cut off from everyone but its group, and goes on serving. */
--- /dev/null
+++ b/src/standins/platform/engine_calls.ts
@@ -0,0 +1,200 @@
+/**
+ * Servers of the platform over HTTP: orders, reports, streams and plain calls.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Timers } from "../../base/timers.ts";
+import { sleep } from "../../base/timers.ts";
+import type { HostCommand } from "../../ports/host_control.ts";
+import type { EngineHosts } from "../fleet/engine_hosts.ts";
+
+const EVENT_GAP_MS = 15;
+const PLAIN_MS = 20;
+const STATUS = {
+  begun: 202,
+  done: 200,
+  conflict: 409,
+  stale: 412,
+  wrong_host: 421,
+  unknown: 400,
+} as const;
+
+/** A request that a server began to run. */
+export interface RunRecord {
+  readonly requestId: string;
+  readonly path: string;
+  readonly host: string;
+  readonly tenant: string | undefined;
+  readonly at: number;
+}
+
+/** Everything that servers ran. */
+export type RunJournal = RunRecord[];
+
+/** Events of each stream, told by the path's last number. */
+export function eventsOf(path: string): number {
+  const [, number = "0"] = /(\d+)$/.exec(path) ?? [];
+  return 5 + Number(number) % 12;
+}
+
+/** One server; an engine when it has group state, a plain service otherwise. */
+export class ServerStandin {
+  readonly id: string;
+  readonly #timers: Timers;
+  readonly #engines: EngineHosts | undefined;
+  readonly #journal: RunJournal;
+  readonly #server: Server;
+
+  constructor(
+    id: string,
+    timers: Timers,
+    engines: EngineHosts | undefined,
+    journal: RunJournal,
+  ) {
+    this.id = id;
+    this.#timers = timers;
+    this.#engines = engines;
+    this.#journal = journal;
+    this.#server = createServer((req, res) => {
+      this.#handle(req, res).catch(() => res.destroy());
+    });
+  }
+
+  /** Listens on a free port; returns the address. */
+  listen(ip: string): Promise<string> {
+    return new Promise((resolve) => {
+      this.#server.listen(0, ip, () => {
+        const { port } = this.#server.address() as AddressInfo;
+        resolve(`${ip}:${port}`);
+      });
+    });
+  }
+
+  /** Ends all channels and stops listening. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of req) chunks.push(chunk as Buffer);
+    const body = Buffer.concat(chunks).toString("utf8");
+    if (req.url === "/report") return await this.#report(res);
+    if (req.url === "/order") return await this.#order(body, res);
+    const expected = req.headers["oleanderarch-expect-instance"];
+    if (expected !== undefined && expected !== this.id) {
+      res.writeHead(421, { "oleanderarch-instance-id": this.id }).end();
+      return;
+    }
+    if (this.#engines === undefined) return await this.#plain(req, res);
+    await this.#stream(req, res);
+  }
+
+  async #report(res: ServerResponse): Promise<void> {
+    const report = await this.#engines?.report({ id: this.id, address: "" });
+    if (report === undefined || !report.ok) return void res.destroy();
+    const { seq, born, staged, models, membership } = report.value;
+    sendJson(res, 200, {
+      seq,
+      born,
+      busy: false,
+      staged,
+      models: models.map((name) => ({ name })),
+      group: groupBody(membership),
+    });
+  }
+
+  async #order(body: string, res: ServerResponse): Promise<void> {
+    const { operation, expected, ...rest } = JSON.parse(body) as {
+      operation: HostCommand["kind"];
+      expected?: number;
+    };
+    const command = { kind: operation, ...rest } as HostCommand;
+    const host = { id: this.id, address: "" };
+    const answer = await this.#engines?.command(host, command, expected);
+    if (answer === undefined || !answer.ok) return void res.destroy();
+    sendJson(res, STATUS[answer.value], {});
+  }
+
+  async #plain(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this.#note(req);
+    await sleep(this.#timers, PLAIN_MS);
+    const body = Buffer.from(`done ${req.url}`);
+    res.writeHead(200, {
+      ...signed(req, this.id),
+      "content-length": String(body.length),
+    });
+    res.end(body);
+  }
+
+  async #stream(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const serves = () =>
+      this.#engines?.serving.some((group) => group.members[0] === this.id) ===
+        true;
+    if (!serves()) {
+      res.writeHead(503, { "oleanderarch-not-executed": "1" }).end();
+      return;
+    }
+    this.#note(req);
+    const last = eventsOf(req.url ?? "");
+    const from = Number(req.headers["last-event-id"] ?? 0) + 1;
+    for (let id = from; id <= last; id++) {
+      await sleep(this.#timers, EVENT_GAP_MS);
+      // A group that lost a member stands still.
+      while (!serves() && !res.destroyed) await sleep(this.#timers, 50);
+      if (res.destroyed) return;
+      if (!res.headersSent) {
+        const type = { "content-type": "text/event-stream" };
+        res.writeHead(200, { ...signed(req, this.id), ...type });
+      }
+      res.write(`id: ${id}\ndata: ${req.url} ${id}\n\n`);
+    }
+    if (!res.headersSent) res.writeHead(200, signed(req, this.id));
+    res.end();
+  }
+
+  #note(req: IncomingMessage): void {
+    this.#journal.push({
+      requestId: String(req.headers["oleanderarch-attempt-id"]),
+      path: req.url ?? "",
+      host: this.id,
+      tenant: req.headers["oleanderarch-tenant"] as string | undefined,
+      at: this.#timers.now(),
+    });
+  }
+}
+
+/**
+ * Group state as servers write it.
+ *
+ * @example
+ * ```ts
+ * entry.group = groupBody(host.membership);
+ * ```
+ */
+export function groupBody(
+  membership:
+    | { group: string; epoch: number; rank: number; state: string }
+    | undefined,
+) {
+  if (membership === undefined) return undefined;
+  const { group, epoch, rank, state } = membership;
+  return { name: group, epoch, rank, state };
+}
+
+function signed(req: IncomingMessage, hostId: string): Record<string, string> {
+  return {
+    "oleanderarch-attempt-id": String(req.headers["oleanderarch-attempt-id"]),
+    "oleanderarch-server-stamp": `stamp-${hostId}`,
+  };
+}
+
+function sendJson(res: ServerResponse, status: number, body: unknown): void {
+  res.writeHead(status, { "content-type": "application/json" });
+  res.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/src/standins/platform/platform_standin.ts
@@ -0,0 +1,220 @@
+/**
+ * The users' platform in one process on loopback: store, servers, operator.
+ *
+ * @module
+ */
+import type { Server } from "node:http";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Timers } from "../../base/timers.ts";
+import type { ServingHost } from "../../world/serving_host.ts";
+import { EngineHosts } from "../fleet/engine_hosts.ts";
+import { EXAMPLE_MODELS } from "../fleet/example_catalog.ts";
+import { MemoryCoordination } from "../fleet/memory_coordination.ts";
+import type { RunJournal } from "./engine_calls.ts";
+import { groupBody, ServerStandin } from "./engine_calls.ts";
+import { serveStore } from "./store_calls.ts";
+
+const IP = "127.0.0.1";
+/** Loads are short here, so that a run shows many repairs. */
+const MODELS = EXAMPLE_MODELS.map((model) => ({
+  ...model,
+  loadMs: 400,
+  warmMs: 200,
+}));
+
+/** Keys of the customers at the start. */
+export const STANDIN_KEYS = ["bindery-key", "desk-key"] as const;
+
+/** A platform that a test can disturb. */
+export class PlatformStandin {
+  readonly store: MemoryCoordination;
+  readonly journal: RunJournal = [];
+  readonly engines: EngineHosts;
+  readonly #timers: Timers;
+  readonly #servers: ServerStandin[] = [];
+  readonly #addresses = new Map<string, string>();
+  #storeServer: Server | undefined;
+  #version = 0;
+  #keys: string[] = [...STANDIN_KEYS];
+
+  constructor(timers: Timers) {
+    this.#timers = timers;
+    this.store = new MemoryCoordination(timers);
+    this.engines = new EngineHosts(timers, MODELS, {
+      announced: (host) => this.#register(host),
+      withdrawn: (id) => this.store.remove(`servers/${id}`),
+    });
+  }
+
+  /** Starts everything. Returns the store's address. */
+  async start(domains: number, hostsPerDomain: number): Promise<string> {
+    this.#storeServer = createServer(serveStore(this.store));
+    const port = await new Promise<number>((resolve) => {
+      this.#storeServer?.listen(0, IP, () => {
+        const address = this.#storeServer?.address() as AddressInfo;
+        resolve(address.port);
+      });
+    });
+    for (let d = 0; d < domains; d++) {
+      for (let h = 0; h < hostsPerDomain; h++) {
+        await this.#startEngine(`i-${d}-${h}`, d);
+      }
+    }
+    for (const id of ["counter-1", "counter-2"]) await this.#startCounter(id);
+    this.writeManifest();
+    return `${IP}:${port}`;
+  }
+
+  /** Ends everything. */
+  stop(): void {
+    for (const server of this.#servers) server.close();
+    this.#storeServer?.close();
+    this.#storeServer?.closeAllConnections();
+  }
+
+  /** The newest version of the manifest. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Writes a new version of the manifest; keys may be taken away. */
+  writeManifest(keys: readonly string[] = this.#keys): void {
+    this.#keys = [...keys];
+    this.#version += 3;
+    this.store.put("op/config", manifest(this.#version, keys));
+  }
+
+  async #startEngine(id: string, domain: number): Promise<void> {
+    const server = new ServerStandin(
+      id,
+      this.#timers,
+      this.engines,
+      this.journal,
+    );
+    this.#servers.push(server);
+    this.#addresses.set(id, await server.listen(IP));
+    this.engines.add(id, `domain-${domain}`, `zone-${domain % 3}`);
+  }
+
+  async #startCounter(id: string): Promise<void> {
+    const server = new ServerStandin(
+      id,
+      this.#timers,
+      undefined,
+      this.journal,
+    );
+    this.#servers.push(server);
+    this.store.put(`servers/${id}`, {
+      service: "counter",
+      address: await server.listen(IP),
+      zone: "zone-0",
+      version: "v1",
+      slots: 6,
+      state: "ready",
+      cold_left_ms: 0,
+      seq: 1,
+      born: 1,
+    });
+  }
+
+  #register(host: ServingHost): void {
+    this.store.put(`servers/${host.id}`, {
+      service: host.service,
+      address: this.#addresses.get(host.id),
+      zone: host.zone,
+      version: "v1",
+      slots: host.slots,
+      state: host.draining ? "draining" : "ready",
+      cold_left_ms: 0,
+      domain: host.domain,
+      staged: host.staged,
+      models: host.models.map((name) => ({ name, version: 1, adapters: [] })),
+      group: groupBody(host.membership),
+      seq: 1,
+      born: host.born,
+    });
+  }
+}
+
+function manifest(version: number, keys: readonly string[]) {
+  const stream = {
+    host: "album.example",
+    kind: "streaming",
+    timeout_ms: 5_000,
+    goal_ms: 400,
+    gap_target_ms: 400,
+    priority: 1,
+    attempts: 3,
+    public: false,
+    sticky: true,
+    resumable: true,
+    service: "pool",
+  };
+  const plain = {
+    ...stream,
+    timeout_ms: 2_000,
+    resumable: false,
+    sticky: false,
+    service: "counter",
+  };
+  return {
+    version,
+    routes: [
+      { ...stream, name: "draft", path_prefix: "/draft/" },
+      {
+        ...plain,
+        name: "order",
+        path_prefix: "/order/",
+        kind: "non_idempotent",
+        attempts: 1,
+      },
+      {
+        ...plain,
+        name: "look",
+        path_prefix: "/look/",
+        kind: "idempotent",
+        attempts: 2,
+      },
+    ],
+    services: [
+      {
+        name: "pool",
+        health: "/health",
+        max_conns: 400,
+        cold_s: 0,
+        cold_per_s: 0,
+        engine: {
+          slots: 18,
+          kv_tokens: 1_000_000,
+          stride: 7,
+          models: MODELS.map((model) => ({
+            name: model.name,
+            size: model.size,
+            share: model.share,
+            pace: model.pace,
+            load_s: model.loadMs / 1_000,
+            warm_s: model.warmMs / 1_000,
+          })),
+          step_ms: 2,
+          per_seq_ms: 0.05,
+          context_per_k: 0.01,
+          read_per_s: 50_000,
+          loads_per_s: 20,
+          loads_at_once: 20,
+          usual: { prompt: 200, answer: 70 },
+          form_ms: 300,
+          far_x: 2.5,
+        },
+      },
+      { name: "counter", health: "/health", max_conns: 100 },
+    ],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 1_048_576,
+      header_timeout_ms: 3_000,
+      idle_timeout_ms: 15_000,
+    },
+    tenants: keys.map((key, i) => ({ name: `customer-${i}`, keys: [key] })),
+  };
+}
--- /dev/null
+++ b/tools/soak.ts
@@ -0,0 +1,202 @@
+/**
+ * Soak: real nodes before a platform of our own, harmed from outside by seed.
+ *
+ * Usage: `npm run soak -- --seed N --seconds S [--processes P]`. Exits with 1
+ * and leaves settings, logs and the plan when a promise is broken.
+ *
+ * @module
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import process from "node:process";
+import { cac } from "cac";
+import { Random } from "../src/base/random.ts";
+import { SystemTimers } from "../src/base/system_timers.ts";
+import { sleep } from "../src/base/timers.ts";
+import {
+  PlatformStandin,
+  STANDIN_KEYS,
+} from "../src/standins/platform/platform_standin.ts";
+import { FaultProxy } from "./soak/fault_proxy.ts";
+import { NodeRunner } from "./soak/node_runner.ts";
+import type { Fault } from "./soak/plan.ts";
+import { planFaults } from "./soak/plan.ts";
+import { checkPromises } from "./soak/promises.ts";
+import { SoakClient } from "./soak/soak_clients.ts";
+
+const CLIENTS = 24;
+const WARM_UP_MS = 6_000;
+const COOL_DOWN_MS = 8_000;
+
+interface SoakOptions {
+  readonly seed: number;
+  readonly seconds: number;
+  readonly processes: number;
+}
+
+/** One run by one seed. */
+class Soak {
+  readonly #options: SoakOptions;
+  readonly #timers = new SystemTimers();
+  readonly #random: Random;
+  readonly #platform = new PlatformStandin(this.#timers);
+  readonly #nodes: NodeRunner[] = [];
+  readonly #clients: SoakClient[] = [];
+  readonly #folder: string;
+  #proxy: FaultProxy | undefined;
+  #keys: readonly string[] = STANDIN_KEYS;
+  #revokedAt: number | undefined;
+
+  constructor(options: SoakOptions) {
+    this.#options = options;
+    this.#random = new Random(options.seed);
+    this.#folder = `reports/soak-${options.seed}`;
+    mkdirSync(this.#folder, { recursive: true });
+  }
+
+  async run(): Promise<boolean> {
+    const { seed, seconds, processes } = this.#options;
+    const store = await this.#platform.start(2, 9);
+    this.#proxy = new FaultProxy(this.#timers, store);
+    const proxied = await this.#proxy.listen();
+    const base = 1 + seed % 250;
+    for (let i = 0; i < processes; i++) {
+      const node = new NodeRunner(this.#folder, i, base, proxied);
+      this.#nodes.push(node);
+      node.start();
+    }
+    await sleep(this.#timers, WARM_UP_MS);
+    const plan = planFaults(this.#random, seconds * 1_000, processes);
+    for (const fault of plan) process.stdout.write(`${describe(fault)}\n`);
+    const running = this.#startClients();
+    for (const fault of plan) {
+      this.#timers.after(fault.atMs, () => this.#begin(fault));
+    }
+    await sleep(this.#timers, seconds * 1_000 + COOL_DOWN_MS);
+    for (const client of this.#clients) client.stop();
+    await Promise.all(running);
+    return this.#judge(plan);
+  }
+
+  #startClients(): Promise<void>[] {
+    const urls = this.#nodes.map((node) => node.directoryUrl);
+    for (let i = 0; i < CLIENTS; i++) {
+      const random = new Random(this.#options.seed * 1_000 + i);
+      this.#clients.push(
+        new SoakClient(`c${i}`, this.#timers, random, urls, () => this.#keys),
+      );
+    }
+    return this.#clients.map((client) => client.run());
+  }
+
+  #begin(fault: Fault): void {
+    const { timers, node } = {
+      timers: this.#timers,
+      node: this.#nodes[fault.node],
+    };
+    const later = (act: () => void) => timers.after(fault.forMs, act);
+    const proxy = this.#proxy;
+    switch (fault.kind) {
+      case "kill":
+        node.signal("SIGKILL");
+        later(() => node.start());
+        return;
+      case "stop_gracefully":
+        node.signal("SIGTERM");
+        timers.after(9_000, () => node.start());
+        return;
+      case "freeze":
+        node.signal("SIGSTOP");
+        later(() => node.signal("SIGCONT"));
+        return;
+      case "store_reset":
+        proxy?.resetAll();
+        return;
+      case "store_delay":
+      case "store_silence":
+      case "store_one_way":
+      case "store_refuse": {
+        if (proxy === undefined) return;
+        proxy.mode = PROXY_MODES[fault.kind];
+        later(() => proxy.mode = "pass");
+        return;
+      }
+      case "host_dark":
+        this.#platform.engines.goDark(`i-${fault.node % 2}-${fault.host}`);
+        later(() =>
+          this.#platform.engines.heal(`i-${fault.node % 2}-${fault.host}`)
+        );
+        return;
+      case "lose_answer":
+        this.#platform.store.faults.loseNextWriteAnswer = true;
+        return;
+      case "manifest":
+        this.#platform.writeManifest();
+        return;
+      case "revoke":
+        if (this.#revokedAt !== undefined) return;
+        this.#platform.writeManifest([STANDIN_KEYS[0]]);
+        this.#revokedAt = timers.now();
+        return;
+    }
+  }
+
+  #judge(plan: readonly Fault[]): boolean {
+    const results = this.#clients.flatMap((client) => client.results);
+    const problems = checkPromises({
+      results,
+      journal: this.#platform.journal,
+      breaches: this.#platform.engines.breaches,
+      revokedKeyOwner: "customer-1",
+      revokedAt: this.#revokedAt,
+      unexpectedEnds: this.#nodes.reduce(
+        (n, node) => n + node.unexpectedEnds,
+        0,
+      ),
+    });
+    for (const node of this.#nodes) node.signal("SIGKILL");
+    this.#proxy?.close();
+    this.#platform.stop();
+    const whole = results.filter((result) => result.isWhole).length;
+    process.stdout.write(
+      `${results.length} requests, ${whole} answered whole, ` +
+        `${this.#platform.journal.length} runs at servers\n`,
+    );
+    for (const problem of problems.slice(0, 20)) {
+      process.stdout.write(`BROKEN ${problem}\n`);
+    }
+    writeFileSync(
+      `${this.#folder}/plan.json`,
+      JSON.stringify({ options: this.#options, plan, problems }, null, 2),
+    );
+    return problems.length === 0;
+  }
+}
+
+const PROXY_MODES = {
+  store_delay: "delay",
+  store_silence: "silence",
+  store_one_way: "one_way",
+  store_refuse: "refuse",
+} as const;
+
+function describe(fault: Fault): string {
+  const { kind, atMs, forMs, node } = fault;
+  return `${(atMs / 1_000).toFixed(1)} s ${kind} node-${node} ${forMs} ms`;
+}
+
+const cli = cac("soak");
+cli.command("", "Run the soak")
+  .option("--seed <seed>", "Seed of the plan", {
+    default: Date.now() % 100_000,
+  })
+  .option("--seconds <seconds>", "Length", { default: 30 })
+  .option("--processes <processes>", "Nodes", { default: 4 })
+  .action(async (options: SoakOptions) => {
+    const { seed, seconds, processes } = options;
+    process.stdout.write(`seed ${seed}, ${seconds} s, ${processes} nodes\n`);
+    const held = await new Soak({ seed, seconds, processes }).run();
+    process.stdout.write(held ? "all promises held\n" : "promises broken\n");
+    process.exit(held ? 0 : 1);
+  });
+cli.help();
+cli.parse();
--- /dev/null
+++ b/tools/soak/node_runner.ts
@@ -0,0 +1,102 @@
+/**
+ * Runs real node processes on loopback addresses of their own.
+ *
+ * @module
+ */
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { createWriteStream, mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+
+const CALLER_PORT = 18_641;
+const BIN = "dist/src/bin/oleander_node.js";
+
+/** One node process, started again and again under the same settings. */
+export class NodeRunner {
+  readonly id: string;
+  readonly ip: string;
+  readonly #settingsFile: string;
+  readonly #logFile: string;
+  #child: ChildProcess | undefined;
+  /** Ends that nobody caused. */
+  unexpectedEnds = 0;
+  #isEnding = false;
+
+  constructor(folder: string, index: number, base: number, store: string) {
+    this.id = `node-${index}`;
+    this.ip = `127.0.${base}.${10 + index}`;
+    mkdirSync(folder, { recursive: true });
+    this.#settingsFile = join(folder, `${this.id}.ini`);
+    this.#logFile = join(folder, `${this.id}.log`);
+    writeFileSync(this.#settingsFile, settings(this.id, this.ip, index, store));
+  }
+
+  get callerPort(): number {
+    return CALLER_PORT;
+  }
+
+  get directoryUrl(): string {
+    return `http://${this.ip}:${CALLER_PORT + 2}/resolve?name=album.example`;
+  }
+
+  get isRunning(): boolean {
+    return this.#child !== undefined;
+  }
+
+  start(): void {
+    this.#isEnding = false;
+    const log = createWriteStream(this.#logFile, { flags: "a" });
+    const child = spawn(process.execPath, [BIN, this.#settingsFile], {
+      stdio: ["ignore", "pipe", "pipe"],
+    });
+    child.stdout.pipe(log);
+    child.stderr.pipe(log, { end: false });
+    child.on("exit", () => {
+      if (!this.#isEnding) this.unexpectedEnds += 1;
+      if (this.#child === child) this.#child = undefined;
+    });
+    this.#child = child;
+  }
+
+  /** Sends a signal to the process that this runner started. */
+  signal(name: "SIGKILL" | "SIGTERM" | "SIGSTOP" | "SIGCONT"): void {
+    if (name === "SIGKILL" || name === "SIGTERM") this.#isEnding = true;
+    this.#child?.kill(name);
+  }
+}
+
+function settings(
+  id: string,
+  ip: string,
+  index: number,
+  store: string,
+): string {
+  return [
+    "[node]",
+    `id = ${id}`,
+    `availability_zone = zone-${index % 3}`,
+    "region = soak",
+    `ip = ${ip}`,
+    `caller_address = ${ip}:${CALLER_PORT}`,
+    `ready_address = ${ip}:${CALLER_PORT + 1}`,
+    `directory_address = ${ip}:${CALLER_PORT + 2}`,
+    `internal_port = ${CALLER_PORT + 3}`,
+    `metrics_port = ${CALLER_PORT + 4}`,
+    "seeds =",
+    "[platform]",
+    `store = ${store}`,
+    "heartbeat = 1200ms",
+    "[bounds]",
+    "confirm_keys_within = 5000ms",
+    "change_in_force_within = 2000ms",
+    "shutdown_within = 8s",
+    "stall = 4000ms",
+    "retry_ratio = 0.2",
+    "retry_window = 10s",
+    "retry_slack = 136",
+    "load_window = 5s",
+    "address_ttl_max = 5s",
+    "",
+  ].join("\n");
+}
--- /dev/null
+++ b/tools/soak/plan.ts
@@ -0,0 +1,62 @@
+/**
+ * The faults of one soak, drawn by seed.
+ *
+ * @module
+ */
+import type { Random } from "../../src/base/random.ts";
+
+const KINDS = [
+  "kill",
+  "stop_gracefully",
+  "freeze",
+  "store_reset",
+  "store_delay",
+  "store_silence",
+  "store_one_way",
+  "store_refuse",
+  "host_dark",
+  "host_dark",
+  "lose_answer",
+  "manifest",
+  "revoke",
+] as const;
+
+/** Kinds of faults. */
+export type FaultKind = typeof KINDS[number];
+
+/** One fault. Times are milliseconds. */
+export interface Fault {
+  readonly kind: FaultKind;
+  readonly atMs: number;
+  readonly forMs: number;
+  readonly node: number;
+  readonly host: number;
+}
+
+/**
+ * Draws faults, in series and overlapping.
+ *
+ * @example
+ * ```ts
+ * const plan = planFaults(new Random(7), 30_000, 4);
+ * ```
+ */
+export function planFaults(
+  random: Random,
+  durationMs: number,
+  nodes: number,
+): Fault[] {
+  const faults: Fault[] = [];
+  let atMs = 500;
+  while (atMs < durationMs) {
+    faults.push({
+      kind: random.pick(KINDS),
+      atMs,
+      forMs: 500 + random.int(5_000),
+      node: random.int(nodes),
+      host: random.int(9),
+    });
+    atMs += 300 + random.int(3_500);
+  }
+  return faults;
+}
--- /dev/null
+++ b/tools/soak/soak_clients.ts
@@ -0,0 +1,165 @@
+/**
+ * Callers of the soak, and what they saw.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { Agent, request } from "undici";
+import type { Random } from "../../src/base/random.ts";
+import type { Timers } from "../../src/base/timers.ts";
+import { sleep } from "../../src/base/timers.ts";
+import { eventsOf } from "../../src/standins/platform/engine_calls.ts";
+
+const DEADLINE_MS = 4_000;
+const DIRECTORY_TTL_MS = 1_000;
+
+/** How one request ended for its caller. */
+export interface CallerResult {
+  readonly requestId: string;
+  readonly path: string;
+  readonly key: string;
+  readonly sentAt: number;
+  /** 0 when the channel broke. */
+  readonly status: number;
+  readonly isWhole: boolean;
+  /** Something that must never be seen, in words. */
+  readonly problem: string | undefined;
+}
+
+/** Sends requests one after the other. */
+export class SoakClient {
+  readonly results: CallerResult[] = [];
+  readonly #timers: Timers;
+  readonly #random: Random;
+  readonly #name: string;
+  readonly #directories: readonly string[];
+  readonly #keys: () => readonly string[];
+  readonly #agent = new Agent({ connectTimeout: 1_000 });
+  #addresses: string[] = [];
+  #resolvedAt = -Infinity;
+  #count = 0;
+  #stopped = false;
+
+  constructor(
+    name: string,
+    timers: Timers,
+    random: Random,
+    directories: readonly string[],
+    keys: () => readonly string[],
+  ) {
+    this.#name = name;
+    this.#timers = timers;
+    this.#random = random;
+    this.#directories = directories;
+    this.#keys = keys;
+  }
+
+  async run(): Promise<void> {
+    while (!this.#stopped) {
+      await this.#resolve();
+      if (this.#addresses.length > 0) await this.#one();
+      await sleep(this.#timers, 10 + this.#random.int(40));
+    }
+    await this.#agent.destroy();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  async #resolve(): Promise<void> {
+    if (this.#timers.now() - this.#resolvedAt < DIRECTORY_TTL_MS) return;
+    for (let i = 0; i < 3; i++) {
+      const url = this.#random.pick(this.#directories);
+      const body = await this.#get(url);
+      if (body === undefined) continue;
+      this.#addresses = (JSON.parse(body) as { addresses: string[] }).addresses;
+      this.#resolvedAt = this.#timers.now();
+      return;
+    }
+  }
+
+  async #get(url: string): Promise<string | undefined> {
+    try {
+      const res = await request(url, {
+        dispatcher: this.#agent,
+        headersTimeout: 1_000,
+        bodyTimeout: 1_000,
+      });
+      const body = await res.body.text();
+      return res.statusCode === 200 ? body : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
+  async #one(): Promise<void> {
+    const kind = this.#random.pick([
+      "draft",
+      "draft",
+      "draft",
+      "order",
+      "look",
+    ]);
+    const path = `/${kind}/${this.#name}-${++this.#count}`;
+    const requestId = `${this.#name}-${this.#count}`;
+    const key = this.#random.pick(this.#keys());
+    const sentAt = this.#timers.now();
+    const seen = await this.#send(path, requestId, key);
+    this.results.push({ requestId, path, key, sentAt, ...seen });
+  }
+
+  async #send(path: string, requestId: string, key: string) {
+    const address = this.#random.pick(this.#addresses);
+    const isStream = path.startsWith("/draft/");
+    try {
+      const res = await request(`http://${address}${path}`, {
+        dispatcher: this.#agent,
+        method: "POST",
+        headers: {
+          host: "album.example",
+          authorization: `Token ${key}`,
+          "oleanderarch-attempt-id": requestId,
+          "oleanderarch-deadline-ms": String(DEADLINE_MS),
+          ...(isStream
+            ? {
+              "oleanderarch-model": this.#random.pick(["large", "small"]),
+              "oleanderarch-token-count": "200,70",
+            }
+            : {}),
+        },
+        body: Buffer.from(`body of ${requestId}`),
+        headersTimeout: DEADLINE_MS + 2_000,
+        bodyTimeout: DEADLINE_MS + 2_000,
+      });
+      const body = await res.body.text();
+      const status = res.statusCode;
+      const isWhole = status === 200;
+      const echoed = res.headers["oleanderarch-attempt-id"];
+      const problem = isWhole
+        ? problemOf(path, requestId, body, echoed)
+        : undefined;
+      return { status, isWhole, problem };
+    } catch {
+      return { status: 0, isWhole: false, problem: undefined };
+    }
+  }
+}
+
+/** What is wrong with an answer that looks whole. */
+function problemOf(
+  path: string,
+  requestId: string,
+  body: string,
+  echoed: unknown,
+): string | undefined {
+  if (echoed !== requestId) return `answer of ${echoed}`;
+  if (!path.startsWith("/draft/")) {
+    return body === `done ${path}` ? undefined : `body ${body.slice(0, 40)}`;
+  }
+  let expected = "";
+  for (let id = 1; id <= eventsOf(path); id++) {
+    expected += `id: ${id}\ndata: ${path} ${id}\n\n`;
+  }
+  return body === expected ? undefined : "events missing, twice or crossed";
+}
