Notice the store's return at once, and drop hosts that leave after it

Change: the first call after a failure waits 20 ms; only the feed of hosts excuses missing hosts, for 600 ms after its return; they are kept for 1.8 s. Ruled out: a late feed (waits are two seconds and 0.8 s more at most).

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -144,7 +144,7 @@
 
   Scenario: should keep lapsed announcements for a while after an outage
     Given a host that a listing after an outage does not name
-    Then it is kept for 2300 milliseconds and then dropped
+    Then it is kept for 1800 milliseconds and then dropped
 
   Scenario: should forget nothing that lines of log say under pressure but count it
     Given a log buffer whose reader is slow
@@ -161,6 +161,11 @@
       | drop at once | 1       | dropped |
       | keep         | 5       | kept    |
 
+  Scenario: should drop at once a host that leaves a second after the store's return
+    Given a fleet's state before a store that names a host
+    When the store is away for 5 seconds, and the host leaves 1 second after its return
+    Then the host is dropped half a second later
+
   Scenario: should stay with the last attempt that is allowed when its group is doubted
     Given a relay before 2 groups of "small"
     And every group pauses for 700 milliseconds after its first 2 events
--- a/features/steps/fleet_state_steps.ts
+++ b/features/steps/fleet_state_steps.ts
@@ -88,3 +88,22 @@
     assert.equal(this.hosts.get("h"), undefined);
   },
 );
+
+When(
+  "the store is away for {int} seconds, and the host leaves {int} second after its return",
+  async function (this: FleetStateWorld, away: number, after: number) {
+    this.store.faults.down = true;
+    await this.timers.run(away * 1_000);
+    this.store.faults.down = false;
+    await this.timers.run(after * 1_000 + 400);
+    this.store.remove("hosts/h");
+  },
+);
+
+Then(
+  "the host is dropped half a second later",
+  async function (this: FleetStateWorld) {
+    await this.timers.run(500);
+    assert.equal(this.hosts.get("h"), undefined);
+  },
+);
--- a/src/core/fleet/change_feed.ts
+++ b/src/core/fleet/change_feed.ts
@@ -17,6 +17,8 @@
 
 /** Time beyond the wait after which a call counts as silent. */
 const CALL_LIMIT_MS = 800;
+/** Wait of the first call after a failure: shows soon that the store is back. */
+const LOST_WAIT_MS = 20;
 /** First pause after a failed call; doubles up to the maximum. */
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 400;
@@ -49,6 +51,7 @@
   readonly #pace: () => FeedPace;
   #asOf: number | undefined;
   #retryMs = RETRY_MIN_MS;
+  #isLost = false;
   #stopped = false;
 
   constructor(
@@ -85,6 +88,7 @@
         ? await this.#list(askedAt)
         : await this.#change(this.#asOf, askedAt);
       if (this.#stopped) return;
+      this.#isLost = err !== undefined;
       if (err === undefined) this.#retryMs = RETRY_MIN_MS;
       else await this.#failed(err);
       const early = startedAt + this.#pace().pauseMs - this.#timers.now();
@@ -108,7 +112,7 @@
     after: number,
     askedAt: Age,
   ): Promise<CoordinationError | undefined> {
-    const { waitMs } = this.#pace();
+    const waitMs = this.#isLost ? LOST_WAIT_MS : this.#pace().waitMs;
     const res = await this.#limited(
       this.#store.changes(this.#prefix, after, waitMs),
       waitMs,
--- a/src/core/fleet/fleet_state.ts
+++ b/src/core/fleet/fleet_state.ts
@@ -18,8 +18,9 @@
 import type { HostRegistry } from "./host_registry.ts";
 import { FLEET_PREFIX, isNodeKey } from "./registration.ts";
 
+const HOST_FEED = "hosts";
 /** An outage that ended this long ago still excuses missing hosts. */
-const AFTER_OUTAGE_MS = 2_500;
+const AFTER_OUTAGE_MS = 600;
 /** The acting node sees hosts change at once; the others hear of losses. */
 const ACTING_HOST_PACE = { waitMs: 1_500, pauseMs: 40 };
 const HOST_PACE = { waitMs: 2_000, pauseMs: 350 };
@@ -88,9 +89,8 @@
   get #afterOutage(): boolean {
     const { timers, lapseAfterMs } = this.#parts;
     const now = timers.now();
-    const isLong = [...this.#lostAt.values()].some((at) =>
-      now - at >= lapseAfterMs
-    );
+    const lostAt = this.#lostAt.get(HOST_FEED);
+    const isLong = lostAt !== undefined && now - lostAt >= lapseAfterMs;
     return isLong || now - this.#outageEndedAt < AFTER_OUTAGE_MS;
   }
 
@@ -132,7 +132,7 @@
             }
           }
         },
-        ...this.#contact("hosts"),
+        ...this.#contact(HOST_FEED),
       },
     );
   }
@@ -225,7 +225,8 @@
         if (lostAt === undefined) return;
         this.#lostAt.delete(feed);
         const silentMs = timers.now() - lostAt;
-        if (silentMs >= lapseAfterMs) this.#outageEndedAt = timers.now();
+        const canLapse = feed === HOST_FEED && silentMs >= lapseAfterMs;
+        if (canLapse) this.#outageEndedAt = timers.now();
         listener.feedRegained(feed, silentMs);
       },
       onLost: (detail: string) => {
--- a/src/core/fleet/host_registry.ts
+++ b/src/core/fleet/host_registry.ts
@@ -7,8 +7,11 @@
 import type { ReplicaGroupView } from "./replica.ts";
 import { groupKey } from "./replica.ts";
 
-/** Announcements that lapsed during an outage are back within this time. */
-export const RELIST_GRACE_MS = 2_300;
+/**
+ * Announcements that lapsed during an outage are back within about this time;
+ * a host that has left must not get requests for much longer.
+ */
+export const RELIST_GRACE_MS = 1_800;
 
 interface Known {
   readonly host: ServingHost;
