Reload settings, divide a cold host's quota in whole requests, end before the kill

Change: changed seeds and bounds are taken, a wrong file changes nothing and is logged; the quota of a cold host goes in whole requests to the first processes; a stop ends 0.9 s before the grace does and refuses new requests after 2.9 s.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -123,9 +123,15 @@
     When each has 400 requests in 10 seconds that all want to be repeated
     Then at most 536 repeats were sent in any 10 seconds
 
-  Scenario: should keep the whole fleet within what a cold host bears
-    Given 5 processes that each send as much as they may to a host that bears 36 a second
-    Then the host gets at most 59 requests in any second
+  Scenario Outline: should keep the whole fleet within what a cold host bears
+    Given <processes> processes that each send as much as they may to a host that bears <bears> a second
+    Then the host gets at most <most> requests in any second
+
+    Examples:
+      | processes | bears | most |
+      | 5         | 36    | 59   |
+      | 34        | 17    | 30   |
+      | 1         | 36    | 59   |
 
   Scenario Outline: should pass on each event once, in order, however bytes are cut
     Given events 1 to 9 cut into pieces of <size> bytes, of two attempts that overlap
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -19,3 +19,10 @@
   Scenario: should leave with exit code 2 before anything is opened
     When the gateway binary runs with settings that are wrong
     Then it prints the problem and leaves with exit code 2
+
+  Scenario: should take changed settings of a node, and keep the old ones when the file is wrong
+    Given a node's settings file that is watched
+    When its seeds change
+    Then the changed settings are taken
+    When its store becomes a host name
+    Then the settings stay and the reason is logged
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -6,7 +6,7 @@
 import { Confirmation } from "../../src/core/catalog/confirmation.ts";
 import { RouteTable } from "../../src/core/catalog/route_table.ts";
 import { HostRegistry } from "../../src/core/fleet/host_registry.ts";
-import { ColdPace } from "../../src/core/relay/cold_pace.ts";
+import { ColdPace, coldQuota } from "../../src/core/relay/cold_pace.ts";
 import { RetryAllowance } from "../../src/core/relay/retry_allowance.ts";
 import { StreamSplice } from "../../src/core/relay/stream_splice.ts";
 import { LineBuffer } from "../../src/logging/line_buffer.ts";
@@ -360,7 +360,7 @@
     const bounds = { ratio: 0.2, windowMs: 10_000, slack: 136 };
     const all = Array.from(
       { length: 5 },
-      () => new RetryAllowance(bounds, () => 5),
+      () => new RetryAllowance(() => bounds, () => 5),
     );
     for (let now = 0; now < 40_000; now += 10_000 / requests) {
       for (const allowance of all) {
@@ -390,8 +390,9 @@
     this.coldSends = [];
     const paces = Array.from({ length: processes }, () => new ColdPace());
     for (let now = 0; now < 5_000; now += 3) {
-      for (const pace of paces) {
-        if (!pace.mayStart("h", perSecond * 1.1 / processes, now)) continue;
+      for (const [rank, pace] of paces.entries()) {
+        const quota = coldQuota(perSecond * 1.1, processes, rank);
+        if (!pace.mayStart("h", quota, now)) continue;
         pace.started("h", now);
         this.coldSends.push(now);
       }
--- a/features/steps/relay_world.ts
+++ b/features/steps/relay_world.ts
@@ -100,9 +100,10 @@
       evidence,
       observer: { noted() {}, turnedAway() {} },
       zone: "zone-0",
-      retryBounds: { ratio: 0.2, windowMs: 10_000, slack: 136 },
-      keyTrustMs: 4_250,
+      retryBounds: () => ({ ratio: 0.2, windowMs: 10_000, slack: 136 }),
+      keyTrustMs: () => 4_250,
       fleetSize: () => 1,
+      fleetRank: () => 0,
     });
     this.relay.start();
   }
--- /dev/null
+++ b/features/steps/settings_watch_steps.ts
@@ -0,0 +1,88 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Given, Then, When } from "@cucumber/cucumber";
+import type { NodeSettings } from "../../src/settings/node_settings.ts";
+import { NodeSettingsSchema } from "../../src/settings/node_settings.ts";
+import { loadSettings } from "../../src/settings/settings_file.ts";
+import { SettingsWatch } from "../../src/settings/settings_watch.ts";
+import { RecordedLog } from "./keeper_world.ts";
+
+interface WatchWorld {
+  file: string;
+  log: RecordedLog;
+  taken: NodeSettings[];
+  watch: SettingsWatch<typeof NodeSettingsSchema>;
+}
+
+const SETTINGS = `[node]
+id = node-1
+availability_zone = valley-a
+region = kathmandu-valley
+ip = 10.1.0.4
+caller_address = 10.1.0.4:8641
+ready_address = 10.1.0.4:8642
+directory_address = 10.1.0.4:8643
+internal_port = 7340
+metrics_port = 9464
+seeds = 10.1.0.4:8229
+[platform]
+store = 10.200.1.7:8223
+heartbeat = 1200ms
+[bounds]
+confirm_keys_within = 5000ms
+change_in_force_within = 2000ms
+shutdown_within = 8s
+stall = 4000ms
+retry_ratio = 0.2
+retry_window = 10s
+retry_slack = 136
+load_window = 5s
+address_ttl_max = 5s
+`;
+
+Given("a node's settings file that is watched", function (this: WatchWorld) {
+  this.file = join(mkdtempSync(join(tmpdir(), "oleander-")), "node.ini");
+  writeFileSync(this.file, SETTINGS);
+  const settings = loadSettings(this.file, NodeSettingsSchema);
+  assert.ok(settings.ok);
+  this.log = new RecordedLog();
+  this.taken = [];
+  this.watch = new SettingsWatch(
+    this.file,
+    NodeSettingsSchema,
+    settings.value,
+    this.log,
+    (changed) => this.taken.push(changed),
+  );
+});
+
+function change(world: WatchWorld, from: string, to: string): void {
+  const text = readFileSync(world.file, "utf8");
+  writeFileSync(world.file, text.replace(from, to));
+  world.watch.reload("test");
+}
+
+When("its seeds change", function (this: WatchWorld) {
+  change(this, "seeds = 10.1.0.4:8229", "seeds = 10.1.0.4:8229,10.2.0.5:8229");
+});
+
+Then("the changed settings are taken", function (this: WatchWorld) {
+  assert.deepEqual(this.taken.map((s) => s.node.seeds), [
+    ["10.1.0.4:8229", "10.2.0.5:8229"],
+  ]);
+});
+
+When("its store becomes a host name", function (this: WatchWorld) {
+  change(this, "10.200.1.7:8223", "store.example:8223");
+});
+
+Then(
+  "the settings stay and the reason is logged",
+  function (this: WatchWorld) {
+    assert.equal(this.taken.length, 1);
+    const [refused] = this.log.named("reload_refused");
+    assert.match(JSON.stringify(refused.problems), /\[platform\] store/);
+  },
+);
--- a/src/bin/oleander_node.ts
+++ b/src/bin/oleander_node.ts
@@ -36,8 +36,8 @@
     process.stdout.write(`${file}: settings are valid\n`);
     return;
   }
-  const node = new NodeProcess(settings.value);
-  process.on("SIGHUP", () => {});
+  const node = new NodeProcess(settings.value, file);
+  process.on("SIGHUP", () => node.reload());
   process.on("SIGTERM", async () => {
     await node.shutdown("SIGTERM");
     process.exit(0);
--- a/src/core/gossip/peer_gossip.ts
+++ b/src/core/gossip/peer_gossip.ts
@@ -33,7 +33,7 @@
   readonly random: Random;
   readonly selfId: string;
   readonly selfAddress: string;
-  readonly seeds: readonly string[];
+  readonly seeds: () => readonly string[];
   readonly periodMs: number;
   readonly status: (
     peers: readonly string[],
@@ -95,13 +95,12 @@
     return this.live().length + 1;
   }
 
-  /** Whether this node is among the first `count` of those that serve. */
-  isAmongFirst(count: number): boolean {
-    const before = this.live().filter((peer) =>
+  /** Place of this node among those that serve, by id, from 0. */
+  get rank(): number {
+    return this.live().filter((peer) =>
       peer.status.state === "serving" &&
       peer.status.node < this.#parts.selfId
-    );
-    return before.length < count;
+    ).length;
   }
 
   #round(fanout: number): void {
@@ -126,7 +125,7 @@
       addresses.add(status.internalAddress);
     }
     if (this.#peers.size === 0) {
-      for (const seed of this.#parts.seeds) addresses.add(seed);
+      for (const seed of this.#parts.seeds()) addresses.add(seed);
     }
     addresses.delete(this.#parts.selfAddress);
     return [...addresses];
--- a/src/core/relay/cold_pace.ts
+++ b/src/core/relay/cold_pace.ts
@@ -6,16 +6,31 @@
 
 const WINDOW_MS = 1_000;
 
+/**
+ * Divides what a host bears among processes, in whole requests a second.
+ *
+ * @example
+ * ```ts
+ * coldQuota(17, 34, 3); // 1: the first 17 of 34 processes send one each
+ * ```
+ */
+export function coldQuota(
+  perSecond: number,
+  fleetSize: number,
+  rank: number,
+): number {
+  const total = Math.floor(perSecond);
+  const rest = total % fleetSize;
+  return Math.floor(total / fleetSize) + (rank < rest ? 1 : 0);
+}
+
 /** Spaces requests to cold hosts. */
 export class ColdPace {
   readonly #sent = new Map<string, number[]>();
 
-  /** Whether one more may be sent to a host that bears so many a second. */
-  mayStart(hostId: string, perSecond: number, now: number): boolean {
-    const sent = this.#recent(hostId, now);
-    if (perSecond >= 1) return sent.length < Math.floor(perSecond);
-    const last = sent.at(-1);
-    return last === undefined || now - last >= WINDOW_MS / perSecond;
+  /** Whether one more may be sent, with a quota for each second. */
+  mayStart(hostId: string, quota: number, now: number): boolean {
+    return this.#recent(hostId, now).length < quota;
   }
 
   /** Notes a request that was sent. */
@@ -35,10 +50,9 @@
 
   #recent(hostId: string, now: number): number[] {
     const sent = this.#sent.get(hostId) ?? [];
-    const keepMs = 30 * WINDOW_MS;
-    while (sent.length > 0 && now - sent[0] >= keepMs) sent.shift();
+    // A little longer than a second: requests may arrive closer together.
     const since = now - WINDOW_MS * 1.1;
-    const recent = sent.filter((at) => at > since);
-    return recent.length > 0 ? recent : sent.slice(-1);
+    while (sent.length > 0 && sent[0] <= since) sent.shift();
+    return sent;
   }
 }
--- a/src/core/relay/placer.ts
+++ b/src/core/relay/placer.ts
@@ -9,6 +9,7 @@
 import type { Replica } from "../fleet/replica.ts";
 import type { ReplicaView } from "../fleet/replica_view.ts";
 import type { ColdPace } from "./cold_pace.ts";
+import { coldQuota } from "./cold_pace.ts";
 import { EngineTimes } from "./engine_times.ts";
 import type { LoadBoard } from "./load_board.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
@@ -55,6 +56,8 @@
   readonly random: Random;
   readonly zone: string;
   readonly fleetSize: () => number;
+  /** Place of this process among those of the fleet, from 0. */
+  readonly fleetRank: () => number;
 }
 
 /** Places requests by the time to their first byte. */
@@ -114,11 +117,15 @@
   }
 
   #bears(replica: Replica, service: ServiceSpec, now: number): boolean {
-    const { hosts, coldPace, fleetSize } = this.#parts;
+    const { hosts, coldPace, fleetSize, fleetRank } = this.#parts;
     if (hosts.coldUntil(replica.host.id) <= now) return true;
     if (service.coldPerSecond <= 0) return true;
-    const perSecond = service.coldPerSecond * COLD_SHARE / fleetSize();
-    return coldPace.mayStart(replica.host.id, perSecond, now);
+    const quota = coldQuota(
+      service.coldPerSecond * COLD_SHARE,
+      fleetSize(),
+      fleetRank(),
+    );
+    return coldPace.mayStart(replica.host.id, quota, now);
   }
 }
 
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -60,10 +60,11 @@
   readonly evidence: Evidence;
   readonly observer: RelayObserver;
   readonly zone: string;
-  readonly retryBounds: RetryBounds;
+  readonly retryBounds: () => RetryBounds;
   /** Age of the catalog's confirmation beyond which keys are not trusted. */
-  readonly keyTrustMs: number;
+  readonly keyTrustMs: () => number;
   readonly fleetSize: () => number;
+  readonly fleetRank: () => number;
 }
 
 /** Relays requests to upstreams. */
@@ -95,6 +96,7 @@
       random: parts.random,
       zone: parts.zone,
       fleetSize: parts.fleetSize,
+      fleetRank: parts.fleetRank,
     });
     this.#room = new WaitingRoom((query, now) => placer.place(query, now));
     this.#runParts = this.#makeRunParts();
@@ -192,7 +194,7 @@
     const { customerOfKey } = inForce;
     if (customerOfKey === undefined || route.isPublic) return undefined;
     const { confirmationAgeMs } = this.#parts.catalog;
-    if (confirmationAgeMs > this.#parts.keyTrustMs) {
+    if (confirmationAgeMs > this.#parts.keyTrustMs()) {
       const detail = `Confirmed ${Math.round(confirmationAgeMs)} ms ago`;
       return refusal("unconfirmed", detail, 200);
     }
--- a/src/core/relay/retry_allowance.ts
+++ b/src/core/relay/retry_allowance.ts
@@ -46,11 +46,11 @@
 
 /** Counts requests and repeats of each service in a sliding window. */
 export class RetryAllowance {
-  readonly #bounds: RetryBounds;
+  readonly #bounds: () => RetryBounds;
   readonly #fleetSize: () => number;
   readonly #windows = new Map<string, Window>();
 
-  constructor(bounds: RetryBounds, fleetSize: () => number) {
+  constructor(bounds: () => RetryBounds, fleetSize: () => number) {
     this.#bounds = bounds;
     this.#fleetSize = fleetSize;
   }
@@ -63,7 +63,7 @@
   /** Takes one repeat if the budget has one. */
   spend(service: string, now: number): boolean {
     const window = this.#window(service, now);
-    const { ratio, slack } = this.#bounds;
+    const { ratio, slack } = this.#bounds();
     const allowed = USED_SHARE *
       (ratio * window.requests + slack / this.#fleetSize());
     if (window.repeats + 1 > allowed) return false;
@@ -72,7 +72,7 @@
   }
 
   get #bucketMs(): number {
-    return this.#bounds.windowMs / BUCKETS;
+    return this.#bounds().windowMs / BUCKETS;
   }
 
   #window(service: string, now: number): Window {
@@ -81,7 +81,7 @@
       window = new Window();
       this.#windows.set(service, window);
     }
-    window.expire(now - this.#bounds.windowMs);
+    window.expire(now - this.#bounds().windowMs);
     return window;
   }
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -72,12 +72,14 @@
   readonly #acting: ActingLease;
   readonly #keeper: GroupKeeper;
   readonly #internalAddress: string;
+  #settings: NodeSettings;
   #leaving = false;
   /** Whether another node, or nobody, was last seen to hold the lease. */
   #followed = true;
 
   constructor(parts: NodeParts) {
     this.#parts = parts;
+    this.#settings = parts.settings;
     const { timers, settings, store } = parts;
     const { node, bounds } = settings;
     this.#internalAddress = `${node.ip}:${node.internal_port}`;
@@ -99,13 +101,18 @@
       evidence: this.#evidence,
       observer: new RequestLog(timers, parts.log, this.metrics),
       zone: node.availability_zone,
-      retryBounds: {
-        ratio: bounds.retry_ratio,
-        windowMs: bounds.retry_window,
-        slack: bounds.retry_slack,
+      retryBounds: () => {
+        const { retry_ratio, retry_window, retry_slack } =
+          this.#settings.bounds;
+        return {
+          ratio: retry_ratio,
+          windowMs: retry_window,
+          slack: retry_slack,
+        };
       },
-      keyTrustMs: bounds.confirm_keys_within * KEY_TRUST_SHARE,
+      keyTrustMs: () => this.#keyTrustMs,
       fleetSize: () => this.#gossip.fleetSize,
+      fleetRank: () => this.#gossip.rank,
     });
     this.#gossip = new PeerGossip({
       timers,
@@ -113,7 +120,8 @@
       random: parts.random,
       selfId: node.id,
       selfAddress: this.#internalAddress,
-      seeds: node.seeds.map((seed) => this.#internalOf(seed)),
+      seeds: () =>
+        this.#settings.node.seeds.map((seed) => this.#internalOf(seed)),
       periodMs: GOSSIP_PERIOD_MS,
       status: (peers) => this.#status(peers),
       onStatus: (status) => this.#heard(status),
@@ -130,7 +138,7 @@
       store,
       nodeId: node.id,
       wall: parts.wall,
-      mayAct: () => !this.#leaving && this.#gossip.isAmongFirst(CANDIDATES),
+      mayAct: () => !this.#leaving && this.#gossip.rank < CANDIDATES,
       onGained: (term) => this.#actingGained(term),
       onLost: (reason) => parts.log.warn("acting_lost", { reason }),
     });
@@ -171,6 +179,11 @@
     this.#keeper.start();
   }
 
+  /** Takes changed seeds and bounds; addresses hold until a restart. */
+  reload(settings: NodeSettings): void {
+    this.#settings = settings;
+  }
+
   /** Leaves the directory; requests are taken on. */
   withdraw(): void {
     this.#leaving = true;
@@ -209,9 +222,12 @@
   }
 
   get #isConfirmed(): boolean {
-    const { confirm_keys_within } = this.#parts.settings.bounds;
-    return this.#catalog.confirmationAgeMs <
-      confirm_keys_within * KEY_TRUST_SHARE;
+    return this.#catalog.confirmationAgeMs < this.#keyTrustMs;
+  }
+
+  /** Age of a confirmation up to which keys are trusted, in milliseconds. */
+  get #keyTrustMs(): number {
+    return this.#settings.bounds.confirm_keys_within * KEY_TRUST_SHARE;
   }
 
   #makeMetrics(): NodeMetrics {
@@ -236,7 +252,7 @@
       zonesOut: this.#zonesOut,
       role: () => ({
         isActing: this.#isActing,
-        isReader: this.#gossip.isAmongFirst(READERS),
+        isReader: this.#gossip.rank < READERS,
         fleetSize: this.#gossip.fleetSize,
       }),
       lapseAfterMs: LAPSE_HEARTBEATS * settings.platform.heartbeat,
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -23,14 +23,16 @@
 import { ServerOrders } from "../platform/server_orders.ts";
 import { StoreSchema } from "../platform/store_schema.ts";
 import type { NodeSettings } from "../settings/node_settings.ts";
+import { NodeSettingsSchema } from "../settings/node_settings.ts";
+import { SettingsWatch } from "../settings/settings_watch.ts";
 import { Node } from "./node.ts";
 
 /** Callers hold an address this long; some of them three times as long. */
 const ADDRESS_TTL_MS = 1_000;
 /** Time before the platform's kill at which the process ends by itself. */
-const END_EARLY_MS = 400;
+const END_EARLY_MS = 900;
 /** After this time of a shutdown new requests are refused. */
-const ACCEPT_MS = 3_600;
+const ACCEPT_MS = 2_900;
 
 /** Composes a {@linkcode Node} with sockets. */
 export class NodeProcess {
@@ -38,12 +40,13 @@
   readonly #timers = new SystemTimers();
   readonly #lines: LineBuffer;
   readonly #log: EventLog;
+  readonly #watch: SettingsWatch<typeof NodeSettingsSchema>;
   readonly #servers: Server[] = [];
   #node: Node | undefined;
   #door: FrontDoor | undefined;
   #stopping = false;
 
-  constructor(settings: NodeSettings) {
+  constructor(settings: NodeSettings, file: string) {
     this.#settings = settings;
     this.#lines = new LineBuffer(this.#timers);
     this.#log = createEventLog(
@@ -51,6 +54,18 @@
       settings.node.id,
       this.#lines,
     );
+    this.#watch = new SettingsWatch(
+      file,
+      NodeSettingsSchema,
+      settings,
+      this.#log,
+      (changed) => this.#node?.reload(changed),
+    );
+  }
+
+  /** Reads the settings again; those under way are not touched. */
+  reload(): void {
+    this.#watch.reload("SIGHUP");
   }
 
   /** Opens all addresses and begins to serve. */
@@ -76,6 +91,7 @@
     });
     await this.#open(this.#node);
     this.#node.start();
+    this.#watch.start(this.#timers);
   }
 
   async #open(node: Node): Promise<void> {
