Show that scenarios fail without seven mechanisms of the node

Cause: the list of mechanisms that are switched off held none of the new ones; two of seven survived at first: leaving before joining was still done in time by the dissolving, and all members of a group were ready at the same moment.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -7,6 +7,13 @@
     Then 2 groups of "large" and 2 groups of "small" serve
     And no rule of groups was broken
 
+  Scenario: should not open a group while one of its members is still loading
+    Given 2 fabric domains of 9 engine hosts
+    And two hosts of each domain take 2 seconds longer to join
+    When the fleet runs for 28 seconds
+    Then 2 groups of "large" and 2 groups of "small" serve
+    And no rule of groups was broken
+
   Scenario: should serve again within a second and a half of losing a member
     Given 2 fabric domains of 9 engine hosts
     And the fleet runs for 25 seconds
--- a/features/steps/group_steps.ts
+++ b/features/steps/group_steps.ts
@@ -39,6 +39,15 @@
   },
 );
 
+Given(
+  "two hosts of each domain take {int} seconds longer to join",
+  function (this: GroupWorld, seconds: number) {
+    for (const id of ["i-0-1", "i-0-5", "i-1-1", "i-1-5"]) {
+      this.fleet.engine.slowDown(id, seconds * 1_000);
+    }
+  },
+);
+
 Given("another process holds the lease", function (this: GroupWorld) {
   this.fleet.acting = false;
 });
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -404,9 +404,6 @@
 
   /** Refuses as not run where that is true, and as failed otherwise. */
   #giveUp(kind: RefusalKind, detail: string, retryAfterMs?: number): void {
-    if (this.#mayHaveRun && !this.contract.repeatable) {
-      return this.#refuse({ kind: "upstream_failed", detail });
-    }
     if (this.#mayHaveRun) {
       return this.#refuse({ kind: "upstream_failed", detail });
     }
--- a/src/standins/fleet/engine_hosts.ts
+++ b/src/standins/fleet/engine_hosts.ts
@@ -35,6 +35,8 @@
   staged: string[];
   reach: "fine" | "dark" | "cut";
   isDraining: boolean;
+  /** Added to the time of each join, in milliseconds. */
+  slowMs: number;
   /** The next command is carried out, and its answer is lost. */
   losesNextAnswer: boolean;
 }
@@ -95,6 +97,7 @@
       staged: [],
       reach: "fine",
       isDraining: false,
+      slowMs: 0,
       losesNextAnswer: false,
     });
     this.#announce(id);
@@ -128,6 +131,11 @@
     this.#announce(id);
   }
 
+  /** The host takes longer than others to join. */
+  slowDown(id: string, ms: number): void {
+    this.#state(id).slowMs = ms;
+  }
+
   /** The next command's answer is lost on the way back. */
   loseNextAnswer(id: string): void {
     this.#state(id).losesNextAnswer = true;
@@ -226,7 +234,7 @@
       ? spec?.warmMs ?? 0
       : spec?.loadMs ?? 0;
     const { seq } = state;
-    this.#timers.after(tookMs, () => {
+    this.#timers.after(tookMs + state.slowMs, () => {
       if (state.seq !== seq) return;
       state.lastModel = model;
       state.staged = [model];
--- a/tools/mutation.ts
+++ b/tools/mutation.ts
@@ -29,7 +29,8 @@
 /** Runs the promise's scenarios against the copy; true when some of them fail. */
 function isKilled(mutation: Mutation, folder: string): boolean {
   const runner = join(folder, "tools/run_tests.js");
-  const args = [runner, `@promise-${mutation.promise}`, folder];
+  const tag = mutation.tag ?? `@promise-${mutation.promise}`;
+  const args = [runner, tag, folder];
   const { status, stdout } = spawnSync(process.execPath, args, {
     encoding: "utf8",
     timeout: RUN_LIMIT_MS,
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -7,6 +7,8 @@
 /** One mechanism, as a change to the compiled code. */
 export interface Mutation {
   readonly promise: number;
+  /** Tag of the scenarios that must fail; those of the promise without one. */
+  readonly tag?: string;
   readonly mechanism: string;
   readonly edits: readonly Edit[];
 }
@@ -248,4 +250,79 @@
       replace: "#confirmByMajority(now) { return;",
     }],
   },
+  {
+    promise: 2,
+    tag: "@groups",
+    mechanism: "A member leaves its group before it joins another",
+    edits: [{
+      file: "keeper/group_keeper.js",
+      find: "else\n                    kept.add(host.id);",
+      replace:
+        "else if (this.#isSound(group))\n                    kept.add(host.id);",
+    }, {
+      file: "keeper/group_keeper.js",
+      find: "for (const { host } of living) {",
+      replace: "for (const { host } of []) {",
+    }],
+  },
+  {
+    promise: 1,
+    tag: "@groups",
+    mechanism: "A head is opened when every member has shown that it is ready",
+    edits: [{
+      file: "keeper/group_keeper.js",
+      find: 'states.every((state) => state === "ready")',
+      replace: 'states.some((state) => state === "ready")',
+    }],
+  },
+  {
+    promise: 7,
+    tag: "@relay",
+    mechanism: "An order that may have run is not sent again",
+    edits: [{
+      file: "relay/request_contract.js",
+      find: "get repeatable() {",
+      replace: "get repeatable() { return true;",
+    }],
+  },
+  {
+    promise: 10,
+    tag: "@relay",
+    mechanism: "Keys are not trusted on an unconfirmed catalog",
+    edits: [{
+      file: "relay/relay.js",
+      find: "if (confirmationAgeMs > this.#parts.keyTrustMs())",
+      replace: "if (confirmationAgeMs > Infinity)",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@relay",
+    mechanism: "An event that the caller has is not passed on again",
+    edits: [{
+      file: "relay/stream_splice.js",
+      find: "if (id <= this.#lastId)",
+      replace: "if (id <= -1)",
+    }],
+  },
+  {
+    promise: 10,
+    tag: "@relay",
+    mechanism: "An older catalog never replaces a newer one",
+    edits: [{
+      file: "catalog/catalog_holder.js",
+      find: "if (catalog.version <= this.version)",
+      replace: "if (catalog.version <= -1)",
+    }],
+  },
+  {
+    promise: 8,
+    tag: "@relay",
+    mechanism: "A host that leaves is dropped at once",
+    edits: [{
+      file: "fleet/host_registry.js",
+      find: "withdraw(id, now, afterOutage) {",
+      replace: "withdraw(id, now, afterOutage) { return;",
+    }],
+  },
 ];
