--- /dev/null
+++ b/src/core/keeper/group_former.ts
@@ -0,0 +1,156 @@
+/**
+ * Gives the commands that form groups and keep spares ready.
+ *
+ * @module
+ */
+import type { EventLog } from "../../base/event_log.ts";
+import type { EngineModel, EngineSpec } from "../../world/catalog.ts";
+import type { HostRegistry } from "../fleet/host_registry.ts";
+import { groupKey } from "../fleet/replica.ts";
+import type { CommandDesk } from "./command_desk.ts";
+import type { HostLedger } from "./host_ledger.ts";
+import type { KeptGroup } from "./kept_group.ts";
+import { SPARE_PREFIX } from "./kept_group.ts";
+import type { LayoutStep } from "./layout.ts";
+import type { LoadCeiling } from "./load_ceiling.ts";
+import type { StepPacer } from "./step_pacer.ts";
+
+/** Epochs of one term; later terms have larger ones. */
+const EPOCHS_PER_TERM = 4_096;
+
+/** What forming works with. */
+export interface GroupFormerParts {
+  readonly desk: CommandDesk;
+  readonly ledger: HostLedger;
+  readonly ceiling: LoadCeiling;
+  readonly pacer: StepPacer;
+  readonly hosts: HostRegistry;
+  readonly log: EventLog;
+  readonly hasTraffic: () => boolean;
+  readonly onChange: () => void;
+}
+
+/** Carries out layouts under epochs of its own. */
+export class GroupFormer {
+  readonly #parts: GroupFormerParts;
+  /** Groups whose members have not all answered yet. */
+  readonly #joining = new Set<string>();
+  readonly #formed = new Map<string, { model: string; at: number }>();
+  #nextEpoch = 0;
+
+  constructor(parts: GroupFormerParts) {
+    this.#parts = parts;
+  }
+
+  /** Begins the epochs of a term. */
+  beginTerm(term: number): void {
+    this.#nextEpoch = term * EPOCHS_PER_TERM;
+  }
+
+  /** Whether joins of a group are under way. */
+  isJoining(key: string): boolean {
+    return this.#joining.has(key);
+  }
+
+  /** Model of a group that was formed here. */
+  modelOf(key: string): string | undefined {
+    return this.#formed.get(key)?.model;
+  }
+
+  /** When a group was formed, or first seen. */
+  formedAt(group: KeptGroup, now: number): number {
+    const known = this.#formed.get(group.key);
+    if (known !== undefined) return known.at;
+    this.#formed.set(group.key, { model: group.model?.name ?? "", at: now });
+    return now;
+  }
+
+  /** Forgets groups that are gone. */
+  retain(keys: ReadonlySet<string>): void {
+    for (const key of this.#formed.keys()) {
+      if (!keys.has(key) && !this.#joining.has(key)) this.#formed.delete(key);
+    }
+  }
+
+  /** Carries out a step of a layout. */
+  execute(
+    step: Exclude<LayoutStep, { kind: "reclaim" }>,
+    engine: EngineSpec,
+    now: number,
+  ): void {
+    const model = engine.models.find((spec) => spec.name === step.model);
+    if (model === undefined) return;
+    if (step.kind === "form") this.#form(model, step.members, now);
+    if (step.kind === "warm") this.#warm(model, step.host, now);
+    if (step.kind === "stage") this.#stage(model, step.host, now);
+  }
+
+  async #form(
+    model: EngineModel,
+    memberIds: readonly string[],
+    now: number,
+  ): Promise<void> {
+    const hosts = memberIds.flatMap((id) => this.#parts.hosts.get(id) ?? []);
+    if (hosts.length !== memberIds.length) return;
+    const epoch = this.#takeEpoch();
+    const group = `g-${epoch}`;
+    this.#formed.set(groupKey(group, epoch), { model: model.name, at: now });
+    this.#parts.log.info("group_forming", {
+      group,
+      epoch,
+      model: model.name,
+      domain: hosts[0].domain,
+      members: memberIds,
+    });
+    for (const host of hosts) {
+      const needsLoad = !host.staged.includes(model.name);
+      if (needsLoad && this.#parts.hasTraffic()) {
+        this.#parts.ceiling.begun(now, model.loadMs);
+      }
+    }
+    const key = groupKey(group, epoch);
+    this.#joining.add(key);
+    await Promise.all(hosts.map((host) =>
+      this.#parts.desk.send(host, {
+        kind: "join",
+        group,
+        epoch,
+        model: model.name,
+        members: memberIds,
+      })
+    ));
+    this.#joining.delete(key);
+    this.#parts.onChange();
+  }
+
+  async #warm(model: EngineModel, hostId: string, now: number): Promise<void> {
+    const host = this.#parts.hosts.get(hostId);
+    if (
+      host === undefined || !this.#parts.pacer.mayTry(`warm ${hostId}`, now)
+    ) return;
+    const epoch = this.#takeEpoch();
+    const group = `${SPARE_PREFIX}${hostId}-${epoch}`;
+    await this.#parts.desk.send(host, {
+      kind: "join",
+      group,
+      epoch,
+      model: model.name,
+      members: [hostId],
+    });
+  }
+
+  async #stage(model: EngineModel, hostId: string, now: number): Promise<void> {
+    const host = this.#parts.hosts.get(hostId);
+    if (
+      host === undefined || !this.#parts.pacer.mayTry(`stage ${hostId}`, now)
+    ) return;
+    this.#parts.ceiling.begun(now, model.loadMs);
+    this.#parts.ledger.staging(host, model.name, now + model.loadMs * 2);
+    await this.#parts.desk.send(host, { kind: "stage", model: model.name });
+  }
+
+  #takeEpoch(): number {
+    this.#nextEpoch += 1;
+    return this.#nextEpoch;
+  }
+}
--- /dev/null
+++ b/src/core/keeper/kept_group.ts
@@ -0,0 +1,104 @@
+/**
+ * Replica groups as the acting node believes them to be.
+ *
+ * @module
+ */
+import type { EngineModel, EngineSpec } from "../../world/catalog.ts";
+import { groupKey } from "../fleet/replica.ts";
+import type { HostBelief } from "./host_ledger.ts";
+
+/** Names of groups that only keep a spare ready. */
+export const SPARE_PREFIX = "s-";
+
+/** A group as its members' beliefs show it. */
+export interface KeptGroup {
+  readonly key: string;
+  readonly name: string;
+  readonly epoch: number;
+  readonly members: readonly HostBelief[];
+  readonly head: HostBelief | undefined;
+  readonly model: EngineModel | undefined;
+}
+
+/**
+ * Collects groups from what is believed of hosts; `modelOf` names the model of
+ * a group that was formed here and is not announced yet.
+ *
+ * @example
+ * ```ts
+ * const groups = collectGroups(beliefs, engine, (key) => forming.get(key));
+ * ```
+ */
+export function collectGroups(
+  beliefs: readonly HostBelief[],
+  engine: EngineSpec,
+  modelOf: (key: string) => string | undefined,
+): KeptGroup[] {
+  const members = new Map<string, HostBelief[]>();
+  for (const belief of beliefs) {
+    const { membership } = belief;
+    if (membership === undefined) continue;
+    if (membership.group.startsWith(SPARE_PREFIX)) continue;
+    const key = groupKey(membership.group, membership.epoch);
+    const list = members.get(key) ?? [];
+    list.push(belief);
+    members.set(key, list);
+  }
+  return [...members].map(([key, list]) => {
+    const [{ membership }] = list;
+    const head = list.find((belief) => belief.membership?.rank === 0);
+    const modelName = modelOf(key) ?? (head ?? list[0]).host.models[0];
+    return {
+      key,
+      name: membership?.group ?? "",
+      epoch: membership?.epoch ?? 0,
+      members: list,
+      head,
+      model: engine.models.find((model) => model.name === modelName),
+    };
+  });
+}
+
+/**
+ * Whether a group serves, or will once its members are ready.
+ *
+ * @example
+ * ```ts
+ * const serving = groups.filter(isSound);
+ * ```
+ */
+export function isSound(group: KeptGroup): boolean {
+  const { model, members, head } = group;
+  return model !== undefined && head !== undefined &&
+    members.length === model.size &&
+    members.every((belief) => !belief.isDead && !belief.host.draining) &&
+    !["closing", "broken"].includes(head.membership?.state ?? "broken");
+}
+
+/**
+ * Whether nothing is wrong with an open group but that a member is leaving.
+ *
+ * @example
+ * ```ts
+ * if (isOnlyDraining(group)) finishItsWork(group);
+ * ```
+ */
+export function isOnlyDraining(group: KeptGroup): boolean {
+  const state = group.head?.membership?.state;
+  return group.members.length === group.model?.size &&
+    group.members.every((belief) => !belief.isDead) &&
+    (state === "open" || state === "closing");
+}
+
+/**
+ * Whether a group's hosts are in several fabric domains.
+ *
+ * @example
+ * ```ts
+ * const slow = groups.filter(isSpread);
+ * ```
+ */
+export function isSpread(group: KeptGroup): boolean {
+  const [{ host }] = group.members;
+  return group.members.some((belief) => belief.host.domain !== host.domain);
+}
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -258,9 +258,9 @@
       file: "keeper/group_keeper.js",
       find: "else\n                    kept.add(host.id);",
       replace:
-        "else if (this.#isSound(group))\n                    kept.add(host.id);",
+        "else if (isSound(group))\n                    kept.add(host.id);",
     }, {
-      file: "keeper/group_keeper.js",
+      file: "keeper/group_tender.js",
       find: "for (const { host } of living) {",
       replace: "for (const { host } of []) {",
     }],
@@ -270,7 +270,7 @@
     tag: "@groups",
     mechanism: "A head is opened when every member has shown that it is ready",
     edits: [{
-      file: "keeper/group_keeper.js",
+      file: "keeper/group_tender.js",
       find: 'states.every((state) => state === "ready")',
       replace: 'states.some((state) => state === "ready")',
     }],
