Refuse requests that were beginning to run at three crashes

Cause: nothing bounded how many upstreams one request can take down: blame was kept and told, but never given, and a request that was sent again inside one answer was not checked. Change: a reset before the first byte blames at once and is taken back when others on the upstream go on; three crashes refuse, also before a request is sent again.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -177,3 +177,17 @@
     And every group pauses for 700 milliseconds after its first 2 events
     When a stream of 10 events is asked for
     Then the caller has events 1 to 10 and a whole answer after 2 sends
+
+  Scenario: should refuse a request that was beginning to run at three crashes
+    Given a relay before 6 groups of "small"
+    And a request that crashes every group as it begins to run
+    When it is sent again and again with other requests beside it
+    Then at most 3 groups crash by it and it is refused as "crashes_upstreams"
+    And the other requests are not refused
+
+  Scenario: should blame nobody for a channel that is reset alone
+    Given a relay before 2 groups of "small"
+    And the first group is reset within event 1
+    When a stream of 10 events is asked for
+    Then the caller has events 1 to 10 and a whole answer after 2 sends
+    And nobody is refused
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -517,3 +517,47 @@
     assert.match(text, new RegExp(`"count":${10_000 - kept}\\b`));
   },
 );
+
+Given(
+  "a request that crashes every group as it begins to run",
+  function (this: RelayWorld) {
+    this.fleet.upstreams.poison = "poison";
+  },
+);
+
+When(
+  "it is sent again and again with other requests beside it",
+  async function (this: RelayWorld) {
+    this.views = [];
+    for (let i = 0; i < 8; i++) {
+      this.fleet.catalog.confirmed(1, this.fleet.catalog.now());
+      for (let other = 0; other < 4; other++) {
+        this.views.push(this.fleet.ask("/draft/"));
+      }
+      this.view = this.fleet.ask("/draft/", "bindery-key", true);
+      await this.fleet.timers.run(1_500);
+    }
+    await this.fleet.timers.run(6_000);
+  },
+);
+
+Then(
+  "at most {int} groups crash by it and it is refused as {string}",
+  function (this: RelayWorld, most: number, kind: string) {
+    assert.ok(this.fleet.upstreams.crashed.length <= most);
+    assert.equal(this.view.refusal?.kind, kind);
+  },
+);
+
+Then("the other requests are not refused", function (this: RelayWorld) {
+  const refused = this.views.filter((view) =>
+    view.refusal?.kind === "crashes_upstreams"
+  );
+  assert.deepEqual(refused, []);
+});
+
+Then("nobody is refused", function (this: RelayWorld) {
+  const { suspects } = this.fleet.relay;
+  const [suspect] = suspects.news(this.fleet.timers.now());
+  assert.ok(suspect === undefined || !suspects.isRefused(suspect.fingerprint));
+});
--- a/features/steps/relay_world.ts
+++ b/features/steps/relay_world.ts
@@ -130,16 +130,20 @@
   }
 
   /** Sends a request; a key is given unless the caller has another. */
-  ask(path: string, apiKey = "bindery-key"): CallerView {
+  ask(
+    path: string,
+    apiKey = "bindery-key",
+    poisonous = false,
+  ): CallerView {
     const view = new CallerView(() => this.timers.now());
     const isStream = path.startsWith("/draft/") || path.startsWith("/once/");
     const call: RelayCall = {
       id: `request-${this.#nextId++}`,
       method: "POST",
       hostName: "album.example",
-      target: `${path}${this.#nextId}`,
+      target: poisonous ? `${path}poison` : `${path}${this.#nextId}`,
       headers: [],
-      body: Buffer.from(`body ${this.#nextId}`),
+      body: Buffer.from(poisonous ? "poison" : `body ${this.#nextId}`),
       apiKey,
       deadlineMs: 8_000,
       lastEventId: undefined,
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -18,6 +18,7 @@
 import type { ReplicaView } from "../fleet/replica_view.ts";
 import { Suspects } from "../retries/suspects.ts";
 import { ColdPace } from "./cold_pace.ts";
+import { CrashBlame } from "./crash_blame.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { LoadBoard } from "./load_board.ts";
 import { Placer } from "./placer.ts";
@@ -39,6 +40,8 @@
 /** Pace of the watch over waiting requests and silent upstreams. */
 const TICK_MS = 20;
 const EXPIRE_MS = 1_000;
+/** A request that was beginning to run at so many crashes is refused. */
+const CRASHES_ALLOWED = 3;
 /** An upstream that sent an event this long ago lives. */
 const ALIVE_MS = 150;
 
@@ -70,11 +73,12 @@
 /** Relays requests to upstreams. */
 export class Relay {
   readonly board = new LoadBoard();
-  readonly suspects = new Suspects();
+  readonly suspects = new Suspects(CRASHES_ALLOWED);
   readonly demand: DemandMeter;
   readonly #parts: RelayParts;
   readonly #record = new ReplicaRecord();
   readonly #coldPace = new ColdPace();
+  readonly #blame: CrashBlame;
   readonly #retries: RetryAllowance;
   readonly #room: WaitingRoom;
   readonly #stalls: StallWatch;
@@ -86,6 +90,11 @@
     this.#parts = parts;
     this.demand = new DemandMeter(parts.catalog);
     this.#retries = new RetryAllowance(parts.retryBounds, parts.fleetSize);
+    this.#blame = new CrashBlame(
+      parts.timers,
+      this.suspects,
+      (key) => this.board.own(key).inFlight,
+    );
     this.#stalls = new StallWatch(this.board, parts.evidence);
     const placer = new Placer({
       view: parts.view,
@@ -227,6 +236,7 @@
       attemptFirstByte: (run, attempt) => this.#firstByte(run, attempt),
       attemptEnded: (run, attempt, outcome, head) =>
         this.#attemptEnded(run, attempt, outcome, head),
+      crashesUpstreams: (run) => this.suspects.isRefused(run.fingerprint),
       hostLives: (replica) => this.#hostLives(replica),
       note: (run, event) => this.#parts.observer.noted(run, event),
       ended: (run) => this.#ended(run),
@@ -293,6 +303,9 @@
     const { key } = attempt.replica;
     const now = this.#parts.timers.now();
     if (outcome === "answered") this.suspects.cleared(run.fingerprint);
+    if (outcome === "reset" && attempt.lastDataAt === undefined) {
+      this.#blame.reset(key, run.fingerprint);
+    }
     if (outcome === "not_sent" || outcome === "wrong_host") {
       // One channel that did not open says little while others carry events.
       const silentMs = now - (this.board.lastEventAt(key) ?? -Infinity);
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -87,7 +87,9 @@
     outcome: AttemptOutcome,
     head: RelayHead | undefined,
   ): void;
-  /** Monotonic time until which the upstream's host is known to live. */
+  /** Whether the request was beginning to run at too many crashes. */
+  crashesUpstreams(run: RelayRun): boolean;
+  /** Whether the upstream's host is still announced. */
   hostLives(replica: Replica): boolean;
   note(run: RelayRun, event: RunEvent): void;
   ended(run: RelayRun, outcome: RunOutcome): void;
@@ -376,6 +378,10 @@
     this.#avoided.add(attempt.replica.key);
     this.#sink.restart();
     this.contract.attemptEnded(ran && this.#parts.hostLives(attempt.replica));
+    if (this.#parts.crashesUpstreams(this)) {
+      const kind = "crashes_upstreams";
+      return this.#refuse({ kind, detail: "It ran at several crashes" });
+    }
     const may = this.contract.maySendAgain(now) &&
       this.#parts.mayRepeat(this.service.name);
     if (!may) {
--- a/src/core/retries/suspects.ts
+++ b/src/core/retries/suspects.ts
@@ -30,8 +30,13 @@
  * runs only where no other suspect runs.
  */
 export class Suspects {
+  readonly #maxStrikes: number;
   readonly #records = new Map<string, Record>();
 
+  constructor(maxStrikes = MAX_STRIKES) {
+    this.#maxStrikes = maxStrikes;
+  }
+
   /** Notes requests in flight when an upstream crashed. Returns the news. */
   crashed(
     upstreamId: string,
@@ -59,7 +64,7 @@
 
   /** Tells whether a request must not run any more. */
   isRefused(fingerprint: string): boolean {
-    return this.strikes(fingerprint) >= MAX_STRIKES;
+    return this.strikes(fingerprint) >= this.#maxStrikes;
   }
 
   /** Crashes at which the request was in flight. */
@@ -67,6 +72,13 @@
     return this.#records.get(fingerprint)?.crashed.size ?? 0;
   }
 
+  /** Takes back a crash that was none. */
+  withdraw(upstreamId: string, fingerprint: string): void {
+    const record = this.#records.get(fingerprint);
+    record?.crashed.delete(upstreamId);
+    if (record?.crashed.size === 0) this.#records.delete(fingerprint);
+  }
+
   /** Clears a request that has run to its end. */
   cleared(fingerprint: string): void {
     if (!this.isRefused(fingerprint)) this.#records.delete(fingerprint);
--- a/src/standins/fleet/scripted_upstreams.ts
+++ b/src/standins/fleet/scripted_upstreams.ts
@@ -67,6 +67,10 @@
     this.#scripts.set(hostId, script);
   }
 
+  /** Requests whose body holds the text crash each upstream that runs them. */
+  poison: string | undefined;
+  readonly crashed: string[] = [];
+
   /** Requests that upstreams work on. */
   get working(): number {
     let count = 0;
@@ -102,7 +106,20 @@
     this.#run(work);
   }
 
+  #crash(hostId: string): void {
+    this.crashed.push(hostId);
+    for (const work of [...this.#active.get(hostId) ?? []]) {
+      this.#end(work);
+      work.listener.onEnd({ kind: "reset", detail: "crashed" });
+    }
+  }
+
   #run(work: Work): void {
+    const body = Buffer.from(work.attempt.body).toString();
+    if (this.poison !== undefined && body.includes(this.poison)) {
+      this.#later(work, FIRST_EVENT_MS, () => this.#crash(work.host.id));
+      return;
+    }
     const script = this.#scripts.get(work.host.id) ?? { kind: "serve" };
     const { listener } = work;
     switch (script.kind) {
