Blame no server for a request that can't be sent, and log what ends a process

Cause: a path or header that the library refuses counted as a server that is unreachable, so one caller could keep every host doubted; an uncaught error lost the last log lines. Change: such a request ends as malformed; an uncaught error is logged and flushed first. Figures: the new scenario is red without the change (not_sent), green with it.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -67,6 +67,11 @@
     When a request is forwarded to it
     Then the attempt ends as "not_sent"
 
+  Scenario: should not take a header that can't be sent for a server that is gone
+    Given a server that answers "whole with a length"
+    When a request with a header that can't be sent is forwarded to it
+    Then the attempt ends as "malformed"
+
   Scenario: should pass on what is left of the deadline, the instance and the tenant
     Given a server that answers "whole with a length"
     When a request is forwarded to it
--- a/features/steps/platform_steps.ts
+++ b/features/steps/platform_steps.ts
@@ -337,7 +337,11 @@
   this.closers = [];
 });
 
-function forward(world: PlatformWorld, requestId: string): Promise<Attempt> {
+function forward(
+  world: PlatformWorld,
+  requestId: string,
+  headers: readonly string[] = [],
+): Promise<Attempt> {
   return new Promise((resolve) => {
     const attempt: Attempt = {
       end: { kind: "ended" },
@@ -355,6 +359,7 @@
           "album.example",
           "Oleanderarch-Attempt-Id",
           requestId,
+          ...headers,
         ],
         body: Buffer.from("body"),
         deadlineMs: 700,
@@ -386,6 +391,13 @@
   }
 }
 
+When(
+  "a request with a header that can't be sent is forwarded to it",
+  async function (this: PlatformWorld) {
+    this.attempts = [await forward(this, "a1", ["X-Bad", "a\nb"])];
+  },
+);
+
 When("a request is forwarded to it", async function (this: PlatformWorld) {
   this.attempts = [await forward(this, "a1")];
 });
--- a/src/bin/oleander_node.ts
+++ b/src/bin/oleander_node.ts
@@ -42,6 +42,10 @@
     await node.shutdown("SIGTERM");
     process.exit(0);
   });
+  process.on("uncaughtException", (err) => {
+    node.crashed(err);
+    process.exit(1);
+  });
   await node.start();
 }
 
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -120,6 +120,12 @@
     });
   }
 
+  /** Writes down what ends the process against its will. */
+  crashed(err: Error): void {
+    this.#log.warn("crashed", { message: err.message, stack: err.stack });
+    this.#lines.flush();
+  }
+
   /** Stops without cutting a request: leaves the directory first. */
   async shutdown(reason: string): Promise<void> {
     if (this.#stopping || this.#node === undefined) return;
--- a/src/platform/server_channels.ts
+++ b/src/platform/server_channels.ts
@@ -199,7 +199,9 @@
     const detail = `${code} ${err.message}`.trim();
     const isNonsense = err.name === "HTTPParserError" &&
       !err.message.includes("Invalid EOF");
-    if (this.#badAnswer !== undefined || isNonsense) {
+    // A path or header that can't be sent says nothing of the server.
+    const isUnsendable = code === "UND_ERR_INVALID_ARG";
+    if (this.#badAnswer !== undefined || isNonsense || isUnsendable) {
       return this.#end({ kind: "malformed", detail });
     }
     // Without a channel the request was never begun.
