Soak: take a key away while the store is silent

Change: a fault that silences the store for eight seconds and takes the key away at once; callers go on with the key.

--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -26,6 +26,8 @@
 const CLIENTS = 24;
 const WARM_UP_MS = 6_000;
 const COOL_DOWN_MS = 8_000;
+/** Longer than a node may trust keys without a confirmation. */
+const SILENCE_MS = 8_000;
 
 interface SoakOptions {
   readonly seed: number;
@@ -43,7 +45,6 @@
   readonly #clients: SoakClient[] = [];
   readonly #folder: string;
   #proxy: FaultProxy | undefined;
-  #keys: readonly string[] = STANDIN_KEYS;
   #revokedAt: number | undefined;
 
   constructor(options: SoakOptions) {
@@ -82,7 +83,7 @@
     for (let i = 0; i < CLIENTS; i++) {
       const random = new Random(this.#options.seed * 1_000 + i);
       this.#clients.push(
-        new SoakClient(`c${i}`, this.#timers, random, urls, () => this.#keys),
+        new SoakClient(`c${i}`, this.#timers, random, urls, () => STANDIN_KEYS),
       );
     }
     return this.#clients.map((client) => client.run());
@@ -133,13 +134,24 @@
         this.#platform.writeManifest();
         return;
       case "revoke":
-        if (this.#revokedAt !== undefined) return;
-        this.#platform.writeManifest([STANDIN_KEYS[0]]);
-        this.#revokedAt = timers.now();
+        this.#revoke();
+        return;
+      case "revoke_in_silence":
+        if (proxy === undefined) return;
+        proxy.mode = "silence";
+        this.#revoke();
+        timers.after(SILENCE_MS, () => proxy.mode = "pass");
         return;
     }
   }
 
+  /** Takes the second customer's key away; its callers go on with it. */
+  #revoke(): void {
+    if (this.#revokedAt !== undefined) return;
+    this.#platform.writeManifest([STANDIN_KEYS[0]]);
+    this.#revokedAt = this.#timers.now();
+  }
+
   #judge(plan: readonly Fault[]): boolean {
     const results = this.#clients.flatMap((client) => client.results);
     const problems = checkPromises({
--- a/tools/soak/plan.ts
+++ b/tools/soak/plan.ts
@@ -19,6 +19,7 @@
   "lose_answer",
   "manifest",
   "revoke",
+  "revoke_in_silence",
 ] as const;
 
 /** Kinds of faults. */
