Remember the demand of models that exist only

Cause: a caller may name any model in a header, and each name was kept for ever. Change: requests of unknown models cost nothing and are not counted. Figures: after 1000 unknown names the demand names one model. Conclusion: mended.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -191,3 +191,8 @@
     When a stream of 10 events is asked for
     Then the caller has events 1 to 10 and a whole answer after 2 sends
     And nobody is refused
+
+  Scenario: should remember no models but those that exist
+    Given a relay before 1 groups of "small"
+    When 1000 streams of unknown models are asked for
+    Then the demand names only "small"
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -561,3 +561,22 @@
   const [suspect] = suspects.news(this.fleet.timers.now());
   assert.ok(suspect === undefined || !suspects.isRefused(suspect.fingerprint));
 });
+
+When(
+  "{int} streams of unknown models are asked for",
+  async function (this: RelayWorld, count: number) {
+    this.fleet.ask("/draft/");
+    for (let i = 0; i < count; i++) {
+      this.fleet.ask("/draft/", "bindery-key", false, `unknown-${i}`);
+    }
+    await this.fleet.timers.run(100);
+  },
+);
+
+Then(
+  "the demand names only {string}",
+  function (this: RelayWorld, model: string) {
+    const demand = this.fleet.relay.demand.perSecond(this.fleet.timers.now());
+    assert.deepEqual(Object.keys(demand), [model]);
+  },
+);
--- a/features/steps/relay_world.ts
+++ b/features/steps/relay_world.ts
@@ -134,6 +134,7 @@
     path: string,
     apiKey = "bindery-key",
     poisonous = false,
+    model = "small",
   ): CallerView {
     const view = new CallerView(() => this.timers.now());
     const isStream = path.startsWith("/draft/") || path.startsWith("/once/");
@@ -147,7 +148,7 @@
       apiKey,
       deadlineMs: 8_000,
       lastEventId: undefined,
-      model: isStream ? "small" : undefined,
+      model: isStream ? model : undefined,
       promptTokens: isStream ? 600 : 0,
       maxTokens: 0,
       expectedTokens: undefined,
--- a/src/core/relay/demand_meter.ts
+++ b/src/core/relay/demand_meter.ts
@@ -29,8 +29,11 @@
   /** Notes a request. */
   asked(service: ServiceSpec, call: RelayCall, now: number): void {
     if (service.engine === undefined || call.model === undefined) return;
+    const costMs = requestMs(service.engine, call);
+    // A caller may name any model; only those that exist are remembered.
+    if (costMs === 0) return;
     const flow = this.#flows.get(call.model) ?? { sum: 0, at: now };
-    flow.sum = decayed(flow, now) + requestMs(service.engine, call);
+    flow.sum = decayed(flow, now) + costMs;
     flow.at = now;
     this.#flows.set(call.model, flow);
   }
