Tell load in turn, and less often in a large fleet

Ruled out: fewer random messages: the chance to hear a peer in time falls, and the fleet looks smaller than it is, which would widen shared budgets.

--- a/src/core/gossip/peer_gossip.ts
+++ b/src/core/gossip/peer_gossip.ts
@@ -4,17 +4,21 @@
  * @module
  */
 import type { Timer, Timers } from "../../base/timers.ts";
-import type { Random } from "../../base/random.ts";
 import type { Datagrams } from "../../ports/datagrams.ts";
 import { decodeStatus, encodeStatus } from "./message_codec.ts";
 import type { StatusMessage } from "./messages.ts";
 
 /** A process is taken for lost after this silence. */
 export const PEER_LOST_MS = 1_500;
+/** In a large fleet each process is told about once a second. */
+const LARGE_FLEET_LOST_MS = 2_600;
 /** A lost process is forgotten after this time. */
 const FORGET_MS = 10_000;
-/** Processes told in each round; all of them hear within a few rounds. */
-const FANOUT = 8;
+/** Processes told in each round, in turn. */
+const FANOUT = 7;
+/** Above this size a fleet tells news of load less often; doubts go at once. */
+const LARGE_FLEET = 8;
+const LARGE_FLEET_ROUNDS = 2;
 /** Pause before news is told at once. */
 const TELL_TOGETHER_MS = 10;
 /** Addresses told to processes that start. */
@@ -30,7 +34,6 @@
 export interface PeerGossipParts {
   readonly timers: Timers;
   readonly datagrams: Datagrams;
-  readonly random: Random;
   readonly selfId: string;
   readonly selfAddress: string;
   readonly seeds: () => readonly string[];
@@ -49,6 +52,9 @@
   #registered: readonly string[] = [];
   #timer: Timer | undefined;
   #tellScheduled = false;
+  #rounds = 0;
+  /** Where the next round begins among the targets. */
+  #turn = 0;
 
   constructor(parts: PeerGossipParts) {
     this.#parts = parts;
@@ -59,7 +65,7 @@
   start(): void {
     this.#timer = this.#parts.timers.subscribe(
       this.#parts.periodMs,
-      () => this.#round(FANOUT),
+      () => this.#regularRound(),
     );
     this.#round(Infinity);
   }
@@ -86,7 +92,10 @@
 
   /** Processes heard of late. */
   live(): Peer[] {
-    const since = this.#parts.timers.now() - PEER_LOST_MS;
+    const lostMs = this.#peers.size >= LARGE_FLEET
+      ? LARGE_FLEET_LOST_MS
+      : PEER_LOST_MS;
+    const since = this.#parts.timers.now() - lostMs;
     return [...this.#peers.values()].filter((peer) => peer.heardAt > since);
   }
 
@@ -103,6 +112,13 @@
     ).length;
   }
 
+  #regularRound(): void {
+    this.#rounds += 1;
+    const isLarge = this.fleetSize > LARGE_FLEET;
+    if (isLarge && this.#rounds % LARGE_FLEET_ROUNDS !== 0) return;
+    this.#round(FANOUT);
+  }
+
   #round(fanout: number): void {
     const now = this.#parts.timers.now();
     for (const [node, peer] of this.#peers) {
@@ -111,7 +127,7 @@
     const targets = this.#targets();
     const chosen = targets.length <= fanout
       ? targets
-      : this.#sample(targets, fanout);
+      : this.#nextInTurn(targets, fanout);
     const live = this.live().map((peer) => peer.status.internalAddress);
     const payload = encodeStatus(
       this.#parts.status(live.slice(0, MAX_TOLD_PEERS)),
@@ -131,12 +147,13 @@
     return [...addresses];
   }
 
-  #sample(targets: string[], count: number): string[] {
-    for (let i = 0; i < count; i++) {
-      const at = i + this.#parts.random.int(targets.length - i);
-      [targets[i], targets[at]] = [targets[at], targets[i]];
-    }
-    return targets.slice(0, count);
+  #nextInTurn(targets: readonly string[], count: number): string[] {
+    const chosen = Array.from(
+      { length: count },
+      (_, i) => targets[(this.#turn + i) % targets.length],
+    );
+    this.#turn = (this.#turn + count) % targets.length;
+    return chosen;
   }
 
   #receive(payload: Uint8Array): void {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -117,7 +117,6 @@
     this.#gossip = new PeerGossip({
       timers,
       datagrams: parts.datagrams,
-      random: parts.random,
       selfId: node.id,
       selfAddress: this.#internalAddress,
       seeds: () =>
