Don't take an old announcement for a member that joins again

Change: a member told to join counts as joining for 150 ms, less than any join takes; the soak waits for the end of a process before it starts the next.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -94,3 +94,8 @@
   Scenario: should not begin more loads than the weight store allows
     Given a ceiling of 4.5 loads a second over 5 seconds and 6 at once
     Then at most 6 loads begin at once and at most 20 in any 5 seconds
+
+  Scenario: should not take a member for ready that has just been told to join again
+    Given a host that was ready in a group and was told to join it again
+    Then it counts as joining for 150 milliseconds, whatever it announced before
+    And it counts as ready when it still announces so later
--- a/features/steps/group_steps.ts
+++ b/features/steps/group_steps.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { HostLedger } from "../../src/core/keeper/host_ledger.ts";
 import type { FreeHost, LayoutStep } from "../../src/core/keeper/layout.ts";
 import { planLayout } from "../../src/core/keeper/layout.ts";
 import { LoadCeiling } from "../../src/core/keeper/load_ceiling.ts";
@@ -7,9 +8,12 @@
   EXAMPLE_MODELS,
   exampleCatalog,
 } from "../../src/standins/fleet/example_catalog.ts";
+import type { ServingHost } from "../../src/world/serving_host.ts";
 import { KeptFleet } from "./keeper_world.ts";
 
 interface GroupWorld {
+  ledger: HostLedger;
+  host: ServingHost;
   fleet: KeptFleet;
   chosen: string;
   free: FreeHost[];
@@ -257,3 +261,41 @@
     assert.ok(begun.length > inWindow);
   },
 );
+
+Given(
+  "a host that was ready in a group and was told to join it again",
+  function (this: GroupWorld) {
+    const membership = { group: "g-1", epoch: 1, rank: 1 };
+    this.host = {
+      id: "h",
+      service: "pool",
+      address: "h:1",
+      zone: "z",
+      slots: 18,
+      draining: false,
+      coldLeftMs: 0,
+      born: 1,
+      domain: "d",
+      staged: ["large"],
+      models: ["large"],
+      membership: { ...membership, state: "ready" },
+    };
+    this.ledger = new HostLedger(() => false);
+    this.ledger.accepted(this.host, 1, { ...membership, state: "joining" }, 0);
+  },
+);
+
+Then(
+  "it counts as joining for {int} milliseconds, whatever it announced before",
+  function (this: GroupWorld, ms: number) {
+    const belief = this.ledger.belief(this.host, ms - 1);
+    assert.equal(belief.membership?.state, "joining");
+  },
+);
+
+Then(
+  "it counts as ready when it still announces so later",
+  function (this: GroupWorld) {
+    assert.equal(this.ledger.belief(this.host, 200).membership?.state, "ready");
+  },
+);
--- a/src/core/keeper/host_ledger.ts
+++ b/src/core/keeper/host_ledger.ts
@@ -14,6 +14,8 @@
 
 /** A report may be older than a command by this time. */
 const REPORT_LAG_MS = 500;
+/** A host that joins the same group again is not ready before this time. */
+const SHORTEST_JOIN_MS = 150;
 /** An announcement that contradicts a command may be older for this time. */
 const ANNOUNCE_LAG_MS = 1_500;
 
@@ -56,7 +58,7 @@
     const { newer } = record;
     if (newer !== undefined) {
       const isShown = isSameGroup(newer.membership, host.membership) &&
-        !this.#isStoreLost();
+        !isBeforeJoin(newer, host, now) && !this.#isStoreLost();
       const isOver = now - newer.at > ANNOUNCE_LAG_MS && !this.#isStoreLost();
       if (isShown || isOver) record.newer = undefined;
     }
@@ -171,6 +173,16 @@
   }
 }
 
+/** Whether a host shows itself ready sooner than any join takes. */
+function isBeforeJoin(
+  newer: { readonly membership: Membership | undefined; readonly at: number },
+  host: ServingHost,
+  now: number,
+): boolean {
+  return newer.membership?.state === "joining" &&
+    host.membership?.state !== "joining" && now - newer.at < SHORTEST_JOIN_MS;
+}
+
 function isSameGroup(
   a: Membership | undefined,
   b: Membership | undefined,
--- a/tools/soak/node_runner.ts
+++ b/tools/soak/node_runner.ts
@@ -44,7 +44,12 @@
     return this.#child !== undefined;
   }
 
+  /** Starts the process, once the one before has ended. */
   start(): void {
+    if (this.#child !== undefined) {
+      this.#child.once("exit", () => this.start());
+      return;
+    }
     this.#isEnding = false;
     const log = createWriteStream(this.#logFile, { flags: "a" });
     const child = spawn(process.execPath, [BIN, this.#settingsFile], {
