End the nodes of a soak that is stopped

Change: a soak that ends for any reason ends the nodes that it started. Conclusion: a fault of the soak, not of the node.

--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -78,6 +78,11 @@
     return this.#judge(plan);
   }
 
+  /** Ends all nodes at once. */
+  endNodes(): void {
+    for (const node of this.#nodes) node.signal("SIGKILL");
+  }
+
   #startClients(): Promise<void>[] {
     const urls = this.#nodes.map((node) => node.directoryUrl);
     for (let i = 0; i < CLIENTS; i++) {
@@ -165,7 +170,7 @@
         0,
       ),
     });
-    for (const node of this.#nodes) node.signal("SIGKILL");
+    this.endNodes();
     this.#proxy?.close();
     this.#platform.stop();
     const whole = results.filter((result) => result.isWhole).length;
@@ -206,7 +211,12 @@
   .action(async (options: SoakOptions) => {
     const { seed, seconds, processes } = options;
     process.stdout.write(`seed ${seed}, ${seconds} s, ${processes} nodes\n`);
-    const held = await new Soak({ seed, seconds, processes }).run();
+    const soak = new Soak({ seed, seconds, processes });
+    // Nodes must not outlive a soak that is stopped.
+    process.on("exit", () => soak.endNodes());
+    process.on("SIGTERM", () => process.exit(2));
+    process.on("SIGINT", () => process.exit(2));
+    const held = await soak.run();
     process.stdout.write(held ? "all promises held\n" : "promises broken\n");
     process.exit(held ? 0 : 1);
   });
