Count first bytes, and test a request's story in lines and counts

Cause: the histogram of first bytes was declared and never fed. Change: it is fed at the end of each request; a scenario reads the lines of one request and the counts on the metrics address.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -207,3 +207,10 @@
       | nodes | others | messages |
       | 5     | 4      | 45       |
       | 34    | 33     | 40       |
+
+  Scenario: should tell a request's story in its log lines and counts
+    Given a relay before 2 groups of "small"
+    And the first group is reset within event 5
+    When a stream of 10 events is asked for
+    Then its lines are "request_sent, request_attempt_ended, request_sent, request_ended"
+    And the metrics count 1 request as "answered", 1 attempt as "reset" and 1 first byte
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -580,3 +580,30 @@
     assert.deepEqual(Object.keys(demand), [model]);
   },
 );
+
+Then("its lines are {string}", function (this: RelayWorld, names: string) {
+  const { events } = this.fleet.log;
+  const lines = events.filter((line) => line.fields.request === "request-0");
+  assert.equal(lines.map((line) => line.event).join(", "), names);
+});
+
+Then(
+  "the metrics count {int} request as {string}, {int} attempt as {string} and {int} first byte",
+  async function (
+    this: RelayWorld,
+    requests: number,
+    outcome: string,
+    attempts: number,
+    attemptOutcome: string,
+    firstBytes: number,
+  ) {
+    const text = await this.fleet.metrics.registry.metrics();
+    const has = (line: string) => assert.ok(text.includes(line), line);
+    has(
+      `oleander_requests_total{route="draft",outcome="${outcome}"} ${requests}`,
+    );
+    has(`oleander_attempts_total{outcome="${attemptOutcome}"} ${attempts}`);
+    has(`oleander_first_byte_seconds_count{route="draft"} ${firstBytes}`);
+    has("oleander_requests_in_flight 0");
+  },
+);
--- a/features/steps/relay_world.ts
+++ b/features/steps/relay_world.ts
@@ -12,8 +12,11 @@
 } from "../../src/core/relay/relay_call.ts";
 import { Relay } from "../../src/core/relay/relay.ts";
 import type { RawHeaders } from "../../src/ports/relay_client.ts";
+import { NodeMetrics } from "../../src/node/node_metrics.ts";
+import { RequestLog } from "../../src/node/request_log.ts";
 import { exampleCatalog } from "../../src/standins/fleet/example_catalog.ts";
 import { ScriptedUpstreams } from "../../src/standins/fleet/scripted_upstreams.ts";
+import { RecordedLog } from "./keeper_world.ts";
 import type { ServingHost } from "../../src/world/serving_host.ts";
 
 /** What one caller sees. */
@@ -81,6 +84,15 @@
   readonly upstreams = new ScriptedUpstreams(this.timers);
   readonly catalog: CatalogHolder;
   readonly relay: Relay;
+  readonly log = new RecordedLog();
+  readonly metrics = new NodeMetrics({
+    inFlight: () => this.relay.inFlight,
+    waiting: () => this.relay.waiting,
+    peers: () => 0,
+    catalogVersion: () => this.catalog.version,
+    confirmationAgeMs: () => this.catalog.confirmationAgeMs,
+    acting: () => false,
+  });
   readonly #hosts = new HostRegistry();
   #nextId = 0;
 
@@ -98,7 +110,7 @@
       hosts: this.#hosts,
       view: new ReplicaView(this.#hosts, evidence, this.catalog, new Set()),
       evidence,
-      observer: { noted() {}, turnedAway() {} },
+      observer: new RequestLog(this.timers, this.log, this.metrics),
       zone: "zone-0",
       retryBounds: () => ({ ratio: 0.2, windowMs: 10_000, slack: 136 }),
       keyTrustMs: () => 4_250,
--- a/src/node/request_log.ts
+++ b/src/node/request_log.ts
@@ -25,6 +25,10 @@
   noted(run: RelayRun, event: RunEvent): void {
     const tookMs = this.#timers.now() - run.arrivedAt;
     this.#metrics.noted(run, event, tookMs);
+    const { firstByteMs } = run;
+    if (event.event === "ended" && firstByteMs !== undefined) {
+      this.#metrics.firstByte(run, firstByteMs);
+    }
     if (event.event === "attempt_ended" && event.outcome === "answered") return;
     this.#log.info(`request_${event.event}`, {
       request: run.call.id,
