Never pass on a promise that a host has not given

Cause: a host's 503 without its word that nothing ran was passed on; to callers that status promises that the order has not run, and they send it again. Change: 408, 421, 429 and 503 without that word end as a failure of the upstream.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -49,6 +49,12 @@
     When an order is placed
     Then the caller has a whole answer with status 500 after 1 send
 
+  Scenario: should not pass on a promise that a host has not given
+    Given a relay before 2 hosts of the counter service
+    And the first host answers with status 503
+    When an order is placed
+    Then the caller gets "upstream_failed" after 1 send
+
   Scenario: should ask another host when a repeatable call fails
     Given a relay before 2 hosts of the counter service
     And the first host answers with status 500
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -31,6 +31,9 @@
 /** Goals beyond which a first byte is not worth sending for. */
 const LATE_FACTOR = 0.8;
 
+/** Statuses by which callers take it that a request has not run. */
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Why an attempt ended, for logs and records. */
 export type AttemptOutcome =
   | "answered"
@@ -289,7 +292,9 @@
     if (head.wrongHost || head.notRun) return;
     this.#mayHaveRun = true;
     if (head.status >= 200 && head.status < 300) this.#sink.begin(head);
-    else if (!this.#sink.started) this.#failedHead = { head, body: [] };
+    else if (!this.#sink.started && !PROMISES.has(head.status)) {
+      this.#failedHead = { head, body: [] };
+    }
   }
 
   #dataCame(attempt: RunningAttempt, chunk: Uint8Array): void {
