Don't take messages for fresh that waited while the process stood still

Ruled out: the nodes own confirmation, which had aged rightly (the other three refused). Change: a guard notices by both clocks that the process was paused and distrusts confirmations by peers until the socket has been read empty.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -220,3 +220,16 @@
     When a stream of 10 events is asked for
     Then its lines are "request_sent, request_attempt_ended, request_sent, request_ended"
     And the metrics count 1 request as "answered", 1 attempt as "reset" and 1 first byte
+
+  Scenario Outline: should not take messages for fresh that waited while the process was <how>
+    Given a process that ticks
+    When it is <how> for 4 seconds and then reads its messages <order> its timers run
+    Then the messages are not taken for fresh
+    And they are again a second later
+
+    Examples:
+      | how       | order  |
+      | stopped   | before |
+      | stopped   | after  |
+      | suspended | before |
+      | suspended | after  |
--- a/features/steps/gossip_steps.ts
+++ b/features/steps/gossip_steps.ts
@@ -1,8 +1,56 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import { PauseGuard } from "../../src/core/gossip/pause_guard.ts";
 import { PeerGossip } from "../../src/core/gossip/peer_gossip.ts";
 
+interface PauseWorld {
+  clock: { monotonic: number; wall: number };
+  tick: () => void;
+  guard: PauseGuard;
+}
+
+Given("a process that ticks", function (this: PauseWorld) {
+  this.clock = { monotonic: 1_000, wall: 90_000 };
+  this.guard = new PauseGuard({
+    now: () => this.clock.monotonic,
+    after: () => ({ cancel() {} }),
+    subscribe: (_ms, callback) => {
+      this.tick = callback;
+      return { cancel() {} };
+    },
+  }, () => ({ ...this.clock }));
+  this.guard.start();
+  runFor(this, 1_000);
+  assert.equal(this.guard.isFresh, true);
+});
+
+function runFor(world: PauseWorld, ms: number): void {
+  for (let i = 0; i < ms; i += 50) {
+    world.clock.monotonic += 50;
+    world.clock.wall += 50;
+    world.tick();
+  }
+}
+
+When(
+  "it is {word} for {int} seconds and then reads its messages {word} its timers run",
+  function (this: PauseWorld, how: string, seconds: number, order: string) {
+    this.clock.wall += seconds * 1_000;
+    if (how === "stopped") this.clock.monotonic += seconds * 1_000;
+    if (order === "after") this.tick();
+  },
+);
+
+Then("the messages are not taken for fresh", function (this: PauseWorld) {
+  assert.equal(this.guard.isFresh, false);
+});
+
+Then("they are again a second later", function (this: PauseWorld) {
+  runFor(this, 1_000);
+  assert.equal(this.guard.isFresh, true);
+});
+
 interface GossipWorld {
   timers: VirtualTimers;
   nodes: PeerGossip[];
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -13,6 +13,7 @@
 import { Registration } from "../core/fleet/registration.ts";
 import { ReplicaView } from "../core/fleet/replica_view.ts";
 import type { HostNews, StatusMessage } from "../core/gossip/messages.ts";
+import { PauseGuard } from "../core/gossip/pause_guard.ts";
 import { PeerGossip } from "../core/gossip/peer_gossip.ts";
 import { GroupKeeper } from "../core/keeper/group_keeper.ts";
 import { Relay } from "../core/relay/relay.ts";
@@ -65,6 +66,7 @@
   readonly #hosts = new HostRegistry();
   readonly #evidence = new Evidence();
   readonly #zonesOut = new Set<string>();
+  readonly #pauses: PauseGuard;
   readonly #view: ReplicaView;
   readonly #gossip: PeerGossip;
   readonly #state: FleetState;
@@ -84,6 +86,7 @@
     const { node, bounds } = settings;
     this.#internalAddress = `${node.ip}:${node.internal_port}`;
     this.#catalog = new CatalogHolder(() => timers.now(), parts.wall);
+    this.#pauses = new PauseGuard(timers, () => this.#catalog.now());
     this.#view = new ReplicaView(
       this.#hosts,
       this.#evidence,
@@ -170,6 +173,7 @@
   start(): void {
     const { log, settings, incarnation } = this.#parts;
     log.info("start", { incarnation, settings });
+    this.#pauses.start();
     this.#state.start();
     this.#registration.start();
     this.#gossip.start();
@@ -350,7 +354,7 @@
     if (this.#state.isCutOff && !this.#isActing) {
       for (const news of status.hosts) this.#hostNews(news);
     }
-    if (status.confirmedMs >= 0) {
+    if (status.confirmedMs >= 0 && this.#pauses.isFresh) {
       const { catalogVersion, confirmedMs } = status;
       this.#catalog.confirmedByPeer(catalogVersion, confirmedMs);
     }
