Judge the soak's share of answers by the times at which keys can be confirmed

Its three silences of the store leave 10 s of 23 s in which keys can't be confirmed; refusals take some ms and were counted one by one against answers of 200 ms. Ruled out: refusals without a reason. In the logs of a failing run all were 'unconfirmed' (more than 4 s after the last confirmation) or 'unknown_key' (the key taken away). Also: a fault of the proxy that ended stopped another one under way. Conclusion: the check is stricter in calm (60% instead of 25%) and no longer counts lawful refusals.

--- /dev/null
+++ b/features/steps/soak_steps.ts
@@ -0,0 +1,51 @@
+/**
+ * Steps of soak.feature: the checker of the soak, on results made up here.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { Given, Then } from "@cucumber/cucumber";
+import type { Seen } from "../../tools/soak/promises.ts";
+import { checkPromises } from "../../tools/soak/promises.ts";
+
+const REQUESTS = 100;
+
+/** What the steps of one scenario build up. */
+interface SoakWorld {
+  seen: Seen;
+}
+
+Given(
+  "a run of 100 requests, of which {int} are answered",
+  function (this: SoakWorld, answered: number) {
+    const results = Array.from({ length: REQUESTS }, (_, i) => ({
+      requestId: `c0-${i}`,
+      path: `/look/c0-${i}`,
+      key: "key-0",
+      sentAt: i,
+      status: i < answered ? 200 : 503,
+      isWhole: i < answered,
+      problem: undefined,
+    }));
+    this.seen = {
+      results,
+      journal: [],
+      breaches: [],
+      revokedKeyOwner: "customer-1",
+      revokedKey: "key-1",
+      revokedAt: undefined,
+      harmed: [],
+      unexpectedEnds: 0,
+    };
+  },
+);
+
+Given(/^the store was (well|silent)$/, function (this: SoakWorld, how: string) {
+  const harmed = how === "silent" ? [{ from: 0, until: REQUESTS }] : [];
+  this.seen = { ...this.seen, harmed };
+});
+
+Then(/^the soak finds (nothing|".*")$/, function (this: SoakWorld, found) {
+  const expected = found === "nothing" ? [] : [found.slice(1, -1)];
+  assert.deepEqual(checkPromises(this.seen), expected);
+});
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -120,12 +120,9 @@
       case "store_delay":
       case "store_silence":
       case "store_one_way":
-      case "store_refuse": {
-        if (proxy === undefined) return;
-        proxy.mode = PROXY_MODES[fault.kind];
-        later(() => proxy.mode = "pass");
+      case "store_refuse":
+        proxy?.harm(PROXY_MODES[fault.kind], fault.forMs);
         return;
-      }
       case "host_dark":
         this.#platform.engines.goDark(`i-${fault.node % 2}-${fault.host}`);
         later(() =>
@@ -142,10 +139,8 @@
         this.#revoke();
         return;
       case "revoke_in_silence":
-        if (proxy === undefined) return;
-        proxy.mode = "silence";
+        proxy?.harm("silence", SILENCE_MS);
         this.#revoke();
-        timers.after(SILENCE_MS, () => proxy.mode = "pass");
         return;
     }
   }
@@ -164,7 +159,9 @@
       journal: this.#platform.journal,
       breaches: this.#platform.engines.breaches,
       revokedKeyOwner: "customer-1",
+      revokedKey: STANDIN_KEYS[1],
       revokedAt: this.#revokedAt,
+      harmed: this.#proxy?.harmed ?? [],
       unexpectedEnds: this.#nodes.reduce(
         (n, node) => n + node.unexpectedEnds,
         0,
--- a/tools/soak/fault_proxy.ts
+++ b/tools/soak/fault_proxy.ts
@@ -12,9 +12,17 @@
 
 const DELAY_MS = 250;
 
+/** A time in which the proxy harmed what passed through it. */
+export interface HarmedTime {
+  readonly from: number;
+  until: number;
+}
+
 /** Passes channels on to one address. */
 export class FaultProxy {
-  mode: ProxyMode = "pass";
+  /** Faults under way, the latest last; that one is in force. */
+  readonly #faults: { readonly mode: ProxyMode }[] = [];
+  readonly #harmed: HarmedTime[] = [];
   readonly #timers: Timers;
   readonly #target: string;
   readonly #server: Server;
@@ -36,6 +44,23 @@
     });
   }
 
+  /** Times harmed so far, in the order they began; they may overlap. */
+  get harmed(): readonly HarmedTime[] {
+    return this.#harmed;
+  }
+
+  /** Harms what passes for `forMs`; other faults under way go on. */
+  harm(mode: ProxyMode, forMs: number): void {
+    const fault = { mode };
+    const time = { from: this.#timers.now(), until: Infinity };
+    this.#faults.push(fault);
+    this.#harmed.push(time);
+    this.#timers.after(forMs, () => {
+      this.#faults.splice(this.#faults.indexOf(fault), 1);
+      time.until = this.#timers.now();
+    });
+  }
+
   /** Resets every open channel. */
   resetAll(): void {
     for (const socket of this.#sockets) socket.resetAndDestroy();
@@ -47,8 +72,12 @@
     this.resetAll();
   }
 
+  get #mode(): ProxyMode {
+    return this.#faults.at(-1)?.mode ?? "pass";
+  }
+
   #accept(caller: Socket): void {
-    if (this.mode === "refuse") {
+    if (this.#mode === "refuse") {
       caller.resetAndDestroy();
       return;
     }
@@ -70,9 +99,9 @@
   }
 
   #pass(data: Buffer, to: Socket, isAnswer: boolean): void {
-    if (this.mode === "silence") return;
-    if (this.mode === "one_way" && isAnswer) return;
-    if (this.mode !== "delay") return void to.write(data);
+    if (this.#mode === "silence") return;
+    if (this.#mode === "one_way" && isAnswer) return;
+    if (this.#mode !== "delay") return void to.write(data);
     this.#timers.after(DELAY_MS, () => {
       if (!to.destroyed) to.write(data);
     });
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -5,10 +5,15 @@
  */
 import type { GroupBreach } from "../../src/standins/fleet/engine_hosts.ts";
 import type { RunJournal } from "../../src/standins/platform/engine_calls.ts";
+import type { HarmedTime } from "./fault_proxy.ts";
 import type { CallerResult } from "./soak_clients.ts";
 
 /** A key that was taken away must not be served after this time. */
 const REVOKE_MS = 5_000;
+/** A node that reaches the store again has confirmed its keys by then. */
+const CONFIRMED_AGAIN_MS = 2_000;
+/** Refusals come fast: while keys are unconfirmed they outnumber answers. */
+const LEAST_SHARES = { calm: 0.6, all: 0.05 } as const;
 /** These statuses promise that a request has not run. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 
@@ -18,7 +23,10 @@
   readonly journal: RunJournal;
   readonly breaches: readonly GroupBreach[];
   readonly revokedKeyOwner: string;
+  readonly revokedKey: string | undefined;
   readonly revokedAt: number | undefined;
+  /** Times at which nodes could not reach the store. */
+  readonly harmed: readonly HarmedTime[];
   readonly unexpectedEnds: number;
 }
 
@@ -84,7 +92,28 @@
 
 /** A fleet that refuses everything keeps all other promises. */
 function tooFew(seen: Seen): string[] {
-  const whole = seen.results.filter((result) => result.isWhole).length;
-  const share = whole / Math.max(1, seen.results.length);
-  return share < 0.25 ? [`only ${Math.round(share * 100)}% answered`] : [];
+  return [
+    ...belowShare("calm", seen.results.filter((r) => isCalm(seen, r))),
+    ...belowShare("all", seen.results),
+  ];
+}
+
+function belowShare(
+  name: keyof typeof LEAST_SHARES,
+  results: readonly CallerResult[],
+): string[] {
+  const whole = results.filter((result) => result.isWhole).length;
+  const share = whole / Math.max(1, results.length);
+  return results.length > 0 && share < LEAST_SHARES[name]
+    ? [`${name}: only ${Math.round(share * 100)}% answered`]
+    : [];
+}
+
+/** Whether a caller with a valid key came while keys could be confirmed. */
+function isCalm(seen: Seen, { key, sentAt }: CallerResult): boolean {
+  const { revokedAt, revokedKey } = seen;
+  if (key === revokedKey && sentAt > (revokedAt ?? Infinity)) return false;
+  return seen.harmed.every(({ from, until }) =>
+    sentAt < from || sentAt > until + CONFIRMED_AGAIN_MS
+  );
 }
