--- /dev/null
+++ b/tools/bundle.mjs
@@ -0,0 +1,34 @@
+/**
+ * Bundles the node into one file: a process that starts reads one module
+ * instead of some hundreds.
+ *
+ * Usage: `node tools/bundle.mjs OUTFILE`
+ *
+ * @module
+ */
+import process from "node:process";
+import { build } from "esbuild";
+
+const [outfile] = process.argv.slice(2);
+if (outfile === undefined) {
+  process.stderr.write("usage: node tools/bundle.mjs OUTFILE\n");
+  process.exit(2);
+}
+
+await build({
+  entryPoints: ["src/bin/oleander_node.ts"],
+  outfile,
+  bundle: true,
+  platform: "node",
+  format: "esm",
+  target: "node20",
+  minifySyntax: true,
+  minifyWhitespace: true,
+  legalComments: "none",
+  logLevel: "warning",
+  // Bundled CommonJS packages load Node.js's own modules by `require`.
+  banner: {
+    js: 'import { createRequire } from "node:module";' +
+      "const require = createRequire(import.meta.url);",
+  },
+});
