Wake up only for what waits

Cause: idle nodes woke 87 times a second for timers alone: 50 for requests that may wait, 20 for the pause guard, 7 for the acting lease.

--- a/src/core/fleet/acting_lease.ts
+++ b/src/core/fleet/acting_lease.ts
@@ -19,6 +19,8 @@
 const SAFETY_MS = 300;
 /** Pause between looks while another process holds the key. */
 const LOOK_MS = 150;
+/** The same for a process that would not act. */
+const IDLE_LOOK_MS = 500;
 /** A key that has not been looked at for this long is tried again. */
 const RETRY_MS = 3_000;
 
@@ -88,10 +90,15 @@
       if (this.#acting) await this.#renew();
       else if (this.#shouldTry()) await this.#campaign();
       if (this.#acting && !this.isActing) this.#lose("lease not renewed");
-      await sleep(timers, this.#acting ? RENEW_MS : LOOK_MS);
+      await sleep(timers, this.#paceMs);
     }
   }
 
+  get #paceMs(): number {
+    if (this.#acting) return RENEW_MS;
+    return this.#parts.mayAct() ? LOOK_MS : IDLE_LOOK_MS;
+  }
+
   #shouldTry(): boolean {
     if (!this.#parts.mayAct()) return false;
     const now = this.#parts.timers.now();
--- a/src/core/gossip/pause_guard.ts
+++ b/src/core/gossip/pause_guard.ts
@@ -6,7 +6,7 @@
 import type { Timers } from "../../base/timers.ts";
 import type { Age } from "../catalog/confirmation.ts";
 
-const TICK_MS = 50;
+const TICK_MS = 100;
 /** Longer between two ticks, and the process has been paused. */
 const PAUSE_MS = 400;
 /** After a pause, messages may have waited in the socket for this time. */
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -37,8 +37,10 @@
 import { StallWatch } from "./stall_watch.ts";
 import { WaitingRoom } from "./waiting_room.ts";
 
-/** Pace of the watch over waiting requests and silent upstreams. */
-const TICK_MS = 20;
+/** Pace of the watch over silent upstreams. */
+const STALL_LOOK_MS = 60;
+/** Pace at which requests that wait are tried again, while there are any. */
+const WAITING_LOOK_MS = 20;
 const EXPIRE_MS = 1_000;
 /** A request that was beginning to run at so many crashes is refused. */
 const CRASHES_ALLOWED = 3;
@@ -85,6 +87,7 @@
   readonly #runs = new Set<RelayRun>();
   readonly #runParts: RelayRunParts;
   #leaving = false;
+  #willPump = false;
 
   constructor(parts: RelayParts) {
     this.#parts = parts;
@@ -116,11 +119,7 @@
   /** Begins to watch the requests under way. */
   start(): void {
     const { timers } = this.#parts;
-    timers.subscribe(TICK_MS, () => {
-      const now = timers.now();
-      this.#stalls.look(now);
-      this.#room.pump(now);
-    });
+    timers.subscribe(STALL_LOOK_MS, () => this.#stalls.look(timers.now()));
     timers.subscribe(EXPIRE_MS, () => this.#expire(timers.now()));
   }
 
@@ -229,7 +228,10 @@
     return {
       timers,
       client: this.#parts.client,
-      enterRoom: (run) => this.#room.enter(run, timers.now()),
+      enterRoom: (run) => {
+        this.#room.enter(run, timers.now());
+        this.#pumpSoon();
+      },
       leaveRoom: (run) => this.#room.leave(run),
       mayRepeat: (service) => this.#retries.spend(service, timers.now()),
       attemptStarted: (run, attempt) => this.#attemptStarted(run, attempt),
@@ -243,6 +245,18 @@
     };
   }
 
+  /** Tries those that wait until nobody does. */
+  #pumpSoon(): void {
+    if (this.#willPump || this.#room.size === 0) return;
+    this.#willPump = true;
+    const { timers } = this.#parts;
+    timers.after(WAITING_LOOK_MS, () => {
+      this.#willPump = false;
+      this.#room.pump(timers.now());
+      this.#pumpSoon();
+    });
+  }
+
   #attemptStarted(run: RelayRun, attempt: RunningAttempt): void {
     const { key, host } = attempt.replica;
     const load = this.board.own(key);
