Tell changed hosts to peers instead of each reading them

Change: the acting node and one more follow hosts and tell changes with their status, ordered by revision; the others look each 6 s, or at once when no such node is heard, when the store was away, or when there were more changes than fit. Waits for operators' documents last 8 s and are cut short when a peer has seen a newer one or confirmations are old.

--- a/features/gossip.feature
+++ b/features/gossip.feature
@@ -33,3 +33,24 @@
     Given 34 nodes that gossip
     When the hub of a zone has stood still for 5 seconds and goes on
     Then nothing that it passes on in the next 300 milliseconds is of another node
+
+  Scenario: should hear of changed hosts from those that read the store, with few calls
+    Given 12 nodes that follow a store, 3 of them readers
+    When hosts change 5 times a second for 20 seconds
+    Then every node knows each change 300 milliseconds later
+    And all nodes together call the store at most 30 times a second
+
+  Scenario: should follow the store by itself when no reader is heard
+    Given 12 nodes that follow a store, 3 of them readers
+    When no node hears another for 10 seconds and hosts change meanwhile
+    Then every node knows each change 1000 milliseconds later
+
+  Scenario: should not take an old change from a peer
+    Given 12 nodes that follow a store, 3 of them readers
+    When a peer tells of a host as it was before it left
+    Then no node takes the host up again
+
+  Scenario: should learn of an operator's document when its own wait is silent
+    Given 12 nodes that follow a store, 3 of them readers
+    When the waits of node 9 are never answered and a zone is taken out
+    Then node 9 has taken the zone out 1500 milliseconds later
--- a/features/steps/fleet_state_steps.ts
+++ b/features/steps/fleet_state_steps.ts
@@ -50,7 +50,12 @@
       catalog: new CatalogHolder(now, now),
       hosts: this.hosts,
       zonesOut: new Set(),
-      role: () => ({ isActing: true, isReader: true, fleetSize: 1 }),
+      role: () => ({
+        isActing: true,
+        isReader: true,
+        isTeller: true,
+        fleetSize: 1,
+      }),
       lapseAfterMs: 2_400,
       listener: {
         catalogChanged() {},
--- a/features/steps/gossip_steps.ts
+++ b/features/steps/gossip_steps.ts
@@ -75,6 +75,7 @@
 
 Given(
   "{int} nodes that gossip",
+  { timeout: 30_000 },
   async function (this: GossipWorld, count: number) {
     this.timers = new VirtualTimers();
     this.received = 0;
@@ -140,6 +141,10 @@
     isCutOff: false,
     actingTerm: 0,
     hosts: [],
+    tellsHosts: false,
+    hostChanges: [],
+    isCutShort: false,
+    operatorRevision: 0,
     demand: {},
     peers: [],
   };
@@ -173,6 +178,7 @@
 
 When(
   "they run for {int} seconds",
+  { timeout: 30_000 },
   async function (this: GossipWorld, seconds: number) {
     await runGossip(this, seconds * 1_000);
   },
--- /dev/null
+++ b/features/steps/host_news_steps.ts
@@ -0,0 +1,227 @@
+/**
+ * Steps of gossip.feature: nodes that follow one store and tell each other.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import { CatalogHolder } from "../../src/core/catalog/catalog_holder.ts";
+import { FleetState } from "../../src/core/fleet/fleet_state.ts";
+import { HostRegistry } from "../../src/core/fleet/host_registry.ts";
+import type { CoordinationStore } from "../../src/ports/coordination_store.ts";
+import type { FleetSchema } from "../../src/ports/fleet_schema.ts";
+import { MemoryCoordination } from "../../src/standins/fleet/memory_coordination.ts";
+import type { ServingHost } from "../../src/world/serving_host.ts";
+
+const SCHEMA: FleetSchema = {
+  hostPrefix: "hosts/",
+  operatorPrefix: "operator/",
+  parseHost: (_key, value) =>
+    JSON.parse(Buffer.from(value).toString()) as ServingHost,
+  isCatalog: () => false,
+  parseCatalog: () => undefined,
+  zoneTakenOut: (key) => key.split("operator/out/")[1],
+};
+
+interface Follower {
+  readonly state: FleetState;
+  readonly catalog: CatalogHolder;
+  readonly hosts: HostRegistry;
+  readonly zonesOut: Set<string>;
+}
+
+interface HostNewsWorld {
+  timers: VirtualTimers;
+  store: MemoryCoordination;
+  followers: Follower[];
+  calls: number;
+  areApart: boolean;
+  /** Followers whose waits are never answered. */
+  silent: Set<number>;
+}
+
+function host(id: string, coldLeftMs = 0) {
+  return {
+    id,
+    service: "pool",
+    address: `${id}:1`,
+    zone: "z",
+    slots: 1,
+    draining: false,
+    coldLeftMs,
+  };
+}
+
+Given(
+  "{int} nodes that follow a store, {int} of them readers",
+  async function (this: HostNewsWorld, count: number, readers: number) {
+    this.timers = new VirtualTimers();
+    this.store = new MemoryCoordination(this.timers);
+    this.calls = 0;
+    this.areApart = false;
+    this.silent = new Set();
+    for (let i = 0; i < 20; i++) this.store.put(`hosts/h${i}`, host(`h${i}`));
+    this.followers = Array.from(
+      { length: count },
+      (_, i) => follower(this, i, count, readers),
+    );
+    for (const { state } of this.followers) state.start();
+    this.timers.subscribe(100, () => {
+      for (const from of this.followers) tell(this, from);
+    });
+    await this.timers.run(8_000);
+    this.calls = 0;
+  },
+);
+
+function follower(
+  world: HostNewsWorld,
+  index: number,
+  count: number,
+  readers: number,
+): Follower {
+  const { timers } = world;
+  const hosts = new HostRegistry();
+  const zonesOut = new Set<string>();
+  const now = () => timers.now();
+  const catalog = new CatalogHolder(now, now);
+  const state: FleetState = new FleetState({
+    timers,
+    store: counted(world, index),
+    schema: SCHEMA,
+    catalog,
+    hosts,
+    zonesOut,
+    role: () => ({
+      isActing: index === 0,
+      isReader: index < readers,
+      isTeller: index === 1,
+      fleetSize: count,
+    }),
+    lapseAfterMs: 2_400,
+    listener: {
+      catalogChanged() {},
+      zonesChanged() {},
+      nodesChanged() {},
+      actingIs() {},
+      feedLost() {},
+      feedRegained() {},
+    },
+  });
+  return { state, catalog, hosts, zonesOut };
+}
+
+function counted(world: HostNewsWorld, index: number): CoordinationStore {
+  const client = world.store.client();
+  return {
+    ...client,
+    list: (prefix) => {
+      world.calls += 1;
+      return client.list(prefix);
+    },
+    changes: (prefix, after, waitMs) => {
+      world.calls += 1;
+      const isSilent = world.silent.has(index) && waitMs > 100;
+      return isSilent
+        ? new Promise(() => {})
+        : client.changes(prefix, after, waitMs);
+    },
+  };
+}
+
+function tell(world: HostNewsWorld, from: Follower): void {
+  if (world.areApart) return;
+  const news = from.state.news();
+  const { version, confirmationAgeMs } = from.catalog;
+  for (const to of world.followers) {
+    if (to === from) continue;
+    world.timers.after(3, () => {
+      to.state.hear(news);
+      to.catalog.confirmedByPeer(version, confirmationAgeMs);
+    });
+  }
+}
+
+When(
+  "hosts change {int} times a second for {int} seconds",
+  async function (this: HostNewsWorld, perSecond: number, seconds: number) {
+    for (let i = 1; i <= perSecond * seconds; i++) {
+      this.store.put(`hosts/h${i % 20}`, host(`h${i % 20}`, i));
+      await this.timers.run(1_000 / perSecond);
+    }
+    this.calls /= seconds;
+  },
+);
+
+When(
+  "no node hears another for {int} seconds and hosts change meanwhile",
+  async function (this: HostNewsWorld, seconds: number) {
+    this.areApart = true;
+    await this.timers.run(seconds * 1_000);
+    this.store.put("hosts/h3", host("h3", 9_000));
+    this.store.remove("hosts/h4");
+  },
+);
+
+When(
+  "a peer tells of a host as it was before it left",
+  async function (this: HostNewsWorld) {
+    this.store.remove("hosts/h4");
+    await this.timers.run(1_000);
+    const value = JSON.stringify(host("h4"));
+    for (const { state } of this.followers) {
+      state.hear({
+        tellsHosts: true,
+        hostChanges: [{ key: "hosts/h4", revision: 6, value, isLapsed: false }],
+        isCutShort: false,
+        operatorRevision: 0,
+      });
+    }
+  },
+);
+
+When(
+  "the waits of node {int} are never answered and a zone is taken out",
+  async function (this: HostNewsWorld, index: number) {
+    this.silent.add(index);
+    await this.timers.run(9_000);
+    this.store.put("operator/out/z", true);
+  },
+);
+
+Then(
+  "every node knows each change {int} milliseconds later",
+  async function (this: HostNewsWorld, ms: number) {
+    await this.timers.run(ms);
+    for (const { hosts } of this.followers) {
+      for (let i = 0; i < 20; i++) {
+        const stored = this.store.valueOf(`hosts/h${i}`);
+        const known = hosts.get(`h${i}`);
+        assert.deepEqual(known, stored && JSON.parse(stored));
+      }
+    }
+  },
+);
+
+Then(
+  "all nodes together call the store at most {int} times a second",
+  function (this: HostNewsWorld, most: number) {
+    assert.ok(this.calls <= most, `${this.calls} calls`);
+  },
+);
+
+Then("no node takes the host up again", function (this: HostNewsWorld) {
+  for (const { hosts } of this.followers) {
+    assert.equal(hosts.get("h4"), undefined);
+  }
+});
+
+Then(
+  "node {int} has taken the zone out {int} milliseconds later",
+  async function (this: HostNewsWorld, index: number, ms: number) {
+    await this.timers.run(ms);
+    assert.ok(this.followers[index].zonesOut.has("z"));
+  },
+);
--- a/src/core/fleet/change_feed.ts
+++ b/src/core/fleet/change_feed.ts
@@ -26,7 +26,7 @@
 /** Receives what the feed sees. */
 export interface FeedListener {
   /** Everything under the prefix, replacing what was known before. */
-  onListing(items: readonly CoordinationItem[]): void;
+  onListing(items: readonly CoordinationItem[], asOf: number): void;
   onEvents(events: readonly CoordinationEvent[]): void;
   /** Everything up to `askedAt` has been seen. */
   onConfirmed(askedAt: Age): void;
@@ -53,6 +53,9 @@
   #retryMs = RETRY_MIN_MS;
   #isLost = false;
   #stopped = false;
+  #isNudged = false;
+  #wake: (() => void) | undefined;
+  #calledAt = -Infinity;
 
   constructor(
     timers: Timers,
@@ -80,22 +83,45 @@
     this.#stopped = true;
   }
 
+  /** Monotonic time of the last call. */
+  get calledAt(): number {
+    return this.#calledAt;
+  }
+
+  /** Asks at once, whatever is being waited for. */
+  nudge(): void {
+    this.#isNudged = true;
+    this.#wake?.();
+  }
+
   async #follow(): Promise<void> {
     while (!this.#stopped) {
       const startedAt = this.#timers.now();
+      this.#calledAt = startedAt;
       const askedAt = this.#clocks();
       const err = this.#asOf === undefined
         ? await this.#list(askedAt)
         : await this.#change(this.#asOf, askedAt);
       if (this.#stopped) return;
+      if (err === "nudged") continue;
       this.#isLost = err !== undefined;
       if (err === undefined) this.#retryMs = RETRY_MIN_MS;
       else await this.#failed(err);
       const early = startedAt + this.#pace().pauseMs - this.#timers.now();
-      if (early > 0) await sleep(this.#timers, early);
+      if (early > 0 && !this.#isNudged) await this.#pauseFor(early);
     }
   }
 
+  #pauseFor(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = this.#timers.after(ms, resolve);
+      this.#wake = () => {
+        timer.cancel();
+        resolve();
+      };
+    });
+  }
+
   async #list(askedAt: Age): Promise<CoordinationError | undefined> {
     const res = await this.#limited<CoordinationListing>(
       this.#store.list(this.#prefix),
@@ -103,7 +129,7 @@
     );
     if (!res.ok) return res.err;
     this.#asOf = res.value.asOf;
-    this.#listener.onListing(res.value.items);
+    this.#listener.onListing(res.value.items, res.value.asOf);
     this.#listener.onConfirmed(askedAt);
     return undefined;
   }
@@ -111,12 +137,19 @@
   async #change(
     after: number,
     askedAt: Age,
-  ): Promise<CoordinationError | undefined> {
-    const waitMs = this.#isLost ? LOST_WAIT_MS : this.#pace().waitMs;
-    const res = await this.#limited(
+  ): Promise<CoordinationError | "nudged" | undefined> {
+    const isShort = this.#isLost || this.#isNudged;
+    const waitMs = isShort ? LOST_WAIT_MS : this.#pace().waitMs;
+    this.#isNudged = false;
+    const nudged = new Promise<"nudged">((resolve) => {
+      this.#wake = () => resolve("nudged");
+    });
+    const call = this.#limited(
       this.#store.changes(this.#prefix, after, waitMs),
       waitMs,
     );
+    const res = await Promise.race([call, nudged]);
+    if (res === "nudged") return res;
     if (!res.ok) return res.err;
     this.#asOf = Math.max(after, res.value.asOf);
     if (res.value.events.length > 0) this.#listener.onEvents(res.value.events);
--- /dev/null
+++ b/src/core/fleet/host_changes.ts
@@ -0,0 +1,57 @@
+/**
+ * Changes of hosts that one process has seen in the store, for the others.
+ *
+ * @module
+ */
+
+/** One change of a host's announcement. */
+export interface HostChange {
+  readonly key: string;
+  readonly revision: number;
+  /** Undefined when the announcement went away. */
+  readonly value: string | undefined;
+  /** Whether it may only have lapsed while the store was away. */
+  readonly isLapsed: boolean;
+}
+
+/** Changes told at a time; with more, the others ask the store. */
+const MAX_TOLD = 40;
+/** Changes are told for this time: a message may get lost. */
+const TOLD_MS = 500;
+
+/** Puts changes from the store and from peers in order, by revision. */
+export class HostChanges {
+  readonly #revisions = new Map<string, number>();
+  /** Nothing up to this revision is news. */
+  #floor = 0;
+  #recent: { readonly change: HostChange; readonly at: number }[] = [];
+
+  /** Takes a complete listing. */
+  listed(asOf: number, keys: Iterable<readonly [string, number]>): void {
+    this.#floor = asOf;
+    this.#revisions.clear();
+    for (const [key, revision] of keys) this.#revisions.set(key, revision);
+  }
+
+  /** Takes a change; returns whether it is newer than what was known. */
+  take({ key, revision }: Pick<HostChange, "key" | "revision">): boolean {
+    if (revision <= (this.#revisions.get(key) ?? this.#floor)) return false;
+    this.#revisions.set(key, revision);
+    return true;
+  }
+
+  /** Keeps a change that the store showed, to be told. */
+  keep(change: HostChange, at: number): void {
+    this.#recent.push({ change, at });
+  }
+
+  /** What to tell peers now. */
+  news(now: number): {
+    readonly changes: readonly HostChange[];
+    readonly isCutShort: boolean;
+  } {
+    this.#recent = this.#recent.filter(({ at }) => now - at <= TOLD_MS);
+    const changes = this.#recent.slice(-MAX_TOLD).map(({ change }) => change);
+    return { changes, isCutShort: this.#recent.length > MAX_TOLD };
+  }
+}
--- a/src/core/gossip/message_codec.ts
+++ b/src/core/gossip/message_codec.ts
@@ -29,6 +29,24 @@
   z.enum(["none", "joining", "ready", "open", "closing", "broken"]),
 ]);
 
+type Change = [
+  key: string,
+  revision: number,
+  value: string | null,
+  isLapsed: boolean,
+];
+
+const Changes = z.custom<Change[]>((value) =>
+  Array.isArray(value) && value.every(isChange)
+);
+
+function isChange(value: unknown): value is Change {
+  return Array.isArray(value) && value.length === 4 &&
+    typeof value[0] === "string" && Number.isFinite(value[1]) &&
+    (typeof value[2] === "string" || value[2] === null) &&
+    typeof value[3] === "boolean";
+}
+
 function isLoad(value: unknown): value is Load {
   return Array.isArray(value) && value.length === 4 &&
     typeof value[0] === "string" && Number.isFinite(value[1]) &&
@@ -53,6 +71,10 @@
   o: z.boolean(),
   x: z.number(),
   h: z.array(Host),
+  f: z.boolean(),
+  e: Changes,
+  m: z.boolean(),
+  y: z.number(),
   w: z.record(z.string(), z.number()),
   p: z.array(z.string()),
 });
@@ -135,6 +157,15 @@
       membership?.rank ?? 0,
       membership?.state ?? "none",
     ]),
+    f: msg.tellsHosts,
+    e: msg.hostChanges.map((change): Change => [
+      change.key,
+      change.revision,
+      change.value ?? null,
+      change.isLapsed,
+    ]),
+    m: msg.isCutShort,
+    y: msg.operatorRevision,
     w: msg.demand,
     p: [...msg.peers],
   };
@@ -167,6 +198,15 @@
       model,
       membership: state === "none" ? undefined : { group, epoch, rank, state },
     })),
+    tellsHosts: wire.f,
+    hostChanges: wire.e.map(([key, revision, value, isLapsed]) => ({
+      key,
+      revision,
+      value: value ?? undefined,
+      isLapsed,
+    })),
+    isCutShort: wire.m,
+    operatorRevision: wire.y,
     demand: wire.w,
     peers: wire.p,
   };
--- a/src/core/gossip/messages.ts
+++ b/src/core/gossip/messages.ts
@@ -5,6 +5,7 @@
  */
 import type { Membership } from "../../world/serving_host.ts";
 import type { DoubtKind } from "../fleet/evidence.ts";
+import type { HostChange } from "../fleet/host_changes.ts";
 
 /** Work of one process on one upstream. */
 export interface LoadNews {
@@ -60,6 +61,13 @@
   /** Term in which the process acts for the fleet; 0 when it does not. */
   readonly actingTerm: number;
   readonly hosts: readonly HostNews[];
+  /** Whether the process follows the store's hosts closely and tells them. */
+  readonly tellsHosts: boolean;
+  readonly hostChanges: readonly HostChange[];
+  /** Whether there were more changes than could be told. */
+  readonly isCutShort: boolean;
+  /** Revision of the newest operators' document seen. */
+  readonly operatorRevision: number;
   /** Engine time asked for per second, by model, in milliseconds. */
   readonly demand: Readonly<Record<string, number>>;
   /** Internal addresses of processes known, for those that start. */
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -259,6 +259,7 @@
       role: () => ({
         isActing: this.#isActing,
         isReader: this.#gossip.rank < READERS,
+        isTeller: this.#gossip.rank === 0,
         fleetSize: this.#gossip.fleetSize,
       }),
       lapseAfterMs: LAPSE_HEARTBEATS * settings.platform.heartbeat,
@@ -345,6 +346,7 @@
           membership,
         }))
         : [],
+      ...this.#state.news(),
       demand: this.relay.demand.perSecond(now),
       peers,
     };
@@ -369,6 +371,7 @@
     for (const strike of status.strikes) {
       this.relay.suspects.learn(strike, now);
     }
+    this.#state.hear(status);
     if (this.#state.isCutOff && !this.#isActing) {
       for (const news of status.hosts) this.#hostNews(news);
     }
