Split requests and gateways of the product's own interface

What a caller has been given (CallerAnswer), claiming an order (OrderClaiming), where a request failed and what it avoids (FailureTrail), and the requests under way (RunBook) are classes of their own. Decisions are as before.

--- a/src/core/gateway/gateway.ts
+++ b/src/core/gateway/gateway.ts
@@ -41,6 +41,7 @@
 import { PROBE_PERIOD_MS, Prober } from "./prober.ts";
 import type { RunParts, RunResult } from "./request_run.ts";
 import { RequestRun } from "./request_run.ts";
+import { RunBook } from "./run_book.ts";
 
 /** How long callers keep an address. */
 export const ADDRESS_TTL_MS = 5_000;
@@ -85,10 +86,7 @@
   readonly #reader: StoreReader;
   readonly #prober: Prober;
   readonly #registration: Registration;
-  readonly #runs = new Set<RequestRun>();
-  /** Requests of each customer that have not ended. */
-  readonly #inFlightOf = new Map<string, number>();
-  readonly #attemptsOn = new Map<string, Map<AttemptRun, RequestRun>>();
+  readonly #book = new RunBook();
   readonly #runParts: RunParts;
   readonly #timers: Timer[] = [];
   #lifecycle: Lifecycle = "starting";
@@ -174,7 +172,7 @@
 
   /** Requests that have not ended. */
   get inFlight(): number {
-    return this.#runs.size;
+    return this.#book.runs.size;
   }
 
   /** Requests waiting for an upstream. */
@@ -229,7 +227,7 @@
       return undefined;
     }
     const { name, maxConcurrent } = call.customer;
-    const inFlight = this.#inFlightOf.get(name) ?? 0;
+    const inFlight = this.#book.inFlightOf(name);
     if (inFlight >= maxConcurrent) {
       reply.fail({
         kind: "too_many_requests",
@@ -240,9 +238,8 @@
       });
       return undefined;
     }
-    this.#inFlightOf.set(name, inFlight + 1);
     const run = new RequestRun(call, reply, this.#runParts);
-    this.#runs.add(run);
+    this.#book.began(run);
     run.start();
     return run;
   }
@@ -304,7 +301,7 @@
   }
 
   get #busy(): boolean {
-    return this.#runs.size > 0 || this.#orders.unsettled > 0;
+    return this.#book.runs.size > 0 || this.#orders.unsettled > 0;
   }
 
   #makeRunParts(): RunParts {
@@ -338,9 +335,7 @@
     entry.lastStartedAt = this.#parts.timers.now();
     this.#budgets.holder.started(id);
     this.#dispatcher.started(run.customer);
-    const attempts = this.#attemptsOn.get(id) ?? new Map();
-    attempts.set(attempt, run);
-    this.#attemptsOn.set(id, attempts);
+    this.#book.attemptBegan(run, attempt);
   }
 
   #attemptFinished(run: RequestRun, attempt: AttemptRun, whole: boolean): void {
@@ -348,7 +343,7 @@
     const id = entry.upstream.id;
     entry.inFlight -= 1;
     invariant(entry.inFlight >= 0, "More attempts ended than started");
-    this.#attemptsOn.get(id)?.delete(attempt);
+    this.#book.attemptEnded(attempt);
     if (whole) this.#attemptWhole(run, attempt);
     this.#budgets.holder.finished(id, whole);
     this.#dispatcher.finished(run.customer, run.name);
@@ -361,10 +356,7 @@
   }
 
   #runFinished(run: RequestRun, result: RunResult): void {
-    this.#runs.delete(run);
-    const left = (this.#inFlightOf.get(run.customer) ?? 1) - 1;
-    if (left > 0) this.#inFlightOf.set(run.customer, left);
-    else this.#inFlightOf.delete(run.customer);
+    this.#book.ended(run);
     this.#parts.log.decided({
       kind: "finish",
       request: run.id,
@@ -377,8 +369,7 @@
   async #upstreamBroken(entry: UpstreamEntry, detail: string): Promise<void> {
     const id = entry.upstream.id;
     if (entry.upstream.kind === "group") {
-      const runs = [...(this.#attemptsOn.get(id)?.values() ?? [])];
-      const prints = runs.map((run) => run.call.fingerprint);
+      const prints = this.#book.runsOn(id).map((run) => run.call.fingerprint);
       this.#suspects.crashed(id, prints, this.#parts.timers.now());
     }
     this.#upstreamUnreachable(entry, detail);
@@ -410,17 +401,14 @@
   }
 
   #suspectRunsOn(entry: UpstreamEntry, run: RequestRun): boolean {
-    const attempts = this.#attemptsOn.get(entry.upstream.id);
-    for (const other of attempts?.values() ?? []) {
-      if (other === run) continue;
-      if (this.#suspects.strikes(other.call.fingerprint) > 0) return true;
-    }
-    return false;
+    return this.#book.runsOn(entry.upstream.id).some((other) =>
+      other !== run && this.#suspects.strikes(other.call.fingerprint) > 0
+    );
   }
 
   #tick(): void {
     const now = this.#parts.timers.now();
-    for (const run of this.#runs) run.tick(now);
+    for (const run of this.#book.runs) run.tick(now);
     this.#detectCold();
     this.#budgets.askForShares();
     this.#suspects.expire(now);
@@ -428,7 +416,7 @@
   }
 
   #detectCold(): void {
-    for (const [id, attempts] of this.#attemptsOn) {
+    for (const [id, attempts] of this.#book.attempts) {
       const entry = this.#table.entries.get(id);
       if (entry !== undefined) this.#budgets.detectCold(entry, attempts.keys());
     }
@@ -473,9 +461,7 @@
   #forgetUpstreams(): void {
     const ids = new Set(this.#table.entries.keys());
     this.#budgets.retain(ids);
-    for (const [id, attempts] of this.#attemptsOn) {
-      if (!ids.has(id) && attempts.size === 0) this.#attemptsOn.delete(id);
-    }
+    this.#book.keepUpstreams(ids);
   }
 
   #localNews() {
--- a/src/core/gateway/request_run.ts
+++ b/src/core/gateway/request_run.ts
@@ -3,10 +3,8 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
 import { match } from "ts-pattern";
 import type { Timers } from "../../base/timers.ts";
-import { sleep } from "../../base/timers.ts";
 import type {
   AnswerHead,
   AttemptEnd,
@@ -21,33 +19,25 @@
 import type { UpstreamEntry } from "../routing/upstream_entry.ts";
 import type { AttemptOwner } from "./attempt_run.ts";
 import { AttemptRun, NOT_RUN_HEADER } from "./attempt_run.ts";
+import { CallerAnswer } from "./caller_answer.ts";
 import type { Call, CallReply, Problem, ProblemKind } from "./call.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { DispatchItem, DropReason } from "./dispatcher.ts";
-import { EventFramer } from "./event_framer.ts";
+import { FailureTrail } from "./failure_trail.ts";
+import { LOOK_MAX_MS, OrderClaiming } from "./order_claiming.ts";
 
 /** Longest wait for an upstream once a request has begun to run. */
 export const RESUME_WAIT_MS = 15_000;
 /** Silence in a stream after which it is resumed elsewhere. */
 export const STALL_MS = 1_500;
-/**
- * How long a request that broke stays out of the fabric domain: the loss of a
- * whole domain must not count as two crashes.
- */
-const DOMAIN_AVOID_MS = 3_000;
 /** Share of the first-token target after which a hedge is sent. */
 const HEDGE_SHARE = 0.6;
 /** Shortest wait for a first byte before a hedge. */
 const MIN_HEDGE_MS = 300;
 /** Longest time for a whole answer that is not streamed. */
 const MAX_ANSWER_MS = 30_000;
-/** Largest answer that is held to be sent whole, in bytes. */
-const MAX_HELD_BYTES = 8 * 1_048_576;
 /** Most attempts of one request. */
 const MAX_ATTEMPTS = 6;
-/** First pause between looks at another's claim; doubles up to the maximum. */
-const LOOK_MIN_MS = 25;
-const LOOK_MAX_MS = 500;
 
 /** How a request ended, for metrics. */
 export interface RunResult {
@@ -84,23 +74,14 @@
 /** Runs one request to its one end. */
 export class RequestRun implements DispatchItem, AttemptOwner {
   readonly call: Call;
-  readonly #reply: CallReply;
+  readonly #answer: CallerAnswer;
   readonly #parts: RunParts;
   readonly #arrivedAt: number;
   readonly #service: PlainService | undefined;
   readonly #attempts = new Set<AttemptRun>();
-  readonly #failedOn = new Set<string>();
-  /** Fabric domains in which the request broke, with the time. */
-  readonly #brokenDomains = new Map<string, number>();
-  readonly #trail: string[] = [];
+  readonly #trail: FailureTrail;
   #claim: OrderClaim | undefined;
   #winner: AttemptRun | undefined;
-  #framer = new EventFramer();
-  #held: Uint8Array[] = [];
-  #heldBytes = 0;
-  #delivered = 0;
-  #sentHead = false;
-  #firstByteMs: number | undefined;
   #attemptCount = 0;
   #reachedUpstream = false;
   #queued = false;
@@ -111,7 +92,8 @@
 
   constructor(call: Call, reply: CallReply, parts: RunParts) {
     this.call = call;
-    this.#reply = reply;
+    this.#answer = new CallerAnswer(reply, parts.timers);
+    this.#trail = new FailureTrail(parts.timers);
     this.#parts = parts;
     this.#arrivedAt = parts.timers.now();
     this.#deadline = this.#arrivedAt + call.serviceClass.firstTokenMs;
@@ -189,10 +171,7 @@
   }
 
   avoids(entry: UpstreamEntry): boolean {
-    if (this.#failedOn.has(entry.upstream.id)) return true;
-    const brokenAt = this.#brokenDomains.get(entry.upstream.fabricDomain);
-    const now = this.#parts.timers.now();
-    if (brokenAt !== undefined && now - brokenAt < DOMAIN_AVOID_MS) return true;
+    if (this.#trail.avoids(entry)) return true;
     const suspected = this.#parts.suspects.strikes(this.call.fingerprint) > 0;
     return suspected && this.#parts.suspectRunsOn(entry, this);
   }
@@ -220,7 +199,7 @@
       path: this.call.path,
       headers: this.call.headers,
       body: this.call.body,
-      resumeAfter: this.call.resumeAfter + this.#delivered,
+      resumeAfter: this.call.resumeAfter + this.#answer.events,
       streaming: this.call.streaming,
     });
   }
@@ -235,7 +214,9 @@
       const detail = `No upstream in time: ${reason}`;
       return this.#fail("not_run", { detail, notRun: true, retryAfterMs });
     }
-    const kind = this.#sentHead ? "stream_interrupted" : "upstream_failed";
+    const kind = this.#answer.hasBegun
+      ? "stream_interrupted"
+      : "upstream_failed";
     this.#fail(kind, {
       detail: "The answer could not be completed",
       notRun: false,
@@ -245,16 +226,14 @@
   attemptHead(attempt: AttemptRun, head: AnswerHead): void {
     if (refusedAsNotRun(head, this.#service)) {
       this.#closeAttempt(attempt, false);
-      this.#trail.push(`${attempt.entry.upstream.id}: refused as not run`);
-      this.#failedOn.add(attempt.entry.upstream.id);
+      this.#trail.failed(attempt.entry, "refused as not run");
       this.#parts.upstreamStalled(attempt.entry);
       return this.#tryAgain(true);
     }
     this.#reachedUpstream = true;
     if (head.status >= 500 && this.repeatable) {
       this.#closeAttempt(attempt, false);
-      this.#trail.push(`${attempt.entry.upstream.id}: status ${head.status}`);
-      this.#failedOn.add(attempt.entry.upstream.id);
+      this.#trail.failed(attempt.entry, `status ${head.status}`);
       this.#tryAgain(false);
     }
   }
@@ -264,16 +243,14 @@
     if (attempt !== this.#winner) return;
     const streams = this.call.streaming && attempt.head?.status === 200;
     if (!streams) return this.#hold(attempt, chunk);
-    const framed = this.#framer.push(chunk);
-    if (framed === undefined) {
-      return this.#malformed(attempt, "An event exceeds the bound");
-    }
-    if (framed.whole.length === 0) return;
-    this.#sendHead(attempt.head);
-    this.#delivered += framed.events;
-    const more = this.#reply.data(framed.whole);
-    if (framed.ended) return this.#completeStream(attempt);
-    if (!more) this.#awaitDrain(attempt);
+    match(this.#answer.stream(attempt.head, chunk))
+      .with({ kind: "too_long" }, () => {
+        this.#malformed(attempt, "An event exceeds the bound");
+      })
+      .with({ kind: "ended" }, () => this.#completeStream(attempt))
+      .with({ kind: "passed", more: false }, () => this.#awaitDrain(attempt))
+      .with({ kind: "passed" }, () => {})
+      .exhaustive();
   }
 
   attemptEnd(attempt: AttemptRun, end: AttemptEnd): void {
@@ -298,33 +275,42 @@
   }
 
   async #claimOrder(idempotencyKey: string): Promise<void> {
-    const order = this.#orderRef(idempotencyKey);
-    while (!this.#done) {
-      const res = await this.#parts.orders.claim(order, this.#deadline);
-      if (this.#done) {
-        if (res.kind === "claimed") this.#parts.orders.notRun(res.claim);
-        return;
-      }
-      if (res.kind === "claimed") {
-        this.#claim = res.claim;
-        return this.#enqueue();
-      }
-      if (res.kind === "key_reused") {
-        return this.#fail("idempotency_key_reused", {
+    const claiming = new OrderClaiming({
+      timers: this.#parts.timers,
+      orders: this.#parts.orders,
+      cfg: this.#parts.cfg,
+      isOver: () => this.#done,
+    }, this.#orderRef(idempotencyKey));
+    const timeoutMs = this.#service?.timeoutMs ?? MAX_ANSWER_MS;
+    const until = this.#arrivedAt + timeoutMs;
+    const outcome = await claiming.claim(this.#deadline, until);
+    if (this.#done) return;
+    match(outcome)
+      .with({ kind: "claimed" }, ({ claim }) => {
+        this.#claim = claim;
+        this.#enqueue();
+      })
+      .with({ kind: "done_before" }, ({ record }) => this.#replay(record))
+      .with({ kind: "key_reused" }, () => {
+        this.#fail("idempotency_key_reused", {
           detail: "The Idempotency-Key was used with another request",
           notRun: true,
         });
-      }
-      if (res.kind === "unavailable") {
-        return this.#fail("not_run", {
+      })
+      .with({ kind: "unavailable" }, () => {
+        this.#fail("not_run", {
           detail: "The order could not be claimed in time",
           notRun: true,
           retryAfterMs: LOOK_MAX_MS * 2,
         });
-      }
-      const settled = await this.#awaitOther(order, res.record);
-      if (settled) return;
-    }
+      })
+      .with({ kind: "unknown" }, () => {
+        this.#failAsUnknown(
+          "The same order was sent before and its outcome is not known",
+        );
+      })
+      .with({ kind: "given_up" }, () => {})
+      .exhaustive();
   }
 
   #orderRef(idempotencyKey: string): OrderRef {
@@ -336,45 +322,14 @@
     };
   }
 
-  /** Waits for another's claim. False when that claim turned out not to run. */
-  async #awaitOther(order: OrderRef, first: OrderRecord): Promise<boolean> {
-    const timeoutMs = this.#service?.timeoutMs ?? MAX_ANSWER_MS;
-    const until = this.#arrivedAt + timeoutMs;
-    let record: OrderRecord | undefined = first;
-    let pauseMs = LOOK_MIN_MS;
-    while (!this.#done) {
-      if (record?.state === "not_run") return false;
-      if (record?.state === "done") {
-        this.#replay(record);
-        return true;
-      }
-      const now = this.#parts.timers.now();
-      if (now >= until || (record && !this.#claimantLives(record))) break;
-      await sleep(this.#parts.timers, pauseMs);
-      pauseMs = Math.min(pauseMs * 2, LOOK_MAX_MS);
-      record = await this.#parts.orders.look(order);
-    }
-    this.#fail("outcome_unknown", {
-      detail: "The same order was sent before and its outcome is not known",
-      notRun: false,
-    });
-    return true;
-  }
-
-  #claimantLives(record: OrderRecord): boolean {
-    const members = this.#parts.cfg().gateways;
-    return members.length === 0 ||
-      members.some((g) => g.incarnation === record.incarnation);
-  }
-
   #replay(record: OrderRecord): void {
-    if (this.#done) return;
-    this.#reply.head(record.status ?? 200, {
-      "content-type": record.contentType ?? "application/json",
-      "idempotency-replayed": "true",
-    });
-    if (record.body !== undefined) this.#reply.data(Buffer.from(record.body));
-    this.#reply.end();
+    this.#answer.replay({
+      status: record.status ?? 200,
+      headers: {
+        "content-type": record.contentType ?? "application/json",
+        "idempotency-replayed": "true",
+      },
+    }, record.body);
     this.#finish("whole");
   }
 
@@ -400,8 +355,7 @@
     if (now - attempt.startedAt < Math.max(MIN_HEDGE_MS, target)) return;
     if (!this.#parts.retryBudget.spend()) return;
     this.#hedged = true;
-    this.#failedOn.add(attempt.entry.upstream.id);
-    this.#trail.push(`${attempt.entry.upstream.id}: first byte late, hedged`);
+    this.#trail.failed(attempt.entry, "first byte late, hedged");
     this.#parts.upstreamStalled(attempt.entry);
     this.#deadline = now + RESUME_WAIT_MS;
     this.#enqueue();
@@ -410,8 +364,7 @@
   /** The upstream is silent: goes on elsewhere where that is safe. */
   #stalled(attempt: AttemptRun): void {
     this.#parts.upstreamStalled(attempt.entry);
-    this.#trail.push(`${attempt.entry.upstream.id}: silent`);
-    this.#failedOn.add(attempt.entry.upstream.id);
+    this.#trail.failed(attempt.entry, "silent");
     this.#closeAttempt(attempt, false);
     this.#reachedUpstream = true;
     if (this.repeatable) this.#tryAgain(false);
@@ -430,11 +383,8 @@
   }
 
   #hold(attempt: AttemptRun, chunk: Uint8Array): void {
-    this.#heldBytes += chunk.length;
-    if (this.#heldBytes > MAX_HELD_BYTES) {
-      return this.#malformed(attempt, "The answer exceeds the bound");
-    }
-    this.#held.push(chunk);
+    if (this.#answer.hold(chunk)) return;
+    this.#malformed(attempt, "The answer exceeds the bound");
   }
 
   #attemptEnded(attempt: AttemptRun): void {
@@ -456,44 +406,34 @@
   }
 
   #completeHeld(attempt: AttemptRun, head: AnswerHead): void {
-    const body = Buffer.concat(this.#held);
     if (this.#claim !== undefined) {
       this.#parts.orders.done(this.#claim, {
         status: head.status,
         contentType: head.headers["content-type"] ?? "application/json",
-        body: body.toString("utf8"),
+        body: this.#answer.heldBody.toString("utf8"),
       });
     }
-    this.#sendHead(head);
-    if (body.length > 0) this.#reply.data(body);
-    this.#reply.end();
+    this.#answer.sendHeld(head);
     this.#closeAttempt(attempt, true);
     this.#finish("whole");
   }
 
   #completeStream(attempt: AttemptRun): void {
-    this.#reply.end();
+    this.#answer.end();
     this.#closeAttempt(attempt, true);
     this.#finish("whole");
   }
 
   #notSent(attempt: AttemptRun, detail: string): void {
     this.#parts.upstreamUnreachable(attempt.entry, detail);
-    this.#trail.push(`${attempt.entry.upstream.id}: not sent, ${detail}`);
-    this.#failedOn.add(attempt.entry.upstream.id);
+    this.#trail.failed(attempt.entry, `not sent, ${detail}`);
     this.#closeAttempt(attempt, false);
     this.#tryAgain(true);
   }
 
   async #broken(attempt: AttemptRun, detail: string): Promise<void> {
-    const upstream = attempt.entry.upstream;
     this.#reachedUpstream = true;
-    this.#trail.push(`${upstream.id}: broken, ${detail}`);
-    this.#failedOn.add(upstream.id);
-    if (upstream.kind === "group") {
-      const now = this.#parts.timers.now();
-      this.#brokenDomains.set(upstream.fabricDomain, now);
-    }
+    this.#trail.broke(attempt.entry, detail);
     // The request still counts as in flight there while blame is laid.
     const shared = this.#parts.upstreamBroken(attempt.entry, detail);
     this.#closeAttempt(attempt, false);
@@ -509,8 +449,7 @@
    */
   #malformed(attempt: AttemptRun, detail: string): void {
     this.#reachedUpstream = true;
-    this.#trail.push(`${attempt.entry.upstream.id}: ${detail}`);
-    this.#failedOn.add(attempt.entry.upstream.id);
+    this.#trail.failed(attempt.entry, detail);
     this.#parts.upstreamStalled(attempt.entry);
     this.#closeAttempt(attempt, false);
     if (this.repeatable) this.#tryAgain(false);
@@ -524,7 +463,7 @@
       return this.#failAsCrashing();
     }
     const allowed = this.#attemptCount < MAX_ATTEMPTS &&
-      (free || this.#sentHead || this.#parts.retryBudget.spend());
+      (free || this.#answer.hasBegun || this.#parts.retryBudget.spend());
     if (!allowed) return this.dropped("deadline", RESUME_WAIT_MS);
     if (this.#reachedUpstream) {
       this.#deadline = this.#parts.timers.now() + RESUME_WAIT_MS;
@@ -538,24 +477,15 @@
     else attempt.close();
     if (this.#winner === attempt && !whole) {
       this.#winner = undefined;
-      this.#framer = new EventFramer();
-      this.#held = [];
-      this.#heldBytes = 0;
+      this.#answer.restart();
     }
     this.#parts.attemptFinished(this, attempt, whole);
   }
 
-  #sendHead(head: AnswerHead | undefined): void {
-    if (this.#sentHead) return;
-    this.#sentHead = true;
-    this.#firstByteMs = this.#parts.timers.now() - this.#arrivedAt;
-    this.#reply.head(head?.status ?? 200, head?.headers ?? {});
-  }
-
   #awaitDrain(attempt: AttemptRun): void {
     this.#paused = true;
     attempt.pause();
-    this.#reply.onDrain(() => {
+    this.#answer.onDrain(() => {
       this.#paused = false;
       attempt.resume();
     });
@@ -580,7 +510,7 @@
     problem: Pick<Problem, "detail" | "notRun" | "retryAfterMs">,
   ): void {
     if (this.#done) return;
-    this.#reply.fail({ kind, ...problem, log: this.#trail });
+    this.#answer.fail({ kind, ...problem, log: this.#trail.lines });
     this.#parts.log.decided({
       kind: "refuse",
       request: this.call.id,
@@ -599,7 +529,7 @@
     }
     this.#parts.finished(this, {
       kind,
-      firstByteMs: this.#firstByteMs,
+      firstByteMs: this.#answer.firstByteMs,
       totalMs: this.#parts.timers.now() - this.#arrivedAt,
       attempts: this.#attemptCount,
     });
