Log which hub tells a node of the others

Cause: nothing in the logs showed that a node's news of its peers came by another hub, or that it told all by itself. Ruled out: a metric alone; the moment of a change is what is looked for. A line status_hub at each change, none in a small fleet.

--- a/features/steps/gossip_steps.ts
+++ b/features/steps/gossip_steps.ts
@@ -109,6 +109,7 @@
           periodMs: 100,
           status: () => statusOf(address, `z${i % 3}`, node.version),
           onStatus: () => {},
+          onHub: () => {},
           isFresh: () => node.isFresh,
         }),
         address,
--- a/src/core/gossip/peer_gossip.ts
+++ b/src/core/gossip/peer_gossip.ts
@@ -43,6 +43,8 @@
     peers: readonly string[],
   ) => StatusMessage;
   readonly onStatus: (status: StatusMessage) => void;
+  /** The hub of this zone changed; undefined when this process tells all. */
+  readonly onHub: (hub: string | undefined) => void;
   /** Whether messages read now can't have waited long. */
   readonly isFresh: () => boolean;
 }
@@ -61,6 +63,8 @@
   #registered: readonly string[] = [];
   #timer: Timer | undefined;
   #rounds = 0;
+  /** Hub of this zone as last noted. */
+  #hub: string | undefined;
   #tellScheduled = false;
   #passOnScheduled = false;
   /** When this process's status last came back to it, or a spoke spoke. */
@@ -132,6 +136,7 @@
     this.#rounds += 1;
     this.#peers.expire(this.#parts.timers.now());
     const hubs = this.#hubs();
+    this.#noteHub(hubs?.get(this.#zone)?.node);
     if (hubs === undefined) {
       return this.#tell(this.#nextInTurn(this.#targets(), FANOUT), false);
     }
@@ -144,6 +149,12 @@
     if (hub !== undefined) this.#tell([hub.internalAddress], false);
   }
 
+  #noteHub(hub: string | undefined): void {
+    if (hub === this.#hub) return;
+    this.#hub = hub;
+    this.#parts.onHub(hub);
+  }
+
   /** Hubs by zone; undefined while this process tells all by itself. */
   #hubs(): Map<string, HubCandidate> | undefined {
     if (this.#targets().length <= FANOUT) return undefined;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -129,6 +129,7 @@
       periodMs: GOSSIP_PERIOD_MS,
       status: (peers) => this.#status(peers),
       onStatus: (status) => this.#heard(status),
+      onHub: (hub) => parts.log.info("status_hub", { hub: hub ?? "none" }),
       isFresh: () => this.#pauses.isFresh,
     });
     this.#state = this.#makeState();
