--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -116,7 +116,7 @@
     mechanism: "A stream goes on after the last event delivered",
     edits: [{
       file: "gateway/request_run.js",
-      find: "resumeAfter: this.call.resumeAfter + this.#delivered,",
+      find: "resumeAfter: this.call.resumeAfter + this.#answer.events,",
       replace: "resumeAfter: this.call.resumeAfter,",
     }],
   },
