Show a change of a host that peers can miss (known red)

Cause: tellers tell a change for 0.5 s. When their messages are lost for longer, the others don't see that something is missing and learn of the change at their next look at the store, up to 8 s later. Found by reading. Ruled out for the small sites: up to eight nodes each follows hosts itself.

--- a/features/steps/host_news_steps.ts
+++ b/features/steps/host_news_steps.ts
@@ -163,6 +163,19 @@
   },
 );
 
+When(
+  "every message is lost for {int} milliseconds in which a host leaves, and another changes later",
+  async function (this: HostNewsWorld, ms: number) {
+    // Past the slow look that would show the change anyway.
+    await this.timers.run(2_500);
+    this.areApart = true;
+    this.store.remove("hosts/h4");
+    await this.timers.run(ms);
+    this.areApart = false;
+    this.store.put("hosts/h3", host("h3", 9_000));
+  },
+);
+
 When(
   "a peer tells of a host as it was before it left",
   async function (this: HostNewsWorld) {
