--- a/features/steps/keeper_world.ts
+++ b/features/steps/keeper_world.ts
@@ -11,6 +11,21 @@
   EXAMPLE_MODELS,
   exampleCatalog,
 } from "../../src/standins/fleet/example_catalog.ts";
+import type { EngineSpec } from "../../src/world/catalog.ts";
+
+/** How a kept fleet differs from the example. */
+export interface FleetShape {
+  readonly engine: Partial<EngineSpec>;
+  /** Engine milliseconds asked for per second, by model, once callers come. */
+  readonly demand: readonly (readonly [string, number])[];
+  readonly domainsPerZone: number;
+}
+
+const EXAMPLE_SHAPE: FleetShape = {
+  engine: {},
+  demand: [["large", 600], ["small", 600]],
+  domainsPerZone: 1,
+};
 
 /** Keeps what was logged. */
 export class RecordedLog implements EventLog {
@@ -46,9 +61,16 @@
   storeLost = false;
   #term = 1;
   #started = false;
+  readonly #shape: FleetShape;
 
-  constructor(domains: number, hostsPerDomain: number) {
-    this.engine = new EngineHosts(this.timers, EXAMPLE_MODELS, {
+  constructor(
+    domains: number,
+    hostsPerDomain: number,
+    shape: FleetShape = EXAMPLE_SHAPE,
+  ) {
+    this.#shape = shape;
+    const models = shape.engine.models ?? EXAMPLE_MODELS;
+    this.engine = new EngineHosts(this.timers, models, {
       announced: (host) => {
         if (!this.storeLost) this.hosts.announce(host, this.timers.now());
       },
@@ -58,15 +80,28 @@
     });
     const now = () => this.timers.now();
     this.#catalog = new CatalogHolder(now, now);
-    this.#catalog.offer(exampleCatalog(1));
+    const catalog = exampleCatalog(1);
+    this.#catalog.offer({
+      ...catalog,
+      services: catalog.services.map((service) => ({
+        ...service,
+        engine: service.engine && { ...service.engine, ...shape.engine },
+      })),
+    });
     for (let d = 0; d < domains; d++) {
       for (let h = 0; h < hostsPerDomain; h++) {
-        this.engine.add(`i-${d}-${h}`, `domain-${d}`, `zone-${d}`);
+        this.add(`i-${d}-${h}`, d);
       }
     }
     this.keeper = this.#makeKeeper(() => this.acting);
   }
 
+  /** Starts a host in a domain. */
+  add(id: string, domain: number): void {
+    const zone = Math.floor(domain / this.#shape.domainsPerZone);
+    this.engine.add(id, `domain-${domain}`, `zone-${zone}`);
+  }
+
   /** Another process, which knows nothing yet, acts from now on. */
   replaceKeeper(): void {
     this.acting = false;
@@ -125,6 +160,6 @@
   /** Callers come once groups have had time to form. */
   #demand(): ReadonlyMap<string, number> {
     const isEarly = this.timers.now() < 20_000;
-    return new Map(isEarly ? [] : [["large", 600], ["small", 600]]);
+    return new Map(isEarly ? [] : this.#shape.demand);
   }
 }
--- /dev/null
+++ b/features/steps/large_fleet.ts
@@ -0,0 +1,178 @@
+/**
+ * A fleet with groups of sixteen hosts that loses hosts all the time.
+ *
+ * @module
+ */
+import { Random } from "../../src/base/random.ts";
+import { groupKey } from "../../src/core/fleet/replica.ts";
+import type { EngineModel } from "../../src/world/catalog.ts";
+import { KeptFleet } from "./keeper_world.ts";
+
+const LARGE: EngineModel = {
+  name: "large",
+  size: 16,
+  share: 0.5,
+  pace: 1,
+  loadMs: 16_000,
+  warmMs: 1_600,
+};
+const SMALL: EngineModel = {
+  name: "small",
+  size: 4,
+  share: 0.5,
+  pace: 0.6,
+  loadMs: 12_000,
+  warmMs: 1_100,
+};
+/** Streams show a silent group after this time. */
+const SEEN_MS = 250;
+const DRAIN_MS = 3_000;
+const SAMPLE_MS = 200;
+/** Capacity of a group over several domains, in groups of one. */
+const FAR_WORTH = 0.4;
+
+/** Groups in service at one moment, slow ones in part. */
+export interface Capacity {
+  readonly at: number;
+  readonly large: number;
+  readonly small: number;
+}
+
+/** Plays losses, replacements and arrivals by seed. */
+export class LargeFleet {
+  readonly kept: KeptFleet;
+  readonly samples: Capacity[] = [];
+  readonly #random: Random;
+  readonly #domains: number;
+  readonly #alive = new Map<string, number>();
+  #count = 0;
+
+  constructor(
+    domains: number,
+    hosts: number,
+    demand: { readonly large: number; readonly small: number },
+    seed: number,
+  ) {
+    this.#random = new Random(seed);
+    this.#domains = domains;
+    this.kept = new KeptFleet(domains, hosts, {
+      engine: {
+        models: [LARGE, SMALL],
+        slots: 16,
+        loadsPerSecond: 18,
+        loadsAtOnce: 27,
+      },
+      demand: [["large", demand.large], ["small", demand.small]],
+      domainsPerZone: 2,
+    });
+    for (let d = 0; d < domains; d++) {
+      for (let h = 0; h < hosts; h++) this.#alive.set(`i-${d}-${h}`, d);
+    }
+  }
+
+  /** Forms groups and lets callers come. */
+  async start(): Promise<void> {
+    await this.kept.run(22_000);
+  }
+
+  /** Runs, and samples what serves. */
+  async run(ms: number): Promise<void> {
+    for (let at = 0; at < ms; at += SAMPLE_MS) {
+      await this.kept.run(SAMPLE_MS);
+      this.samples.push(this.#capacity());
+    }
+  }
+
+  /** Every `periodMs` two hosts of groups of one domain are lost for good. */
+  loseHosts(periodMs: number): void {
+    this.kept.timers.subscribe(periodMs, () => {
+      const domain = this.#random.int(this.#domains);
+      const joined = this.#inGroups(domain);
+      for (let i = 0; i < 2 && joined.length > 0; i++) {
+        const [id] = joined.splice(this.#random.int(joined.length), 1);
+        this.#lose(id);
+      }
+    });
+  }
+
+  /** Every `periodMs` an empty host comes. */
+  addHosts(periodMs: number): void {
+    this.kept.timers.subscribe(periodMs, () => {
+      this.#add(this.#random.int(this.#domains));
+    });
+  }
+
+  /** Each second so many hosts are replaced by empty ones, up to `share`. */
+  replaceHosts(perSecond: number, share: number): void {
+    const old = [...this.#alive.keys()];
+    let left = Math.floor(old.length * share);
+    const timer = this.kept.timers.subscribe(1_000, () => {
+      for (let i = 0; i < perSecond && left > 0; i++) {
+        left -= 1;
+        const [id] = old.splice(this.#random.int(old.length), 1);
+        const domain = this.#alive.get(id);
+        if (domain === undefined) continue;
+        this.#add(domain);
+        this.kept.engine.drain(id);
+        this.kept.timers.after(DRAIN_MS, () => this.#lose(id));
+      }
+      if (left === 0) timer.cancel();
+    });
+  }
+
+  /** All hosts of a domain go dark and come back. */
+  darken(domain: number, forMs: number): void {
+    const ids = [...this.#alive].filter(([, d]) => d === domain)
+      .map(([id]) => id);
+    const keys = new Set(ids.flatMap((id) => this.#groupOf(id) ?? []));
+    for (const id of ids) this.kept.engine.goDark(id);
+    for (const key of keys) this.#seen(key);
+    this.kept.timers.after(forMs, () => {
+      for (const id of ids) this.kept.engine.heal(id);
+    });
+  }
+
+  #add(domain: number): void {
+    const id = `n-${domain}-${++this.#count}`;
+    this.#alive.set(id, domain);
+    this.kept.add(id, domain);
+  }
+
+  #lose(id: string): void {
+    if (!this.#alive.delete(id)) return;
+    const key = this.#groupOf(id);
+    this.kept.engine.goDark(id);
+    if (key !== undefined) this.#seen(key);
+  }
+
+  #seen(key: string): void {
+    this.kept.timers.after(SEEN_MS, () => {
+      const now = this.kept.timers.now();
+      const doubt = { key, kind: "silent", at: now } as const;
+      this.kept.evidence.doubt(doubt, "own");
+      this.kept.keeper.doubted(doubt);
+    });
+  }
+
+  #groupOf(id: string): string | undefined {
+    const membership = this.kept.hosts.get(id)?.membership;
+    if (membership === undefined) return undefined;
+    return groupKey(membership.group, membership.epoch);
+  }
+
+  #inGroups(domain: number): string[] {
+    return this.kept.engine.serving.flatMap(({ members }) => members)
+      .filter((id) => this.#alive.get(id) === domain);
+  }
+
+  #capacity(): Capacity {
+    const groups = { large: 0, small: 0 };
+    for (const { model, members } of this.kept.engine.serving) {
+      if (members.length === 1) continue;
+      const domains = new Set(members.map((id) => this.#alive.get(id)));
+      const worth = domains.size > 1 ? FAR_WORTH : 1;
+      groups[model as "large" | "small"] += worth;
+    }
+    return { at: this.kept.timers.now(), ...groups };
+  }
+}
--- a/src/core/keeper/layout.ts
+++ b/src/core/keeper/layout.ts
@@ -64,6 +64,12 @@
 const FAR_IDLE_MS = 600;
 /** A spare keeps the model it has at least this long. */
 const RESTAGE_IDLE_MS = 2_000;
+/** Losses to expect of a host of a group while another one is loaded. */
+const LOSSES_PER_HOST = 0.04;
+/** How fast a further group loses its worth once the demand is met. */
+const WORTH_STEEPNESS = 6;
+/** Worth of a spare that must be loaded first, against one that is ready. */
+const CHANGE_SHARE = 0.4;
 /** Hosts of a domain for each that is kept as a spare. */
 const HOSTS_PER_SPARE = 5;
 
@@ -207,7 +213,7 @@
     return [...able].sort((a, b) => rank(a) - rank(b)).slice(0, model.size);
   }
 
-  /** Gives each spare the model whose groups in its domain have fewest. */
+  /** Gives each spare the model in which it is worth most in its domain. */
   prepareSpares(): void {
     for (const [domain, hosts] of this.#free) {
       for (const host of hosts) this.#prepare(domain, host, hosts);
@@ -222,10 +228,10 @@
     if (host.isLoading || host.farGroup !== undefined) return;
     const wanted = this.#wantedSpare(domain, host, spares);
     if (wanted === undefined || host.hotModel === wanted) return;
-    const own = host.hotModel ?? host.staged[0];
-    if (own !== undefined && own !== wanted && !this.#input.loadsAreCheap) {
+    const own = this.#modelOf(host);
+    const isOther = own !== undefined && own !== wanted;
+    if (isOther && !this.#input.loadsAreCheap) {
       if (host.idleMs < RESTAGE_IDLE_MS) return;
-      if (this.#readySpares(host, spares, own) === 0) return;
     }
     if (host.staged.includes(wanted) || this.#input.loadsAreCheap) {
       this.steps.push({ kind: "warm", model: wanted, host: host.id });
@@ -236,45 +242,53 @@
     this.#planned.set(host.id, wanted);
   }
 
-  /** Other spares that are ready in a model. */
-  #readySpares(
-    host: FreeHost,
-    spares: readonly FreeHost[],
-    model: string,
-  ): number {
-    return spares.filter((spare) =>
-      spare !== host && (this.#planned.get(spare.id) ?? spare.hotModel ??
-          spare.staged[0]) === model
-    ).length;
-  }
-
   readonly #planned = new Map<string, string>();
 
+  #modelOf(spare: FreeHost): string | undefined {
+    return this.#planned.get(spare.id) ?? spare.hotModel ?? spare.staged[0];
+  }
+
   #wantedSpare(
     domain: string,
     host: FreeHost,
     spares: readonly FreeHost[],
   ): string | undefined {
-    const modelOf = (spare: FreeHost) =>
-      this.#planned.get(spare.id) ?? spare.hotModel ?? spare.staged[0];
-    const others = spares.filter((spare) => spare !== host);
-    const own = modelOf(host);
-    const scores = this.#input.models.map((model) => {
-      const ready = others.filter((s) => modelOf(s) === model.name).length;
-      const groups = this.#groupsIn(domain, model.name);
-      // Spares that can't complete a group of their own wait for a loss.
-      const missing = model.size - ready;
-      const use = (groups + 0.3) * Math.min(1, model.size / 4) /
-        (ready + 1);
-      const keep = model.name === own ? 1.5 : 1;
-      const shortage = 1 / Math.max(0.2, this.#supply(model));
-      return {
-        model: model.name,
-        score: use * keep * shortage + 0.01 / missing,
-      };
-    });
-    scores.sort((a, b) => b.score - a.score);
-    return scores[0]?.model;
+    const own = this.#modelOf(host);
+    let best: { model: string; worth: number } | undefined;
+    for (const model of this.#input.models) {
+      const ready = spares.filter((spare) =>
+        spare !== host && this.#modelOf(spare) === model.name
+      ).length;
+      const isChange = own !== undefined && own !== model.name &&
+        !this.#input.loadsAreCheap;
+      const worth = this.#spareWorth(domain, model, ready) *
+        (isChange ? CHANGE_SHARE : 1);
+      if (best === undefined || worth > best.worth) {
+        best = { model: model.name, worth };
+      }
+    }
+    return best?.model;
+  }
+
+  /**
+   * Worth of one more spare of a model beside those that are ready: its part
+   * of a further group, and the losses that it would make good at once.
+   */
+  #spareWorth(domain: string, model: EngineModel, ready: number): number {
+    const { name, size } = model;
+    const groups = this.#groupsIn(domain, name);
+    const missing = Math.max(1, size - ready);
+    const ofFurther = this.#groupWorth(model, 0) / missing;
+    const losses = groups * size * LOSSES_PER_HOST;
+    const ofRepair = this.#groupWorth(model, -1) * moreThan(ready, losses);
+    return ofFurther + ofRepair;
+  }
+
+  /** Worth of one group more than the model has, and `ahead` others. */
+  #groupWorth(model: EngineModel, ahead: number): number {
+    const needed = Math.max(0.01, this.#input.needed.get(model.name) ?? 0);
+    const supply = this.#supply(model) + ahead / needed;
+    return 1 / (needed * (1 + Math.max(0, supply) ** WORTH_STEEPNESS));
   }
 
   #groupsIn(domain: string, model: string): number {
@@ -290,3 +304,14 @@
     return count;
   }
 }
+
+/** Probability of more than `count` events where `mean` are expected. */
+function moreThan(count: number, mean: number): number {
+  let term = Math.exp(-mean);
+  let upTo = term;
+  for (let i = 1; i <= count; i++) {
+    term *= mean / i;
+    upTo += term;
+  }
+  return Math.max(0, 1 - upTo);
+}
