--- a/src/core/keeper/layout.ts
+++ b/src/core/keeper/layout.ts
@@ -287,10 +287,17 @@
   /** Worth of one group more than the model has, and `ahead` others. */
   #groupWorth(model: EngineModel, ahead: number): number {
     const needed = Math.max(0.01, this.#input.needed.get(model.name) ?? 0);
-    const supply = this.#supply(model) + ahead / needed;
+    const supply = (this.#supply(model) + ahead / needed) / this.#plenty();
     return 1 / (needed * (1 + Math.max(0, supply) ** WORTH_STEEPNESS));
   }
 
+  /** Supply of the shortest model while only shares of the demand are known. */
+  #plenty(): number {
+    if (!this.#input.loadsAreCheap) return 1;
+    const supplies = this.#input.models.map((model) => this.#supply(model));
+    return Math.max(0.01, Math.min(...supplies));
+  }
+
   #groupsIn(domain: string, model: string): number {
     let count = 0;
     for (const group of this.#input.groups) {
