Let periodic work share wake-ups, and check statuses without a schema library

A profile of eight nodes shows 11% of the time in the decoding of statuses, most of it in the schema library; a node of a fleet of 34 decodes about 165 statuses a second.

--- /dev/null
+++ b/src/base/periodic_timers.ts
@@ -0,0 +1,75 @@
+/**
+ * Periodic callbacks that share wake-ups.
+ *
+ * @module
+ */
+import type { Timer, Timers } from "./timers.ts";
+
+/** Callbacks due within this time are called together. */
+const TOGETHER_MS = 2;
+
+interface Subscription {
+  readonly periodMs: number;
+  readonly callback: () => void;
+  dueAt: number;
+}
+
+/**
+ * Calls each callback at multiples of its period, all by one timer: periods
+ * with a common divisor fall together, and an idle process seldom wakes up.
+ */
+export class PeriodicTimers {
+  readonly #clock: Pick<Timers, "now" | "after">;
+  readonly #subscriptions = new Set<Subscription>();
+  #timer: Timer | undefined;
+  #armedFor = Infinity;
+
+  constructor(clock: Pick<Timers, "now" | "after">) {
+    this.#clock = clock;
+  }
+
+  /** Calls `callback` every `periodMs` until the timer is cancelled. */
+  add(periodMs: number, callback: () => void): Timer {
+    const now = this.#clock.now();
+    const dueAt = (Math.floor(now / periodMs) + 1) * periodMs;
+    const subscription = { periodMs, callback, dueAt };
+    this.#subscriptions.add(subscription);
+    this.#arm(now);
+    return { cancel: () => this.#remove(subscription) };
+  }
+
+  #remove(subscription: Subscription): void {
+    this.#subscriptions.delete(subscription);
+    if (this.#subscriptions.size > 0) return;
+    this.#timer?.cancel();
+    this.#armedFor = Infinity;
+  }
+
+  #arm(now: number): void {
+    let next = Infinity;
+    for (const { dueAt } of this.#subscriptions) next = Math.min(next, dueAt);
+    if (next >= this.#armedFor || next === Infinity) return;
+    this.#timer?.cancel();
+    this.#armedFor = next;
+    this.#timer = this.#clock.after(Math.max(0, next - now), () => {
+      this.#armedFor = Infinity;
+      this.#fire();
+    });
+  }
+
+  #fire(): void {
+    const now = this.#clock.now();
+    const due = [...this.#subscriptions].filter(({ dueAt }) =>
+      dueAt <= now + TOGETHER_MS
+    );
+    for (const subscription of due) {
+      const { periodMs } = subscription;
+      const last = Math.floor((now + TOGETHER_MS) / periodMs) * periodMs;
+      subscription.dueAt = Math.max(subscription.dueAt, last) + periodMs;
+    }
+    this.#arm(now);
+    for (const subscription of due) {
+      if (this.#subscriptions.has(subscription)) subscription.callback();
+    }
+  }
+}
--- a/src/base/system_timers.ts
+++ b/src/base/system_timers.ts
@@ -3,17 +3,15 @@
  *
  * @module
  */
-import {
-  clearInterval,
-  clearTimeout,
-  setInterval,
-  setTimeout,
-} from "node:timers";
 import { performance } from "node:perf_hooks";
+import { clearTimeout, setTimeout } from "node:timers";
+import { PeriodicTimers } from "./periodic_timers.ts";
 import type { Timer, Timers } from "./timers.ts";
 
 /** {@linkcode Timers} backed by the event loop. */
 export class SystemTimers implements Timers {
+  readonly #periodic = new PeriodicTimers(this);
+
   now(): number {
     return performance.now();
   }
@@ -24,7 +22,6 @@
   }
 
   subscribe(periodMs: number, callback: () => void): Timer {
-    const handle = setInterval(callback, periodMs);
-    return { cancel: () => clearInterval(handle) };
+    return this.#periodic.add(periodMs, callback);
   }
 }
--- a/src/core/gossip/message_codec.ts
+++ b/src/core/gossip/message_codec.ts
@@ -4,89 +4,9 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { z } from "zod";
 import type { StatusBatch, StatusMessage } from "./messages.ts";
-
-type Load = [key: string, inFlight: number, reading: number, silent: number];
-
-/** A schema of tuples takes most of the time of a message. */
-const Loads = z.custom<Load[]>((value) =>
-  Array.isArray(value) && value.every(isLoad)
-);
-const Doubt = z.tuple([
-  z.string(),
-  z.enum(["silent", "reset", "unreachable"]),
-  z.number(),
-]);
-const Strike = z.tuple([z.string(), z.array(z.string()).max(8)]);
-
-const Host = z.tuple([
-  z.string(),
-  z.string(),
-  z.string(),
-  z.number(),
-  z.number(),
-  z.enum(["none", "joining", "ready", "open", "closing", "broken"]),
-]);
-
-type Change = [
-  key: string,
-  revision: number,
-  previous: number,
-  value: string | null,
-  isLapsed: boolean,
-];
-
-const Changes = z.custom<Change[]>((value) =>
-  Array.isArray(value) && value.every(isChange)
-);
-
-function isChange(value: unknown): value is Change {
-  return Array.isArray(value) && value.length === 5 &&
-    typeof value[0] === "string" && Number.isFinite(value[1]) &&
-    Number.isFinite(value[2]) &&
-    (typeof value[3] === "string" || value[3] === null) &&
-    typeof value[4] === "boolean";
-}
-
-function isLoad(value: unknown): value is Load {
-  return Array.isArray(value) && value.length === 4 &&
-    typeof value[0] === "string" && Number.isFinite(value[1]) &&
-    Number.isFinite(value[2]) && Number.isFinite(value[3]);
-}
-
-/** Short names keep a message within one datagram. */
-const WireStatus = z.object({
-  g: z.number(),
-  n: z.string(),
-  i: z.string(),
-  a: z.string(),
-  c: z.string(),
-  z: z.string(),
-  s: z.enum(["starting", "serving", "leaving"]),
-  v: z.number(),
-  t: z.number(),
-  l: Loads,
-  d: z.array(Doubt),
-  u: z.array(z.tuple([z.string(), z.number()])),
-  k: z.array(Strike),
-  o: z.boolean(),
-  x: z.number(),
-  h: z.array(Host),
-  f: z.boolean(),
-  e: Changes,
-  m: z.boolean(),
-  j: z.number(),
-  y: z.number(),
-  w: z.record(z.string(), z.number()),
-  p: z.array(z.string()),
-});
-
-const WireBatch = z.object({
-  r: z.boolean(),
-  q: z.boolean(),
-  b: z.array(WireStatus),
-});
+import type { WireChange, WireStatus } from "./wire_status.ts";
+import { isWireBatch } from "./wire_status.ts";
 
 /**
  * Encodes a batch.
@@ -120,13 +40,12 @@
   } catch {
     return undefined;
   }
-  const res = WireBatch.safeParse(parsed);
-  if (!res.success) return undefined;
-  const { r, q, b } = res.data;
+  if (!isWireBatch(parsed)) return undefined;
+  const { r, q, b } = parsed;
   return { isPassedOn: r, isUrgent: q, statuses: b.map(fromWire) };
 }
 
-function toWire(msg: StatusMessage): z.infer<typeof WireStatus> {
+function toWire(msg: StatusMessage): WireStatus {
   return {
     g: Math.round(msg.ageMs),
     n: msg.node,
@@ -161,7 +80,7 @@
       membership?.state ?? "none",
     ]),
     f: msg.tellsHosts,
-    e: msg.hostChanges.map((change): Change => [
+    e: msg.hostChanges.map((change): WireChange => [
       change.key,
       change.revision,
       change.previous,
@@ -176,7 +95,7 @@
   };
 }
 
-function fromWire(wire: z.infer<typeof WireStatus>): StatusMessage {
+function fromWire(wire: WireStatus): StatusMessage {
   return {
     ageMs: wire.g,
     node: wire.n,
@@ -194,7 +113,7 @@
       silentMs,
     })),
     doubts: wire.d.map(([key, kind, ageMs]) => ({ key, kind, ageMs })),
-    trusted: wire.u,
+    trusted: [...wire.u],
     strikes: wire.k.map(([fingerprint, crashed]) => ({ fingerprint, crashed })),
     isCutOff: wire.o,
     actingTerm: wire.x,
@@ -215,6 +134,6 @@
     hostRevision: wire.j,
     operatorRevision: wire.y,
     demand: wire.w,
-    peers: wire.p,
+    peers: [...wire.p],
   };
 }
--- /dev/null
+++ b/src/core/gossip/wire_status.ts
@@ -0,0 +1,172 @@
+/**
+ * Statuses as they are on the wire, and checks of what a peer sent. The checks
+ * are written out: statuses come by the hundred a second, and a schema library
+ * takes most of the time of a message.
+ *
+ * @module
+ */
+import type { StatusMessage } from "./messages.ts";
+
+type Load = [key: string, inFlight: number, reading: number, silent: number];
+type Doubt = [
+  key: string,
+  kind: StatusMessage["doubts"][number]["kind"],
+  age: number,
+];
+type Trusted = [key: string, ageMs: number];
+type Strike = [fingerprint: string, crashed: string[]];
+type MembershipState =
+  | "none"
+  | "joining"
+  | "ready"
+  | "open"
+  | "closing"
+  | "broken";
+type Host = [
+  id: string,
+  model: string,
+  group: string,
+  epoch: number,
+  rank: number,
+  state: MembershipState,
+];
+/** A change of a host. */
+export type WireChange = [
+  key: string,
+  revision: number,
+  previous: number,
+  value: string | null,
+  isLapsed: boolean,
+];
+
+/** A status on the wire; short names keep a batch within one datagram. */
+export interface WireStatus {
+  readonly g: number;
+  readonly n: string;
+  readonly i: string;
+  readonly a: string;
+  readonly c: string;
+  readonly z: string;
+  readonly s: StatusMessage["state"];
+  readonly v: number;
+  readonly t: number;
+  readonly l: readonly Load[];
+  readonly d: readonly Doubt[];
+  readonly u: readonly Trusted[];
+  readonly k: readonly Strike[];
+  readonly o: boolean;
+  readonly x: number;
+  readonly h: readonly Host[];
+  readonly f: boolean;
+  readonly e: readonly WireChange[];
+  readonly m: boolean;
+  readonly j: number;
+  readonly y: number;
+  readonly w: Readonly<Record<string, number>>;
+  readonly p: readonly string[];
+}
+
+/** What one datagram carries. */
+export interface WireBatch {
+  readonly r: boolean;
+  readonly q: boolean;
+  readonly b: readonly WireStatus[];
+}
+
+const STATES: ReadonlySet<unknown> = new Set([
+  "starting",
+  "serving",
+  "leaving",
+]);
+const DOUBTS: ReadonlySet<unknown> = new Set([
+  "silent",
+  "reset",
+  "unreachable",
+]);
+const MEMBERSHIPS: ReadonlySet<unknown> = new Set([
+  "none",
+  "joining",
+  "ready",
+  "open",
+  "closing",
+  "broken",
+]);
+const MAX_CRASHED = 8;
+
+/**
+ * Whether a parsed message is a batch of statuses.
+ *
+ * @example
+ * ```ts
+ * if (!isWireBatch(JSON.parse(text))) return undefined;
+ * ```
+ */
+export function isWireBatch(value: unknown): value is WireBatch {
+  const batch = value as WireBatch | null;
+  return typeof batch === "object" && batch !== null &&
+    isBoolean(batch.r) && isBoolean(batch.q) && isListOf(batch.b, isWireStatus);
+}
+
+function isWireStatus(value: unknown): boolean {
+  if (typeof value !== "object" || value === null) return false;
+  const { n, i, a, c, z, s, l, d, u, k, h, e, p, w, ...rest } =
+    value as WireStatus;
+  const { g, v, t, x, j, y, o, f, m } = rest;
+  return [n, i, a, c, z].every(isText) && STATES.has(s) &&
+    [g, v, t, x, j, y].every(isNumber) && [o, f, m].every(isBoolean) &&
+    isListOf(l, isLoad) && isListOf(d, isDoubt) && isListOf(u, isTrusted) &&
+    isListOf(k, isStrike) && isListOf(h, isHost) && isListOf(e, isChange) &&
+    isListOf(p, isText) && typeof w === "object" && w !== null &&
+    Object.values(w).every(isNumber);
+}
+
+function isLoad(value: unknown): boolean {
+  return isTuple(value, 4) && isText(value[0]) && isNumber(value[1]) &&
+    isNumber(value[2]) && isNumber(value[3]);
+}
+
+function isDoubt(value: unknown): boolean {
+  return isTuple(value, 3) && isText(value[0]) && DOUBTS.has(value[1]) &&
+    isNumber(value[2]);
+}
+
+function isTrusted(value: unknown): boolean {
+  return isTuple(value, 2) && isText(value[0]) && isNumber(value[1]);
+}
+
+function isStrike(value: unknown): boolean {
+  return isTuple(value, 2) && isText(value[0]) &&
+    isListOf(value[1], isText) && (value[1] as string[]).length <= MAX_CRASHED;
+}
+
+function isHost(value: unknown): boolean {
+  return isTuple(value, 6) && isText(value[0]) && isText(value[1]) &&
+    isText(value[2]) && isNumber(value[3]) && isNumber(value[4]) &&
+    MEMBERSHIPS.has(value[5]);
+}
+
+function isChange(value: unknown): boolean {
+  return isTuple(value, 5) && isText(value[0]) && isNumber(value[1]) &&
+    isNumber(value[2]) && (value[3] === null || isText(value[3])) &&
+    isBoolean(value[4]);
+}
+
+function isTuple(value: unknown, length: number): value is unknown[] {
+  return Array.isArray(value) && value.length === length;
+}
+
+function isListOf(value: unknown, is: (item: unknown) => boolean): boolean {
+  return Array.isArray(value) && value.every(is);
+}
+
+function isText(value: unknown): value is string {
+  return typeof value === "string";
+}
+
+function isNumber(value: unknown): value is number {
+  return Number.isFinite(value);
+}
+
+function isBoolean(value: unknown): value is boolean {
+  return typeof value === "boolean";
+}
