--- a/src/core/fleet/replica_view.ts
+++ b/src/core/fleet/replica_view.ts
@@ -1,29 +1,25 @@
 /**
- * Which replicas may take new requests now.
+ * Which replicas are announced as able to take requests.
  *
  * @module
  */
 import type { CatalogHolder } from "../catalog/catalog_holder.ts";
-import type { Evidence } from "./evidence.ts";
 import type { HostRegistry } from "./host_registry.ts";
 import type { Replica, ReplicaGroupView } from "./replica.ts";
 
-/** Derives usable replicas from announcements, doubts and zones taken out. */
+/** Derives replicas from announcements and zones taken out. */
 export class ReplicaView {
   readonly #hosts: HostRegistry;
-  readonly #evidence: Evidence;
   readonly #catalog: CatalogHolder;
   readonly #zonesOut: ReadonlySet<string>;
   #cache = new Map<string, readonly Replica[]>();
 
   constructor(
     hosts: HostRegistry,
-    evidence: Evidence,
     catalog: CatalogHolder,
     zonesOut: ReadonlySet<string>,
   ) {
     this.#hosts = hosts;
-    this.#evidence = evidence;
     this.#catalog = catalog;
     this.#zonesOut = zonesOut;
     hosts.onChange(() => this.changed());
@@ -45,13 +41,6 @@
     return replicas;
   }
 
-  /** Replicas that may take new requests. */
-  usable(service: string, model: string | undefined): readonly Replica[] {
-    return this.announced(service, model).filter((replica) =>
-      !this.#evidence.isDoubted(replica.key)
-    );
-  }
-
   #derive(service: string, model: string | undefined): readonly Replica[] {
     const engine = this.#catalog.inForce?.services.get(service)?.engine;
     if (engine === undefined) return this.#plainHosts(service);
--- a/src/core/relay/placer.ts
+++ b/src/core/relay/placer.ts
@@ -5,6 +5,7 @@
  */
 import type { Random } from "../../base/random.ts";
 import type { ServiceSpec } from "../../world/catalog.ts";
+import type { Evidence } from "../fleet/evidence.ts";
 import type { HostRegistry } from "../fleet/host_registry.ts";
 import type { Replica } from "../fleet/replica.ts";
 import type { ReplicaView } from "../fleet/replica_view.ts";
@@ -12,6 +13,7 @@
 import { coldQuota } from "./cold_pace.ts";
 import { EngineTimes } from "./engine_times.ts";
 import type { LoadBoard } from "./load_board.ts";
+import { Preference } from "./preference.ts";
 import type { ReplicaRecord } from "./replica_record.ts";
 
 /** Added to the expected time of an upstream in another zone. */
@@ -24,6 +26,10 @@
 const PLAIN_TIME_MS = 80;
 /** Expected times are spread by this share, so that processes don't agree. */
 const SPREAD = 0.1;
+/** Longer expected time for which the next replica in order is not taken. */
+const PLACE_SHARE = 0.06;
+/** Part of an engine's slots from which others are preferred. */
+const CROWDED = 0.7;
 
 /** What placing needs to know of a request. */
 export interface PlacementQuery {
@@ -49,11 +55,13 @@
 /** What placing works with. */
 export interface PlacerParts {
   readonly view: ReplicaView;
+  readonly evidence: Evidence;
   readonly hosts: HostRegistry;
   readonly board: LoadBoard;
   readonly record: ReplicaRecord;
   readonly coldPace: ColdPace;
   readonly random: Random;
+  readonly nodeId: string;
   readonly zone: string;
   readonly fleetSize: () => number;
   /** Place of this process among those of the fleet, from 0. */
@@ -63,19 +71,25 @@
 /** Places requests by the time to their first byte. */
 export class Placer {
   readonly #parts: PlacerParts;
+  readonly #preference: Preference;
 
   constructor(parts: PlacerParts) {
     this.#parts = parts;
+    this.#preference = new Preference(parts.nodeId, parts.zone);
   }
 
   /** Chooses among the replicas that are usable now. */
   place(query: PlacementQuery, now: number): Placement {
-    const usable = this.#parts.view.usable(query.service.name, query.model);
+    const { view, evidence } = this.#parts;
+    const announced = view.announced(query.service.name, query.model);
+    let considered = 0;
     let best: Replica | undefined;
     let bestMs = Infinity;
     let bestScore = Infinity;
     let fullMs = Infinity;
-    for (const replica of usable) {
+    for (const replica of announced) {
+      if (evidence.isDoubted(replica.key)) continue;
+      considered += 1;
       if (query.avoids(replica.key)) continue;
       const expectedMs = this.#expectedMs(replica, query, now);
       const fits = expectedMs <= query.withinMs &&
@@ -84,7 +98,7 @@
         fullMs = Math.min(fullMs, expectedMs);
         continue;
       }
-      const score = expectedMs * (1 + this.#parts.random.float() * SPREAD);
+      const score = expectedMs * this.#reluctance(replica, announced, now);
       if (score >= bestScore) continue;
       best = replica;
       bestMs = expectedMs;
@@ -95,7 +109,7 @@
         kind: "send",
         replica: best,
         expectedMs: bestMs,
-        considered: usable.length,
+        considered,
       };
     }
     return fullMs < Infinity
@@ -103,6 +117,20 @@
       : { kind: "none" };
   }
 
+  /** Factor on the expected time by which one of several is chosen. */
+  #reluctance(
+    replica: Replica,
+    among: readonly Replica[],
+    now: number,
+  ): number {
+    const { board, random } = this.#parts;
+    if (replica.model === undefined) return 1 + random.float() * SPREAD;
+    const place = this.#preference.placesOf(among).get(replica.key) ?? 0;
+    const { inFlight } = board.total(replica.key, now);
+    const crowd = Math.max(0, inFlight / replica.host.slots - CROWDED);
+    return (1 + place * PLACE_SHARE) * (1 + crowd);
+  }
+
   #expectedMs(replica: Replica, query: PlacementQuery, now: number): number {
     const { board, record, zone } = this.#parts;
     const load = board.total(replica.key, now);
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -38,7 +38,7 @@
 import { WaitingRoom } from "./waiting_room.ts";
 
 /** Pace of the watch over silent upstreams. */
-const STALL_LOOK_MS = 60;
+const STALL_LOOK_MS = 50;
 /** Pace at which requests that wait are tried again, while there are any. */
 const WAITING_LOOK_MS = 20;
 const EXPIRE_MS = 1_000;
@@ -64,6 +64,7 @@
   readonly view: ReplicaView;
   readonly evidence: Evidence;
   readonly observer: RelayObserver;
+  readonly nodeId: string;
   readonly zone: string;
   readonly retryBounds: () => RetryBounds;
   /** Age of the catalog's confirmation beyond which keys are not trusted. */
@@ -101,11 +102,13 @@
     this.#stalls = new StallWatch(this.board, parts.evidence);
     const placer = new Placer({
       view: parts.view,
+      evidence: parts.evidence,
       hosts: parts.hosts,
       board: this.board,
       record: this.#record,
       coldPace: this.#coldPace,
       random: parts.random,
+      nodeId: parts.nodeId,
       zone: parts.zone,
       fleetSize: parts.fleetSize,
       fleetRank: parts.fleetRank,
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -90,7 +90,6 @@
     this.#pauses = new PauseGuard(timers, () => this.#catalog.now());
     this.#view = new ReplicaView(
       this.#hosts,
-      this.#evidence,
       this.#catalog,
       this.#zonesOut,
     );
@@ -104,6 +103,7 @@
       view: this.#view,
       evidence: this.#evidence,
       observer: new RequestLog(timers, parts.log, this.metrics),
+      nodeId: node.id,
       zone: node.availability_zone,
       retryBounds: () => {
         const { retry_ratio, retry_window, retry_slack } =
