--- a/features/steps/large_fleet.ts
+++ b/features/steps/large_fleet.ts
@@ -8,22 +8,53 @@
 import type { EngineModel } from "../../src/world/catalog.ts";
 import { KeptFleet } from "./keeper_world.ts";
 
-const LARGE: EngineModel = {
-  name: "large",
-  size: 16,
-  share: 0.5,
-  pace: 1,
-  loadMs: 16_000,
-  warmMs: 1_600,
-};
-const SMALL: EngineModel = {
-  name: "small",
-  size: 4,
-  share: 0.5,
-  pace: 0.6,
-  loadMs: 12_000,
-  warmMs: 1_100,
-};
+const LARGE = { name: "large", share: 0.5, pace: 1 };
+const SMALL = { name: "small", share: 0.5, pace: 0.6 };
+
+/** What a fleet is made of. */
+export interface LossyShape {
+  readonly domains: number;
+  readonly hosts: number;
+  readonly domainsPerZone: number;
+  /** Hosts of a group of each model. */
+  readonly sizes: readonly [large: number, small: number];
+  readonly loadsPerSecond: number;
+  readonly loadsAtOnce: number;
+  /** Engine milliseconds asked for per second. */
+  readonly demand: { readonly large: number; readonly small: number };
+}
+
+/** Deployments that the scenarios play. */
+export const LOSSY_SHAPES = {
+  small: {
+    domains: 6,
+    hosts: 9,
+    domainsPerZone: 2,
+    sizes: [4, 3],
+    loadsPerSecond: 4.5,
+    loadsAtOnce: 6,
+    demand: { large: 3_050, small: 3_200 },
+  },
+  grown: {
+    domains: 8,
+    hosts: 37,
+    domainsPerZone: 2,
+    sizes: [16, 4],
+    loadsPerSecond: 18,
+    loadsAtOnce: 27,
+    demand: { large: 4_500, small: 19_600 },
+  },
+  grown_short: {
+    domains: 6,
+    hosts: 37,
+    domainsPerZone: 2,
+    sizes: [16, 4],
+    loadsPerSecond: 18,
+    loadsAtOnce: 27,
+    demand: { large: 3_200, small: 14_400 },
+  },
+} as const satisfies Record<string, LossyShape>;
+
 /** Streams show a silent group after this time. */
 const SEEN_MS = 250;
 const DRAIN_MS = 3_000;
@@ -47,23 +78,23 @@
   readonly #alive = new Map<string, number>();
   #count = 0;
 
-  constructor(
-    domains: number,
-    hosts: number,
-    demand: { readonly large: number; readonly small: number },
-    seed: number,
-  ) {
+  constructor(shape: LossyShape, seed: number) {
+    const { domains, hosts, demand } = shape;
+    const [large, small] = shape.sizes;
+    const models: EngineModel[] = [
+      { ...LARGE, size: large, loadMs: 16_000, warmMs: 1_600 },
+      { ...SMALL, size: small, loadMs: 12_000, warmMs: 1_100 },
+    ];
     this.#random = new Random(seed);
     this.#domains = domains;
     this.kept = new KeptFleet(domains, hosts, {
       engine: {
-        models: [LARGE, SMALL],
-        slots: 16,
-        loadsPerSecond: 18,
-        loadsAtOnce: 27,
+        models,
+        loadsPerSecond: shape.loadsPerSecond,
+        loadsAtOnce: shape.loadsAtOnce,
       },
       demand: [["large", demand.large], ["small", demand.small]],
-      domainsPerZone: 2,
+      domainsPerZone: shape.domainsPerZone,
     });
     for (let d = 0; d < domains; d++) {
       for (let h = 0; h < hosts; h++) this.#alive.set(`i-${d}-${h}`, d);
--- /dev/null
+++ b/features/steps/timer_steps.ts
@@ -0,0 +1,161 @@
+/**
+ * Steps of decisions.feature about timers and messages of peers.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { PeriodicTimers } from "../../src/base/periodic_timers.ts";
+import type { Timer } from "../../src/base/timers.ts";
+import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import {
+  decodeBatch,
+  encodeBatch,
+} from "../../src/core/gossip/message_codec.ts";
+import type { StatusMessage } from "../../src/core/gossip/messages.ts";
+
+interface TimerWorld {
+  timers: VirtualTimers;
+  periodic: PeriodicTimers;
+  wakeUps: Set<number>;
+  calls: Map<number, number>;
+  subscribed: Timer[];
+  parsed: Record<string, unknown>;
+}
+
+Given(
+  "periodic work each {int}, {int} and {int} milliseconds, begun at different moments",
+  async function (this: TimerWorld, a: number, b: number, c: number) {
+    this.timers = new VirtualTimers();
+    this.wakeUps = new Set();
+    this.calls = new Map();
+    this.subscribed = [];
+    // Real timers fire a little late.
+    this.periodic = new PeriodicTimers({
+      now: () => this.timers.now(),
+      after: (ms, callback) =>
+        this.timers.after(Math.ceil(ms) + 0.3, () => {
+          this.wakeUps.add(this.timers.now());
+          callback();
+        }),
+    });
+    for (const period of [a, b, c]) {
+      await this.timers.run(17);
+      this.subscribed.push(this.periodic.add(period, () => {
+        this.calls.set(period, (this.calls.get(period) ?? 0) + 1);
+      }));
+    }
+    this.wakeUps.clear();
+    this.calls.clear();
+  },
+);
+
+When("{int} seconds go by", async function (this: TimerWorld, seconds: number) {
+  await this.timers.run(seconds * 1_000);
+});
+
+When(
+  "the work of the shortest period is cancelled",
+  function (this: TimerWorld) {
+    this.subscribed[0].cancel();
+  },
+);
+
+Then(
+  "the process woke up {int} to {int} times",
+  function (this: TimerWorld, least: number, most: number) {
+    const { size } = this.wakeUps;
+    assert.ok(size >= least && size <= most, `woke up ${size} times`);
+  },
+);
+
+Then(
+  "the work each {int} milliseconds was called {int} times",
+  function (this: TimerWorld, period: number, times: number) {
+    const calls = this.calls.get(period) ?? 0;
+    assert.ok(Math.abs(calls - times) <= 1, `called ${calls} times`);
+  },
+);
+
+const STATUS: StatusMessage = {
+  node: "n-1",
+  ageMs: 5,
+  incarnation: "run-1",
+  internalAddress: "10.0.0.1:7",
+  callerAddress: "10.0.0.1:8",
+  zone: "z",
+  state: "serving",
+  catalogVersion: 3,
+  confirmedMs: 10,
+  loads: [{ key: "g", inFlight: 1, reading: 2, silentMs: 3 }],
+  doubts: [{ key: "g", kind: "silent", ageMs: 4 }],
+  trusted: [["g", 5]],
+  strikes: [{ fingerprint: "f", crashed: ["h"] }],
+  isCutOff: false,
+  actingTerm: 0,
+  hosts: [{
+    id: "h",
+    model: "large",
+    membership: { group: "g", epoch: 1, rank: 0, state: "open" },
+  }],
+  tellsHosts: true,
+  hostChanges: [{
+    key: "hosts/h",
+    revision: 9,
+    previous: 8,
+    value: "{}",
+    isLapsed: false,
+  }],
+  isCutShort: false,
+  hostRevision: 9,
+  operatorRevision: 7,
+  demand: { large: 1 },
+  peers: ["10.0.0.2:7"],
+};
+
+Given("a batch with every kind of news", function (this: TimerWorld) {
+  const batch = { isPassedOn: true, isUrgent: false, statuses: [STATUS] };
+  const bytes = encodeBatch(batch);
+  assert.deepEqual(decodeBatch(bytes), batch);
+  this.parsed = JSON.parse(Buffer.from(bytes).toString());
+});
+
+Then(
+  "a batch in which any part is missing or of another type is not taken",
+  function (this: TimerWorld) {
+    let tried = 0;
+    for (const harmed of harmedCopies(this.parsed)) {
+      tried += 1;
+      const text = JSON.stringify(harmed);
+      assert.equal(decodeBatch(Buffer.from(text)), undefined, text);
+    }
+    assert.ok(tried > 100, `${tried} copies tried`);
+  },
+);
+
+/** Copies of a value, each with one part replaced by one of another type. */
+function harmedCopies(value: unknown): unknown[] {
+  const others = typeof value === "object" ? ["x", 1, null] : [{}, [1], null];
+  if (typeof value !== "string") others.push("x");
+  const replaced: unknown[] = others.filter((other) =>
+    // A change without a value says that the announcement went away.
+    !(other === null && value === "{}")
+  );
+  if (Array.isArray(value)) {
+    const parts = value.flatMap((part, i) =>
+      harmedCopies(part).map((harmed) =>
+        value.map((old, at) => at === i ? harmed : old)
+      )
+    );
+    return [...replaced, ...parts];
+  }
+  if (typeof value !== "object" || value === null) return replaced;
+  const parts = Object.entries(value).flatMap(([key, part]) =>
+    harmedCopies(part).map((harmed) => ({ ...value, [key]: harmed }))
+  );
+  const without = Object.keys(value).map((key) =>
+    Object.fromEntries(Object.entries(value).filter(([name]) => name !== key))
+  );
+  return [...replaced, ...parts, ...without];
+}
--- a/src/core/keeper/layout.ts
+++ b/src/core/keeper/layout.ts
@@ -67,7 +67,9 @@
 /** Losses to expect of a host of a group while another one is loaded. */
 const LOSSES_PER_HOST = 0.04;
 /** How fast a further group loses its worth once the demand is met. */
-const WORTH_STEEPNESS = 6;
+const MET_STEEPNESS = 6;
+/** Keeps the worth of a first group finite. */
+const SHORTAGE_FLOOR = 0.1;
 /** Worth of a spare that must be loaded first, against one that is ready. */
 const CHANGE_SHARE = 0.4;
 /** Hosts of a domain for each that is kept as a spare. */
@@ -288,7 +290,7 @@
   #groupWorth(model: EngineModel, ahead: number): number {
     const needed = Math.max(0.01, this.#input.needed.get(model.name) ?? 0);
     const supply = (this.#supply(model) + ahead / needed) / this.#plenty();
-    return 1 / (needed * (1 + Math.max(0, supply) ** WORTH_STEEPNESS));
+    return worthAt(Math.max(0, supply)) / needed;
   }
 
   /** Supply of the shortest model while only shares of the demand are known. */
@@ -312,6 +314,11 @@
   }
 }
 
+/** Worth of further supply: falls with it, and fast once the demand is met. */
+function worthAt(supply: number): number {
+  return 1 / ((SHORTAGE_FLOOR + supply) ** 2 * (1 + supply ** MET_STEEPNESS));
+}
+
 /** Probability of more than `count` events where `mean` are expected. */
 function moreThan(count: number, mean: number): number {
   let term = Math.exp(-mean);
