--- a/src/core/keeper/layout.ts
+++ b/src/core/keeper/layout.ts
@@ -71,7 +71,7 @@
 /** Keeps the worth of a first group finite. */
 const SHORTAGE_FLOOR = 0.1;
 /** Worth of a spare that must be loaded first, against one that is ready. */
-const CHANGE_SHARE = 0.4;
+const CHANGE_SHARE = 0.2;
 /** Hosts of a domain for each that is kept as a spare. */
 const HOSTS_PER_SPARE = 5;
 
@@ -234,6 +234,10 @@
     const isOther = own !== undefined && own !== wanted;
     if (isOther && !this.#input.loadsAreCheap) {
       if (host.idleMs < RESTAGE_IDLE_MS) return;
+      // The last spare is worth more than what a load would make of it.
+      if (this.#groupsIn(domain, own) > 0 && !this.#hasOther(host, spares)) {
+        return;
+      }
     }
     if (host.staged.includes(wanted) || this.#input.loadsAreCheap) {
       this.steps.push({ kind: "warm", model: wanted, host: host.id });
@@ -246,6 +250,14 @@
 
   readonly #planned = new Map<string, string>();
 
+  /** Whether another spare has the same model. */
+  #hasOther(host: FreeHost, spares: readonly FreeHost[]): boolean {
+    const own = this.#modelOf(host);
+    return spares.some((spare) =>
+      spare !== host && this.#modelOf(spare) === own
+    );
+  }
+
   #modelOf(spare: FreeHost): string | undefined {
     return this.#planned.get(spare.id) ?? spare.hotModel ?? spare.staged[0];
   }
