Count spares that are being loaded with the model that they will have

Cause: a spare that was joining had no model in the plan, so while a load took 16 s a second spare was told to take the same one, and both changed again when one was done ('should replace a leaving member' failed: 2, 1 groups).

--- a/features/steps/group_steps.ts
+++ b/features/steps/group_steps.ts
@@ -167,6 +167,7 @@
     hotModel: "large",
     staged: ["large"],
     isLoading: false,
+    comingModel: undefined,
     isCold: false,
     idleMs: 5_000,
     zone: "z",
--- a/src/core/keeper/group_keeper.ts
+++ b/src/core/keeper/group_keeper.ts
@@ -287,6 +287,7 @@
       hotModel: isJoining ? undefined : belief.lastModel,
       staged: staging === undefined ? host.staged : [staging],
       isLoading: staging !== undefined || isJoining,
+      comingModel: staging ?? (isJoining ? belief.lastModel : undefined),
       isCold: this.#parts.hosts.coldUntil(host.id) > now,
       zone: host.zone,
       farGroup,
--- a/src/core/keeper/layout.ts
+++ b/src/core/keeper/layout.ts
@@ -15,6 +15,8 @@
   readonly staged: readonly string[];
   /** Whether a load or a join is under way. */
   readonly isLoading: boolean;
+  /** Model of the load or join that is under way. */
+  readonly comingModel: string | undefined;
   /** Whether the host is warm in its model, and not only staged. */
   readonly isCold: boolean;
   /** Time since the host became free, in milliseconds. */
@@ -259,7 +261,8 @@
   }
 
   #modelOf(spare: FreeHost): string | undefined {
-    return this.#planned.get(spare.id) ?? spare.hotModel ?? spare.staged[0];
+    return this.#planned.get(spare.id) ?? spare.comingModel ??
+      spare.hotModel ?? spare.staged[0];
   }
 
   #wantedSpare(
