Ask the store less often in a large fleet

Each told node asks for hosts each 8 s and for the operator's documents each 8 s, although peers tell of both and a node that misses a change asks at once; the acting node asks up to 25 times a second. Told nodes now ask each 14 and 20 s, the acting node of a large fleet at most each 60 ms, the other teller each 200 ms. 47 passed of @gossip and @platform.

--- a/src/core/fleet/fleet_state.ts
+++ b/src/core/fleet/fleet_state.ts
@@ -27,15 +27,16 @@
 const LARGE_FLEET = 8;
 /** The acting node sees hosts change at once; the others hear of losses. */
 const ACTING_HOST_PACE = { waitMs: 1_500, pauseMs: 40 };
+const LARGE_ACTING_HOST_PACE = { waitMs: 1_500, pauseMs: 60 };
 const HOST_PACE = { waitMs: 2_000, pauseMs: 350 };
 /** In a large fleet two nodes tell the others of changes. */
-const TELLER_HOST_PACE = { waitMs: 1_500, pauseMs: 120 };
-const TOLD_HOST_PACE = { waitMs: 2_000, pauseMs: 6_000 };
+const TELLER_HOST_PACE = { waitMs: 1_500, pauseMs: 200 };
+const TOLD_HOST_PACE = { waitMs: 2_000, pauseMs: 12_000 };
 const UNTOLD_HOST_PACE = { waitMs: 2_000, pauseMs: 700 };
 /** Readers confirm the catalog for the nodes that hear them. */
 const READER_PACE = { waitMs: 900, pauseMs: 100 };
 const OPERATOR_PACE = { waitMs: 2_000, pauseMs: 100 };
-const TOLD_OPERATOR_PACE = { waitMs: 8_000, pauseMs: 100 };
+const TOLD_OPERATOR_PACE = { waitMs: 20_000, pauseMs: 100 };
 /** A confirmation older than this is asked for by each node itself. */
 const CONFIRM_AGE_MS = 1_300;
 const FLEET_PACE = { waitMs: 6_000, pauseMs: 300 };
@@ -200,8 +201,9 @@
   }
 
   #hostPace(): FeedPace {
-    if (this.#parts.role().isActing) return ACTING_HOST_PACE;
-    if (!this.#isLarge) return HOST_PACE;
+    const { isActing } = this.#parts.role();
+    if (!this.#isLarge) return isActing ? ACTING_HOST_PACE : HOST_PACE;
+    if (isActing) return LARGE_ACTING_HOST_PACE;
     if (this.#tellsHosts) return TELLER_HOST_PACE;
     return this.isTold ? TOLD_HOST_PACE : UNTOLD_HOST_PACE;
   }
