--- a/src/core/gossip/peer_gossip.ts
+++ b/src/core/gossip/peer_gossip.ts
@@ -24,6 +24,8 @@
 const TELL_ALL_MS = 5_000;
 /** Pause before news is told at once. */
 const TELL_TOGETHER_MS = 10;
+/** Time for which a choice of hubs holds. */
+const CHOICE_MS = 50;
 /** Statuses in one datagram; a datagram that is too large is not sent. */
 const MAX_BATCH = 12;
 /** Addresses told to processes that start. */
@@ -67,6 +69,8 @@
   #hub: string | undefined;
   #tellScheduled = false;
   #passOnScheduled = false;
+  #chosen = new Map<string, HubCandidate>();
+  #chosenAt = -Infinity;
   /** When this process's status last came back to it, or a spoke spoke. */
   #echoedAt = -Infinity;
   #tellsAllUntil = -Infinity;
@@ -174,8 +178,11 @@
   }
 
   #hubsNow(now: number): Map<string, HubCandidate> {
+    if (now - this.#chosenAt < CHOICE_MS) return this.#chosen;
     const others = this.live().map((peer) => peer.status);
-    return this.#watch.choose(others, now);
+    this.#chosen = this.#watch.choose(others, now);
+    this.#chosenAt = now;
+    return this.#chosen;
   }
 
   #isHub(hubs: ReadonlyMap<string, HubCandidate>): boolean {
