--- a/src/core/keeper/layout.ts
+++ b/src/core/keeper/layout.ts
@@ -67,7 +67,7 @@
 /** A spare keeps the model it has at least this long. */
 const RESTAGE_IDLE_MS = 2_000;
 /** Losses to expect of a host of a group while another one is loaded. */
-const LOSSES_PER_HOST = 0.04;
+const LOSSES_PER_HOST = 0.25;
 /** How fast a further group loses its worth once the demand is met. */
 const MET_STEEPNESS = 6;
 /** Keeps the worth of a first group finite. */
