--- a/src/core/gossip/peer_gossip.ts
+++ b/src/core/gossip/peer_gossip.ts
@@ -138,6 +138,7 @@
 
   #round(): void {
     this.#rounds += 1;
+    if (this.#isIdleRound) return;
     this.#peers.expire(this.#parts.timers.now());
     const hubs = this.#hubs();
     this.#noteHub(hubs?.get(this.#zone)?.node);
@@ -153,6 +154,12 @@
     if (hub !== undefined) this.#tell([hub.internalAddress], false);
   }
 
+  /** Whether nothing is due in this round, neither to hubs nor to others. */
+  get #isIdleRound(): boolean {
+    return this.#hub !== undefined && this.#rounds % HUB_ROUNDS !== 0 &&
+      this.#rounds % GREETING_ROUNDS !== 0;
+  }
+
   #noteHub(hub: string | undefined): void {
     if (hub === this.#hub) return;
     this.#hub = hub;
--- a/src/core/keeper/layout.ts
+++ b/src/core/keeper/layout.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { EngineModel } from "../../world/catalog.ts";
+import { spareWorth } from "./spare_worth.ts";
 
 /** A host that no group needs. */
 export interface FreeHost {
@@ -66,12 +67,6 @@
 const FAR_IDLE_MS = 600;
 /** A spare keeps the model it has at least this long. */
 const RESTAGE_IDLE_MS = 2_000;
-/** Losses to expect of a host of a group while another one is loaded. */
-const LOSSES_PER_HOST = 0.25;
-/** How fast a further group loses its worth once the demand is met. */
-const MET_STEEPNESS = 6;
-/** Keeps the worth of a first group finite. */
-const SHORTAGE_FLOOR = 0.1;
 /** Worth of a spare that must be loaded first, against one that is ready. */
 const CHANGE_SHARE = 0.2;
 /** Hosts of a domain for each that is kept as a spare. */
@@ -287,25 +282,16 @@
     return best?.model;
   }
 
-  /**
-   * Worth of one more spare of a model beside those that are ready: its part
-   * of a further group, and the losses that it would make good at once.
-   */
   #spareWorth(domain: string, model: EngineModel, ready: number): number {
-    const { name, size } = model;
-    const groups = this.#groupsIn(domain, name);
-    const missing = Math.max(1, size - ready);
-    const ofFurther = this.#groupWorth(model, 0) / missing;
-    const losses = groups * size * LOSSES_PER_HOST;
-    const ofRepair = this.#groupWorth(model, -1) * moreThan(ready, losses);
-    return ofFurther + ofRepair;
-  }
-
-  /** Worth of one group more than the model has, and `ahead` others. */
-  #groupWorth(model: EngineModel, ahead: number): number {
+    const plenty = this.#plenty();
     const needed = Math.max(0.01, this.#input.needed.get(model.name) ?? 0);
-    const supply = (this.#supply(model) + ahead / needed) / this.#plenty();
-    return worthAt(Math.max(0, supply)) / needed;
+    return spareWorth({
+      size: model.size,
+      needed: needed * plenty,
+      supply: this.#supply(model) / plenty,
+      groupsInDomain: this.#groupsIn(domain, model.name),
+      ready,
+    });
   }
 
   /** Supply of the shortest model while only shares of the demand are known. */
@@ -328,19 +314,3 @@
     return count;
   }
 }
-
-/** Worth of further supply: falls with it, and fast once the demand is met. */
-function worthAt(supply: number): number {
-  return 1 / ((SHORTAGE_FLOOR + supply) ** 2 * (1 + supply ** MET_STEEPNESS));
-}
-
-/** Probability of more than `count` events where `mean` are expected. */
-function moreThan(count: number, mean: number): number {
-  let term = Math.exp(-mean);
-  let upTo = term;
-  for (let i = 1; i <= count; i++) {
-    term *= mean / i;
-    upTo += term;
-  }
-  return Math.max(0, 1 - upTo);
-}
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -38,7 +38,7 @@
 import { WaitingRoom } from "./waiting_room.ts";
 
 /** Pace of the watch over silent upstreams. */
-const STALL_LOOK_MS = 50;
+const STALL_LOOK_MS = 100;
 /** Pace at which requests that wait are tried again, while there are any. */
 const WAITING_LOOK_MS = 20;
 const EXPIRE_MS = 1_000;
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -395,4 +395,54 @@
       replace: "",
     }],
   },
+  {
+    promise: 8,
+    tag: "@gossip",
+    mechanism: "A lost change of a host that no other follows is noticed",
+    edits: [{
+      file: "fleet/fleet_state.js",
+      find: "isGap ||= this.#changes.misses(news.hostRevision);",
+      replace: "",
+    }],
+  },
+  {
+    promise: 1,
+    tag: "@groups",
+    mechanism: "Spares make losses good before they form further groups",
+    edits: [{
+      file: "keeper/spare_worth.js",
+      find: "return ofFurther + ofRepair;",
+      replace: "return ofFurther;",
+    }],
+  },
+  {
+    promise: 1,
+    tag: "@groups",
+    mechanism: "Spares count with the model that is being loaded",
+    edits: [{
+      file: "keeper/layout.js",
+      find: "spare.comingModel ??",
+      replace: "undefined ??",
+    }],
+  },
+  {
+    promise: 8,
+    tag: "@groups",
+    mechanism: "Members that leave together are replaced together",
+    edits: [{
+      file: "keeper/group_tender.js",
+      find: "now - since < COLLECT_LEAVING_MS",
+      replace: "false",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@relay",
+    mechanism: "A node stays with few groups while they are not busy",
+    edits: [{
+      file: "relay/placer.js",
+      find: "1 + place * PLACE_SHARE",
+      replace: "1 + random.float() * SPREAD",
+    }],
+  },
 ];
