Keep what a host reported until it announces something newer

Cause: a report or command counted for 1.5 s; after it the last announcement counted again, however old. While the store is silent, or a server's entry is late, a host that reported an open group then looks free, and the count of commands, which is right, does not protect it.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -135,6 +135,12 @@
     Given a ceiling of 4.5 loads a second over 5 seconds and 6 at once
     Then at most 6 loads begin at once and at most 20 in any 5 seconds
 
+  Scenario: should not fall back on an announcement that is older than a report
+    Given a host that announced that it is free and reported later that its group is open
+    Then it counts as a member of the open group 5000 milliseconds later
+    When another announcement says that it is free 600 milliseconds after the report
+    Then it counts as free 5000 milliseconds later
+
   Scenario: should not take a member for ready that has just been told to join again
     Given a host that was ready in a group and was told to join it again
     Then it counts as joining for 150 milliseconds, whatever it announced before
--- a/features/steps/group_steps.ts
+++ b/features/steps/group_steps.ts
@@ -21,6 +21,21 @@
   ceiling: LoadCeiling;
 }
 
+const LONE_HOST: ServingHost = {
+  id: "h",
+  service: "pool",
+  address: "h:1",
+  zone: "z",
+  slots: 18,
+  draining: false,
+  coldLeftMs: 0,
+  born: 1,
+  domain: "d",
+  staged: ["large"],
+  models: ["large"],
+  membership: undefined,
+};
+
 Given(
   "{int} fabric domains of {int} engine hosts",
   function (this: GroupWorld, domains: number, hosts: number) {
@@ -285,21 +300,48 @@
 );
 
 Given(
-  "a host that was ready in a group and was told to join it again",
+  "a host that announced that it is free and reported later that its group is open",
   function (this: GroupWorld) {
-    const membership = { group: "g-1", epoch: 1, rank: 1 };
-    this.host = {
-      id: "h",
-      service: "pool",
-      address: "h:1",
-      zone: "z",
-      slots: 18,
-      draining: false,
-      coldLeftMs: 0,
+    this.host = { ...LONE_HOST, membership: undefined };
+    this.ledger = new HostLedger(() => false);
+    this.ledger.belief(this.host, 0);
+    const membership = { group: "g-1", epoch: 1, rank: 0 };
+    const report = {
+      seq: 3,
       born: 1,
-      domain: "d",
+      busy: false,
+      queued: 0,
+      active: 0,
       staged: ["large"],
       models: ["large"],
+      membership: { ...membership, state: "open" as const },
+    };
+    this.ledger.reported(this.host, report, 1_000, false);
+  },
+);
+
+When(
+  "another announcement says that it is free {int} milliseconds after the report",
+  function (this: GroupWorld, ms: number) {
+    this.host = { ...this.host };
+    this.ledger.belief(this.host, 1_000 + ms);
+  },
+);
+
+Then(
+  /^it counts as (free|a member of the open group) (\d+) milliseconds later$/,
+  function (this: GroupWorld, as: string, ms: string) {
+    const { membership } = this.ledger.belief(this.host, 1_000 + Number(ms));
+    assert.equal(membership?.state, as === "free" ? undefined : "open");
+  },
+);
+
+Given(
+  "a host that was ready in a group and was told to join it again",
+  function (this: GroupWorld) {
+    const membership = { group: "g-1", epoch: 1, rank: 1 };
+    this.host = {
+      ...LONE_HOST,
       membership: { ...membership, state: "ready" },
     };
     this.ledger = new HostLedger(() => false);
--- a/src/core/keeper/host_ledger.ts
+++ b/src/core/keeper/host_ledger.ts
@@ -18,6 +18,8 @@
 const SHORTEST_JOIN_MS = 150;
 /** An announcement that contradicts a command may be older for this time. */
 const ANNOUNCE_LAG_MS = 1_500;
+/** One that arrives this long after a command or report is newer than it. */
+const ARRIVES_AFTER_MS = 500;
 
 interface Record {
   born: number;
@@ -30,6 +32,9 @@
   /** Model that is being staged, and until when that takes at most. */
   staging: { model: string; until: number } | undefined;
   deadUntil: number;
+  /** Last announcement seen, and when it was first seen. */
+  announced: ServingHost;
+  announcedAt: number;
 }
 
 /** A host with everything believed of it. */
@@ -55,11 +60,18 @@
   /** What is believed of an announced host. */
   belief(host: ServingHost, now: number): HostBelief {
     const record = this.#record(host);
+    if (record.announced !== host) {
+      record.announced = host;
+      record.announcedAt = now;
+    }
     const { newer } = record;
     if (newer !== undefined) {
       const isShown = isSameGroup(newer.membership, host.membership) &&
         !isBeforeJoin(newer, host, now) && !this.#isStoreLost();
-      const isOver = now - newer.at > ANNOUNCE_LAG_MS && !this.#isStoreLost();
+      // Without another announcement the store may be silent.
+      const isOver = now - newer.at > ANNOUNCE_LAG_MS &&
+        record.announcedAt > newer.at + ARRIVES_AFTER_MS &&
+        !this.#isStoreLost();
       if (isShown || isOver) record.newer = undefined;
     }
     if (host.membership !== undefined && host.models.length > 0) {
@@ -166,6 +178,8 @@
         lastModel: undefined,
         staging: undefined,
         deadUntil: 0,
+        announced: host,
+        announcedAt: -Infinity,
       };
       this.#records.set(host.id, record);
     }
