Never tell a host to join that is in another group

Cause: a join was planned on what a host had announced; when its count of commands was unknown or refused, the host was asked, and the join was sent again with the right count although the report showed an open group.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -141,6 +141,18 @@
     When another announcement says that it is free 600 milliseconds after the report
     Then it counts as free 5000 milliseconds later
 
+  Scenario Outline: should not tell a host to join that turns out to serve in <group>
+    Given a host that serves in a group of its own and is announced as free
+    And <known> of its commands are known
+    When it is told to join another group
+    Then the command is given up
+    And the host serves on and no rule was broken
+
+    Examples:
+      | group              | known |
+      | a group            | none  |
+      | a group after all  | one   |
+
   Scenario: should not take a member for ready that has just been told to join again
     Given a host that was ready in a group and was told to join it again
     Then it counts as joining for 150 milliseconds, whatever it announced before
--- /dev/null
+++ b/features/steps/command_desk_steps.ts
@@ -0,0 +1,86 @@
+/**
+ * Steps of groups.feature that drive the command desk by itself.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import type { CommandOutcome } from "../../src/core/keeper/command_desk.ts";
+import { CommandDesk } from "../../src/core/keeper/command_desk.ts";
+import { HostLedger } from "../../src/core/keeper/host_ledger.ts";
+import { EngineHosts } from "../../src/standins/fleet/engine_hosts.ts";
+import { EXAMPLE_MODELS } from "../../src/standins/fleet/example_catalog.ts";
+import type { ServingHost } from "../../src/world/serving_host.ts";
+import { RecordedLog } from "./keeper_world.ts";
+
+interface DeskWorld {
+  timers: VirtualTimers;
+  engine: EngineHosts;
+  ledger: HostLedger;
+  desk: CommandDesk;
+  /** As it was announced first. */
+  host: ServingHost;
+  outcome: CommandOutcome | undefined;
+}
+
+const OWN = { group: "g-1", epoch: 1 };
+
+Given(
+  "a host that serves in a group of its own and is announced as free",
+  async function (this: DeskWorld) {
+    this.timers = new VirtualTimers();
+    const announced: ServingHost[] = [];
+    this.engine = new EngineHosts(this.timers, EXAMPLE_MODELS, {
+      announced: (host) => announced.push(host),
+      withdrawn() {},
+    });
+    this.engine.add("h", "domain-0", "zone-0");
+    [this.host] = announced;
+    const join = { ...OWN, kind: "join", model: "large", members: ["h"] };
+    this.engine.command(this.host, { ...join, kind: "join" }, 0);
+    await this.timers.run(20_000);
+    this.engine.command(this.host, { ...OWN, kind: "open" }, 1);
+    await this.timers.run(1_000);
+    this.ledger = new HostLedger(() => false);
+    this.desk = new CommandDesk({
+      timers: this.timers,
+      control: this.engine,
+      ledger: this.ledger,
+      log: new RecordedLog(),
+      isActing: () => true,
+    });
+  },
+);
+
+Given(
+  /^(none|one) of its commands (?:is|are) known$/,
+  function (this: DeskWorld, known: string) {
+    const now = this.timers.now();
+    if (known === "one") this.ledger.accepted(this.host, 0, undefined, now);
+  },
+);
+
+When("it is told to join another group", async function (this: DeskWorld) {
+  const command = {
+    kind: "join",
+    group: "g-2",
+    epoch: 2,
+    model: "large",
+    members: ["h"],
+  } as const;
+  this.desk.send(this.host, command).then((outcome) => this.outcome = outcome);
+  await this.timers.run(5_000);
+});
+
+Then("the command is given up", function (this: DeskWorld) {
+  assert.equal(this.outcome, "refused");
+});
+
+Then(
+  "the host serves on and no rule was broken",
+  function (this: DeskWorld) {
+    assert.deepEqual(this.engine.breaches, []);
+    assert.equal(this.engine.serving.length, 1);
+  },
+);
--- a/src/core/keeper/command_desk.ts
+++ b/src/core/keeper/command_desk.ts
@@ -13,6 +13,7 @@
 } from "../../ports/host_control.ts";
 import type { Membership, ServingHost } from "../../world/serving_host.ts";
 import type { HostLedger } from "./host_ledger.ts";
+import { SPARE_PREFIX } from "./kept_group.ts";
 
 /** Sendings of one command before its host counts as silent. */
 const MAX_SENDS = 4;
@@ -102,11 +103,13 @@
     for (let sends = 1; sends <= MAX_SENDS; sends++) {
       if (!this.#parts.isActing()) return "refused";
       // The same count voids a command that was lost and comes late.
-      const { seq } = ledger.belief(host, timers.now());
+      const { seq, membership } = ledger.belief(host, timers.now());
       if (seq === undefined) {
         if (!await this.refresh(host)) break;
         continue;
       }
+      // A report may have shown a group that the plan did not know of.
+      if (isTaken(command, membership)) return "refused";
       const res = await control.command(host, command, seq);
       this.#log(host, command, seq, res.ok ? res.value : res.err.kind);
       if (!res.ok) {
@@ -181,6 +184,17 @@
   }
 }
 
+/** Whether a host that is to join is in another group, which it must leave first. */
+function isTaken(
+  command: HostCommand,
+  membership: Membership | undefined,
+): boolean {
+  if (command.kind !== "join" || membership === undefined) return false;
+  const isSame = membership.group === command.group &&
+    membership.epoch === command.epoch;
+  return !isSame && !membership.group.startsWith(SPARE_PREFIX);
+}
+
 /** Whether a host is where the command wants it. */
 function isFulfilled(
   command: HostCommand,
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -445,4 +445,25 @@
       replace: "1 + random.float() * SPREAD",
     }],
   },
+  {
+    promise: 2,
+    tag: "@groups",
+    mechanism:
+      "A host that turns out to be in a group is not told to join another",
+    edits: [{
+      file: "keeper/command_desk.js",
+      find: "if (isTaken(command, membership))",
+      replace: "if (false)",
+    }],
+  },
+  {
+    promise: 2,
+    tag: "@groups",
+    mechanism: "An old announcement does not replace a report",
+    edits: [{
+      file: "keeper/host_ledger.js",
+      find: "record.announcedAt > newer.at + ARRIVES_AFTER_MS &&",
+      replace: "",
+    }],
+  },
 ];
