--- a/features/steps/timer_steps.ts
+++ b/features/steps/timer_steps.ts
@@ -154,8 +154,12 @@
   const parts = Object.entries(value).flatMap(([key, part]) =>
     harmedCopies(part).map((harmed) => ({ ...value, [key]: harmed }))
   );
-  const without = Object.keys(value).map((key) =>
-    Object.fromEntries(Object.entries(value).filter(([name]) => name !== key))
-  );
+  // An entry of a map may be absent.
+  const isMap = "large" in value;
+  const without = isMap
+    ? []
+    : Object.keys(value).map((key) =>
+      Object.fromEntries(Object.entries(value).filter(([name]) => name !== key))
+    );
   return [...replaced, ...parts, ...without];
 }
--- a/src/base/timers.ts
+++ b/src/base/timers.ts
@@ -16,7 +16,7 @@
   now(): number;
   /** Calls `callback` once after `delayMs`. */
   after(delayMs: number, callback: () => void): Timer;
-  /** Calls `callback` every `periodMs`, first after one period. */
+  /** Calls `callback` every `periodMs`, first within one period. */
   subscribe(periodMs: number, callback: () => void): Timer;
 }
 
--- a/src/core/keeper/layout.ts
+++ b/src/core/keeper/layout.ts
@@ -93,6 +93,8 @@
   readonly #input: LayoutInput;
   readonly #free: Map<string, FreeHost[]>;
   readonly #counts = new Map<string, number>();
+  /** Models that spares get in this plan, by host. */
+  readonly #planned = new Map<string, string>();
   #loadRoom: number;
 
   constructor(input: LayoutInput) {
@@ -245,8 +247,6 @@
     this.#planned.set(host.id, wanted);
   }
 
-  readonly #planned = new Map<string, string>();
-
   /** Whether another spare has the same model. */
   #hasOther(host: FreeHost, spares: readonly FreeHost[]): boolean {
     const own = this.#modelOf(host);
