Bound what is kept, read and waited for of responses that can't be forwarded

Cause: RelayRun collected the body of an error response without a limit, waited for the end of a refusal although its head says that the request has not run, counted any byte as progress of a stream, and took a late refusal without a request id for the current request's. undici limits neither interim heads nor bytes outside head and body.

Now src/ports/response_limits.ts holds all limits. A refusal ends its attempt at its head; the rest is discarded within 64 KiB and 250 ms, or the connection is closed (log line response_abandoned, counter). Error bodies are kept up to 256 KiB; a repeatable request doesn't wait for them for more than a second. More than 16 interim heads, or 256 KiB that the parser reports as neither head nor body, close the connection. Reports, replies and the store's responses have a size, too. Progress of a stream is an event, not a byte or a comment; a stream that stalls alone on a group whose other streams continue goes elsewhere at half of its caller's patience. A large plain response that broke off is no longer joined to its retry, and a response without a head no longer leaves an attempt in flight.

Tests: features/responses.feature, 23 scenarios, and a seeded fuzz of 29 kinds of responses against a model of what callers may see (npm run fuzz).

--- a/features/steps/http_relay_client_steps.ts
+++ b/features/steps/http_relay_client_steps.ts
@@ -192,7 +192,8 @@
   readonly client: HttpRelayClient;
 
   constructor(port: number) {
-    this.client = ClientForPort.#clients.get(port) ?? new HttpRelayClient();
+    this.client = ClientForPort.#clients.get(port) ??
+      new HttpRelayClient(timers);
     ClientForPort.#clients.set(port, this.client);
   }
 }
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -31,13 +31,9 @@
 import { LoadTracker } from "./load_tracker.ts";
 import { Placer } from "./placer.ts";
 import type { Refusal, RelayRequest, RelayResponse } from "./relay_request.ts";
-import type {
-  AttemptOutcome,
-  RelayRunDependencies,
-  RunEvent,
-  RunningAttempt,
-} from "./relay_run.ts";
+import type { RelayRunDependencies, RunEvent } from "./relay_run.ts";
 import { RelayRun } from "./relay_run.ts";
+import type { AttemptOutcome, RunningAttempt } from "./running_attempt.ts";
 import { ReplicaStats } from "./replica_stats.ts";
 import { RequestContract } from "./request_contract.ts";
 import type { RetryBounds } from "./fleet_retry_budget.ts";
@@ -338,16 +334,16 @@
     const now = this.#deps.timers.now();
     const load = this.loads.localLoad(key);
     load.inFlight -= 1;
-    if (attempt.lastByteAt === undefined) {
+    if (attempt.lastProgressAt === undefined) {
       load.pendingPromptTokens = Math.max(
         0,
         load.pendingPromptTokens - run.promptTokens,
       );
     } else if (
       load.lastEventAt === undefined ||
-      attempt.lastByteAt > load.lastEventAt
+      attempt.lastProgressAt > load.lastEventAt
     ) {
-      load.lastEventAt = attempt.lastByteAt;
+      load.lastEventAt = attempt.lastProgressAt;
     }
     if (run.model !== undefined) this.#stallDetector.unwatch(run, attempt);
     if (outcome !== "cancelled") {
@@ -369,7 +365,7 @@
     const { key } = attempt.replica;
     const now = this.#deps.timers.now();
     if (outcome === "answered") this.suspectRequests.clear(run.fingerprint);
-    if (outcome === "reset" && attempt.lastByteAt === undefined) {
+    if (outcome === "reset" && attempt.lastProgressAt === undefined) {
       this.#crashDetector.recordReset(key, run.fingerprint);
     }
     if (outcome === "not_sent" || outcome === "wrong_host") {
--- a/src/core/relay/relay_response_writer.ts
+++ b/src/core/relay/relay_response_writer.ts
@@ -12,16 +12,22 @@
 
 /** Result of writing bytes from an upstream. */
 export type WriteResult =
-  | "ok"
-  /** Written; the caller isn't ready for more bytes yet. */
-  | "wait_for_drain"
+  | {
+    readonly kind: "written";
+    /** Whether the bytes bring the response forward: a new event in a stream. */
+    readonly hasProgress: boolean;
+    /** Whether the caller is ready for more bytes. */
+    readonly isWritable: boolean;
+  }
   /** The upstream's response can't be forwarded. */
-  | "malformed";
+  | { readonly kind: "malformed"; readonly detail: string };
 
 /** Writes the response, which may span several attempts. */
 export interface RelayResponseWriter {
   /** Whether anything has been written to the caller. */
   readonly started: boolean;
+  /** Whether another attempt can replace or continue what has been written. */
+  readonly canContinue: boolean;
   /**
    * Id of the last event that the caller has; undefined if it has none or the
    * response is not a stream.
@@ -59,6 +65,10 @@
     return this.#started;
   }
 
+  get canContinue(): boolean {
+    return !this.#started;
+  }
+
   get lastEventId(): undefined {
     return undefined;
   }
@@ -71,7 +81,7 @@
     if (this.#started) return this.#forward(chunk);
     this.#buffered.push(chunk);
     this.#bufferedBytes += chunk.byteLength;
-    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES) return "ok";
+    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES) return written(true, true);
     return this.#flush();
   }
 
@@ -88,17 +98,19 @@
   }
 
   #flush(): WriteResult {
-    if (this.#head === undefined) return "malformed";
+    if (this.#head === undefined) {
+      return { kind: "malformed", detail: "no head" };
+    }
     this.#started = true;
     this.#response.writeHead(this.#head.status, this.#head.headers);
-    let result: WriteResult = "ok";
+    let result = written(true, true);
     for (const chunk of this.#buffered) result = this.#forward(chunk);
     this.#buffered = [];
     return result;
   }
 
   #forward(chunk: Uint8Array): WriteResult {
-    return this.#response.write(chunk) ? "ok" : "wait_for_drain";
+    return written(true, this.#response.write(chunk));
   }
 }
 
@@ -120,6 +132,10 @@
     return this.#started;
   }
 
+  get canContinue(): boolean {
+    return true;
+  }
+
   get lastEventId(): string | undefined {
     return this.#splice.lastId === undefined
       ? this.#callerLastEventId
@@ -132,12 +148,14 @@
 
   write(chunk: Uint8Array): WriteResult {
     const spliced = this.#splice.push(chunk);
-    if (spliced === undefined) return "malformed";
-    if (spliced.eventCount === 0) return "ok";
+    if (spliced === undefined) {
+      return { kind: "malformed", detail: "event order" };
+    }
+    if (spliced.chunks.length === 0) return written(false, true);
     this.#writeHead();
     let isWritable = true;
     for (const part of spliced.chunks) isWritable = this.#response.write(part);
-    return isWritable ? "ok" : "wait_for_drain";
+    return written(spliced.eventCount > 0, isWritable);
   }
 
   finish(): boolean {
@@ -158,3 +176,7 @@
     this.#response.writeHead(this.#head.status, this.#head.headers);
   }
 }
+
+function written(hasProgress: boolean, isWritable: boolean): WriteResult {
+  return { kind: "written", hasProgress, isWritable };
+}
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -7,10 +7,10 @@
 import type {
   RelayClient,
   RelayEnd,
-  RelayHandle,
   RelayHead,
   RelayListener,
 } from "../../ports/relay_client.ts";
+import { MAX_FAILURE_BODY_MS } from "../../ports/response_limits.ts";
 import type { KeyedCustomer, ServiceSpec } from "../../world/catalog.ts";
 import type { Replica } from "../fleet/replica.ts";
 import type { RelayResponseWriter } from "./relay_response_writer.ts";
@@ -25,7 +25,9 @@
   RelayRequest,
   RelayResponse,
 } from "./relay_request.ts";
+import { FailedResponse } from "./failed_response.ts";
 import type { RequestContract } from "./request_contract.ts";
+import type { AttemptOutcome, RunningAttempt } from "./running_attempt.ts";
 
 /**
  * Maximum queueing time, as a share of the route's goal: its target for the time
@@ -40,6 +42,9 @@
  */
 const FIRST_BYTE_GOAL_SHARE = 0.8;
 
+/** Callers wait at least this long for the next event of a stream. */
+const MIN_CALLER_PATIENCE_MS = 2_000;
+
 /**
  * Statuses that callers take as a guarantee that the request has not run. An
  * upstream's error response with one of them is not forwarded, as the request
@@ -47,27 +52,6 @@
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** How an attempt ended, for logs and metrics. */
-export type AttemptOutcome =
-  /** The upstream sent a complete response with a 2xx status. */
-  | "answered"
-  /** The upstream guarantees that the request has not run. */
-  | "refused"
-  /** The address belongs to another host. */
-  | "wrong_host"
-  /** No byte of the request was sent. */
-  | "not_sent"
-  /** The upstream responded with a status other than 2xx. */
-  | "failed_status"
-  /** The connection was reset or closed. */
-  | "reset"
-  /** The response violates the protocol or is incomplete. */
-  | "malformed"
-  /** The upstream was suspected to be lost, and the attempt was cancelled. */
-  | "stalled"
-  /** The caller disconnected or the deadline passed. */
-  | "cancelled";
-
 /** How a request ended. */
 export type RunOutcome =
   | "answered"
@@ -89,24 +73,6 @@
   readonly considered?: number;
 }
 
-/** An attempt in flight. */
-export interface RunningAttempt {
-  readonly replica: Replica;
-  /** Monotonic time at which the request was sent. */
-  readonly startedAt: number;
-  /** Expected time to the first byte. */
-  readonly expectedMs: number;
-  handle: RelayHandle | undefined;
-  head: RelayHead | undefined;
-  /**
-   * Monotonic time of the last byte, or of the end of a pause after it; undefined
-   * before the first byte.
-   */
-  lastByteAt: number | undefined;
-  /** Whether reading is paused until the caller is ready for more bytes. */
-  paused: boolean;
-}
-
 /** What a {@linkcode RelayRun} needs from the relay. */
 export interface RelayRunDependencies {
   readonly timers: Timers;
@@ -148,7 +114,7 @@
   readonly #deadlineTimer: Timer;
   #attempt: RunningAttempt | undefined;
   /** Error response to forward to the caller if no other attempt succeeds. */
-  #failedResponse: { head: RelayHead; body: Uint8Array[] } | undefined;
+  #failedResponse: FailedResponse | undefined;
   #mayHaveRun = false;
   #attemptCount = 0;
   #firstByteAt: number | undefined;
@@ -204,6 +170,15 @@
     return this.#queueDeadline;
   }
 
+  /**
+   * Longest time without progress that its caller tolerates, in milliseconds;
+   * half of the gap after which callers commonly give up.
+   */
+  get patienceMs(): number {
+    const { goalMs, gapMs } = this.contract.route;
+    return Math.max(MIN_CALLER_PATIENCE_MS, goalMs * 4, gapMs * 8) / 2;
+  }
+
   get isEnded(): boolean {
     return this.#isEnded;
   }
@@ -262,7 +237,7 @@
       expectedMs,
       handle: undefined,
       head: undefined,
-      lastByteAt: undefined,
+      lastProgressAt: undefined,
       paused: false,
     };
     this.#attempt = attempt;
@@ -348,33 +323,70 @@
 
   #onHead(attempt: RunningAttempt, head: RelayHead): void {
     attempt.head = head;
-    if (head.wrongHost || head.notRun) return;
+    if (head.wrongHost || head.notRun) return this.#endAtHead(attempt, head);
     this.#mayHaveRun = true;
     if (head.status >= 200 && head.status < 300) this.#writer.setHead(head);
-    else if (!this.#writer.started && !NOT_RUN_STATUSES.has(head.status)) {
-      this.#failedResponse = { head, body: [] };
+    else this.#onFailureHead(attempt, head);
+  }
+
+  /** Ends an attempt whose body is not needed. */
+  #endAtHead(attempt: RunningAttempt, head: RelayHead): void {
+    attempt.handle?.discard();
+    if (head.notRun || head.wrongHost) return this.#onRefused(attempt, head);
+    this.#onFailedStatus(attempt, head);
+  }
+
+  /** Keeps an upstream's error response, unless it can't be forwarded. */
+  #onFailureHead(attempt: RunningAttempt, head: RelayHead): void {
+    if (this.#writer.started || NOT_RUN_STATUSES.has(head.status)) {
+      return this.#endAtHead(attempt, head);
     }
+    this.#failedResponse = new FailedResponse(head);
+    if (!this.#isRetriable(head)) return;
+    // Leaves time for the retry.
+    const remainingMs = this.contract.remainingMs(this.#deps.timers.now());
+    const limitMs = Math.min(MAX_FAILURE_BODY_MS, remainingMs / 2);
+    this.#deps.timers.after(limitMs, () => {
+      if (this.#attempt !== attempt) return;
+      this.#abandon(attempt, `no end within ${Math.round(limitMs)} ms`);
+    });
+  }
+
+  #isRetriable(head: RelayHead): boolean {
+    return head.status >= 500 && this.contract.repeatable;
   }
 
   #onData(attempt: RunningAttempt, chunk: Uint8Array): void {
     const { head } = attempt;
-    if (head === undefined || head.notRun || head.wrongHost) return;
-    const now = this.#deps.timers.now();
-    const isFirst = attempt.lastByteAt === undefined;
-    attempt.lastByteAt = now;
-    if (isFirst) this.#deps.onFirstByte(this, attempt);
-    if (head.status < 200 || head.status >= 300) {
-      this.#failedResponse?.body.push(chunk);
+    if (head === undefined) return;
+    if (this.#failedResponse?.head === head) {
+      this.#recordProgress(attempt);
+      if (!this.#failedResponse.add(chunk)) {
+        this.#abandon(attempt, "The error response is too large");
+      }
       return;
     }
-    this.#recordGap(now);
     const result = this.#writer.write(chunk);
-    if (result === "malformed") {
-      attempt.handle?.cancel();
-      this.#onEnd(attempt, { kind: "malformed", detail: "event order" });
-    } else if (result === "wait_for_drain") {
-      this.#pauseUntilDrained(attempt);
+    if (result.kind === "malformed") {
+      return this.#abandon(attempt, result.detail);
     }
+    if (result.hasProgress) {
+      this.#recordProgress(attempt);
+      this.#recordGap(this.#deps.timers.now());
+    }
+    if (!result.isWritable) this.#pauseUntilDrained(attempt);
+  }
+
+  #recordProgress(attempt: RunningAttempt): void {
+    const isFirst = attempt.lastProgressAt === undefined;
+    attempt.lastProgressAt = this.#deps.timers.now();
+    if (isFirst) this.#deps.onFirstByte(this, attempt);
+  }
+
+  /** Closes the connection of a response that can't be forwarded. */
+  #abandon(attempt: RunningAttempt, detail: string): void {
+    attempt.handle?.cancel();
+    this.#onEnd(attempt, { kind: "malformed", detail });
   }
 
   #recordGap(now: number): void {
@@ -389,18 +401,19 @@
     attempt.handle?.pause();
     this.#response.onDrain(() => {
       attempt.paused = false;
-      attempt.lastByteAt = this.#deps.timers.now();
+      attempt.lastProgressAt = this.#deps.timers.now();
       attempt.handle?.resume();
     });
   }
 
+  #onRefused(attempt: RunningAttempt, head: RelayHead): void {
+    const outcome = head.wrongHost ? "wrong_host" : "refused";
+    this.#endAttempt(attempt, outcome, `status ${head.status}`);
+    this.#retry(attempt, false, `refused with ${head.status}`);
+  }
+
   #onEnd(attempt: RunningAttempt, end: RelayEnd): void {
     const { head } = attempt;
-    if (head?.notRun || head?.wrongHost) {
-      const outcome = head.wrongHost ? "wrong_host" : "refused";
-      this.#endAttempt(attempt, outcome, `status ${head.status}`);
-      return this.#retry(attempt, false, `refused with ${head.status}`);
-    }
     if (end.kind === "not_sent") {
       this.#endAttempt(attempt, "not_sent", end.detail);
       return this.#retry(attempt, false, end.detail);
@@ -411,8 +424,11 @@
       this.#endAttempt(attempt, end.kind, end.detail);
       return this.#onError(attempt, end.detail);
     }
-    if (head === undefined) return this.#onError(attempt, "no head");
-    if (head.status < 200 || head.status >= 300) {
+    if (head === undefined) {
+      this.#endAttempt(attempt, "malformed", "no head");
+      return this.#onError(attempt, "no head");
+    }
+    if (this.#failedResponse?.head === head) {
       return this.#onFailedStatus(attempt, head);
     }
     const isComplete = this.#writer.finish();
@@ -421,15 +437,13 @@
     this.#finish("answered");
   }
 
-  /** Handles an upstream's error response: retries it or forwards it. */
+  /** Retries an upstream's error response, or forwards it if it was kept. */
   #onFailedStatus(attempt: RunningAttempt, head: RelayHead): void {
-    this.#endAttempt(attempt, "failed_status", `status ${head.status}`);
-    const retriable = head.status >= 500 && this.contract.repeatable;
-    if (!retriable) {
-      if (this.#writer.started) return this.#onError(attempt, "failed midway");
-      return this.#forwardFailure();
-    }
-    this.#retry(attempt, true, `status ${head.status}`);
+    const detail = `status ${head.status}`;
+    this.#endAttempt(attempt, "failed_status", detail);
+    if (this.#isRetriable(head)) return this.#retry(attempt, true, detail);
+    if (this.#writer.started) return this.#onError(attempt, detail);
+    this.#forwardFailure();
   }
 
   /** Retries a repeatable request and fails any other. */
@@ -443,6 +457,9 @@
     const now = this.#deps.timers.now();
     this.#excludedKeys.add(attempt.replica.key);
     this.#writer.discardPartial();
+    if (!this.#writer.canContinue) {
+      return this.#refuseOrFail("upstream_failed", detail);
+    }
     this.contract.recordAttempt(
       mayHaveRun && this.#deps.isHostAnnounced(attempt.replica),
     );
@@ -503,9 +520,7 @@
     if (failed === undefined || this.#writer.started) {
       return this.#refuseOrFail("upstream_failed", "An upstream failed");
     }
-    this.#response.writeHead(failed.head.status, failed.head.headers);
-    for (const chunk of failed.body) this.#response.write(chunk);
-    this.#response.end();
+    failed.forward(this.#response);
     this.#finish("passed_failure", `status ${failed.head.status}`);
   }
 
--- a/src/core/relay/stall_detector.ts
+++ b/src/core/relay/stall_detector.ts
@@ -7,7 +7,8 @@
 import type { SuspicionTracker } from "../fleet/suspicion_tracker.ts";
 import { EngineLatencyModel } from "./engine_latency_model.ts";
 import type { LoadTracker } from "./load_tracker.ts";
-import type { RelayRun, RunningAttempt } from "./relay_run.ts";
+import type { RelayRun } from "./relay_run.ts";
+import type { RunningAttempt } from "./running_attempt.ts";
 
 /**
  * An upstream has stalled if none of its streams gets an event for the expected
@@ -56,12 +57,20 @@
     return [...this.#runs.get(key) ?? []];
   }
 
-  /** Records a suspicion of each upstream whose next event is overdue. */
+  /**
+   * Records a suspicion of each upstream whose next event is overdue, and retries
+   * streams that have stalled on upstreams whose others continue.
+   */
   check(now: number): void {
     for (const [key, runs] of this.#runs) {
-      const silentMs = now - this.#lastProgressAt(key, runs, now);
-      if (silentMs > this.#timeoutMs(key, runs, now)) {
+      const lastProgressAt = this.#lastProgressAt(key, runs, now);
+      if (now - lastProgressAt > this.#timeoutMs(key, runs, now)) {
         this.#suspicions.record({ key, kind: "silent", at: now }, "own");
+        continue;
+      }
+      for (const run of [...runs]) {
+        if (!isStalled(run, lastProgressAt)) continue;
+        run.retryElsewhere("the stream stalled alone");
       }
     }
   }
@@ -77,7 +86,7 @@
       if (attempt === undefined) continue;
       // While reading is paused, missing events don't indicate a stall.
       if (attempt.paused) return now;
-      lastEventAt = Math.max(lastEventAt, attempt.lastByteAt ?? -Infinity);
+      lastEventAt = Math.max(lastEventAt, attempt.lastProgressAt ?? -Infinity);
       oldestStart = Math.min(oldestStart, attempt.startedAt);
     }
     return Math.max(lastEventAt, oldestStart);
@@ -93,7 +102,7 @@
       service = run.service;
       model = run.model;
       isCrossDomain = run.attempt?.replica.isCrossDomain ?? isCrossDomain;
-      if (run.attempt?.lastByteAt !== undefined) decoding += 1;
+      if (run.attempt?.lastProgressAt !== undefined) decoding += 1;
       expectedMs = Math.max(expectedMs, run.attempt?.expectedMs ?? 0);
     }
     const spec = service?.engine?.models.find((m) => m.name === model);
@@ -117,3 +126,15 @@
       STALL_MARGIN_MS + SINGLE_STREAM_MARGIN_MS / decoding;
   }
 }
+
+/**
+ * Whether an upstream's other streams have had events for longer than the caller
+ * tolerates, as when only this stream's connection is lost.
+ */
+function isStalled(run: RelayRun, upstreamProgressAt: number): boolean {
+  const { attempt } = run;
+  if (attempt === undefined || attempt.paused) return false;
+  const since = attempt.lastProgressAt ??
+    attempt.startedAt + attempt.expectedMs;
+  return upstreamProgressAt - since > run.patienceMs;
+}
--- a/src/core/relay/stream_splice.ts
+++ b/src/core/relay/stream_splice.ts
@@ -6,6 +6,7 @@
 import { Buffer } from "node:buffer";
 
 const LINE_FEED = 0x0a;
+const COLON = 0x3a;
 const ID_FIELD = Buffer.from("id:");
 /** Maximum size of an event, in bytes. */
 export const MAX_EVENT_BYTES = 1_048_576;
@@ -14,6 +15,7 @@
 export interface SplicedEvents {
   /** Bytes of the events, where possible of several in one chunk. */
   readonly chunks: readonly Uint8Array[];
+  /** Number of events, without comments, which only keep a connection open. */
   readonly eventCount: number;
 }
 
@@ -71,7 +73,7 @@
         if (outcome === "gap") return undefined;
         if (outcome === "new") {
           chunks.push(event);
-          eventCount += 1;
+          if (!isComment(event)) eventCount += 1;
         }
         lineEnd = bytes.indexOf(LINE_FEED, start);
       } else {
@@ -111,6 +113,16 @@
   }
 }
 
+/** Whether no line of the event has a field. */
+function isComment(event: Buffer): boolean {
+  let at = 0;
+  while (at < event.length) {
+    if (event[at] !== COLON && event[at] !== LINE_FEED) return false;
+    at = event.indexOf(LINE_FEED, at) + 1;
+  }
+  return true;
+}
+
 function parseEventId(event: Buffer): number | undefined {
   let at = event.indexOf(ID_FIELD);
   while (at > 0 && event[at - 1] !== LINE_FEED) {
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -25,6 +25,7 @@
   readonly #attempts: Counter;
   readonly #duration: Histogram;
   readonly #firstByte: Histogram;
+  readonly #abandonedResponses: Counter;
 
   constructor(gauges: NodeGauges) {
     const registers = [this.registry];
@@ -54,6 +55,11 @@
       buckets: LATENCY_BUCKETS_S,
       registers,
     });
+    this.#abandonedResponses = new Counter({
+      name: "oleander_abandoned_responses_total",
+      help: "Responses of hosts whose unneeded rest exceeded a limit",
+      registers,
+    });
     const gaugeReaders: Record<string, () => number> = {
       oleander_requests_in_flight: gauges.inFlight,
       oleander_requests_waiting: gauges.waiting,
@@ -92,6 +98,11 @@
     );
   }
 
+  /** Counts a connection that was closed because its response did not end. */
+  recordAbandonedResponse(): void {
+    this.#abandonedResponses.inc();
+  }
+
   /** Counts a request that was refused on arrival. */
   recordRefusal(outcome: string): void {
     this.#requests.inc({ route: "none", outcome });
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -81,7 +81,10 @@
       store: new PlatformStore(this.#timers, platform.store),
       schema: new StoreSchema(),
       control: new HttpHostControl(this.#timers),
-      client: new HttpRelayClient(),
+      client: new HttpRelayClient(
+        this.#timers,
+        (host, reason) => this.#onResponseAbandoned(host, reason),
+      ),
       datagrams,
       log: this.#log,
       addressTtlMs: ADDRESS_TTL_MS,
@@ -115,6 +118,11 @@
     await this.#serveApp(metrics, ip, this.#settings.node.metrics_port);
   }
 
+  #onResponseAbandoned(host: string, reason: string): void {
+    this.#node?.metrics.recordAbandonedResponse();
+    this.#log.warn("response_abandoned", { host, reason });
+  }
+
   #serveApp(app: Hono, hostname: string, port: number): Promise<void> {
     return new Promise((resolve) => {
       const server = serve(
--- a/src/platform/http_host_control.ts
+++ b/src/platform/http_host_control.ts
@@ -15,6 +15,10 @@
   HostControlError,
   HostRef,
 } from "../ports/host_control.ts";
+import {
+  MAX_CONTROL_BODY_BYTES,
+  MAX_HEAD_BYTES,
+} from "../ports/response_limits.ts";
 import type { HostReport } from "../world/serving_host.ts";
 import type { JsonRequestResult } from "./json_requests.ts";
 import { requestJson } from "./json_requests.ts";
@@ -44,6 +48,8 @@
     connections: 4,
     connectTimeout: CONNECT_TIMEOUT_MS,
     pipelining: 1,
+    maxHeaderSize: MAX_HEAD_BYTES,
+    maxResponseSize: MAX_CONTROL_BODY_BYTES,
     keepAliveTimeout: KEEP_ALIVE_MS,
     keepAliveMaxTimeout: KEEP_ALIVE_MS,
   });
--- a/src/platform/platform_store.ts
+++ b/src/platform/platform_store.ts
@@ -19,6 +19,10 @@
   CoordinationStore,
   WriteResult,
 } from "../ports/coordination_store.ts";
+import {
+  MAX_HEAD_BYTES,
+  MAX_STORE_BODY_BYTES,
+} from "../ports/response_limits.ts";
 import type { JsonRequestResult } from "./json_requests.ts";
 import { requestJson } from "./json_requests.ts";
 
@@ -59,6 +63,8 @@
   readonly #agent = new Agent({
     connections: 16,
     pipelining: 1,
+    maxHeaderSize: MAX_HEAD_BYTES,
+    maxResponseSize: MAX_STORE_BODY_BYTES,
     connectTimeout: CONNECT_TIMEOUT_MS,
     keepAliveTimeout: 10_000,
   });
--- a/src/ports/relay_client.ts
+++ b/src/ports/relay_client.ts
@@ -62,13 +62,22 @@
 export interface RelayListener {
   onHead(head: RelayHead): void;
   onData(chunk: Uint8Array): void;
-  /** Called once, last; never after {@linkcode RelayHandle.cancel}. */
+  /**
+   * Called once, last; never after {@linkcode RelayHandle.cancel} or
+   * {@linkcode RelayHandle.discard}.
+   */
   onEnd(end: RelayEnd): void;
 }
 
 /** A running attempt. */
 export interface RelayHandle {
+  /** Closes the connection. */
   cancel(): void;
+  /**
+   * Ignores the rest of the response. Its connection is closed unless the
+   * response ends within `MAX_DISCARD_MS` and `MAX_DISCARDED_BYTES`.
+   */
+  discard(): void;
   /** Stops reading until {@linkcode RelayHandle.resume}. */
   pause(): void;
   resume(): void;
--- a/src/standins/fleet/scripted_upstreams.ts
+++ b/src/standins/fleet/scripted_upstreams.ts
@@ -26,6 +26,23 @@
     readonly firstEvents: number;
     readonly pauseMs: number;
   }
+  /**
+   * Sends the events up to id `events`, then only a byte or a comment now and
+   * then.
+   */
+  | {
+    readonly kind: "drip_after";
+    readonly events: number;
+    readonly bytes: "comment" | "byte";
+  }
+  | {
+    /** As `pause_after` for the first request; serves all others. */
+    readonly kind: "first_pauses_after";
+    readonly firstEvents: number;
+    readonly pauseMs: number;
+  }
+  /** Sends `bytes` of a response without events, then resets the connection. */
+  | { readonly kind: "reset_after_bytes"; readonly bytes: number }
   /**
    * Sends the events up to id `events` and a part of the next one, then resets
    * the connection.
@@ -39,6 +56,7 @@
   /** Sends no response, and stays connected. */
   | { readonly kind: "silent" };
 
+const DRIP_INTERVAL_MS = 50;
 const FIRST_EVENT_MS = 40;
 const EVENT_INTERVAL_MS = 30;
 /** Requests that a host runs concurrently; others wait in its queue. */
@@ -103,7 +121,8 @@
     }
     const request: ActiveRequest = { host, attempt, listener, isEnded: false };
     this.#admit(request);
-    return { cancel: () => this.#end(request), pause() {}, resume() {} };
+    const end = () => this.#end(request);
+    return { cancel: end, discard: end, pause() {}, resume() {} };
   }
 
   #admit(request: ActiveRequest): void {
@@ -158,6 +177,17 @@
         return;
       case "silent":
         return;
+      case "reset_after_bytes":
+        this.#schedule(request, RESPONSE_MS, () => {
+          listener.onHead(toHead(200));
+          listener.onData(Buffer.alloc(script.bytes, "x"));
+          this.#end(request);
+          listener.onEnd({ kind: "reset", detail: "scripted" });
+        });
+        return;
+      case "first_pauses_after":
+        this.#scripts.delete(request.host.id);
+        return this.#stream(request, script);
       default:
         // Only streaming routes of the example catalog have these prefixes.
         if (
@@ -195,7 +225,7 @@
       if (id > lastWholeEventId) return this.#interrupt(request, script, id);
       listener.onData(streamEvent(id));
       if (id < this.eventsPerStream) {
-        const isPause = script.kind === "pause_after" &&
+        const isPause = "pauseMs" in script &&
           id === firstId - 1 + script.firstEvents;
         const gapMs = isPause ? script.pauseMs : EVENT_INTERVAL_MS;
         this.#schedule(request, gapMs, () => emit(id + 1));
@@ -212,12 +242,22 @@
    * otherwise sends nothing more.
    */
   #interrupt(request: ActiveRequest, script: UpstreamScript, id: number): void {
+    if (script.kind === "drip_after") return this.#drip(request, script.bytes);
     if (script.kind !== "reset_after") return;
     request.listener.onData(streamEvent(id).subarray(0, 5));
     this.#end(request);
     request.listener.onEnd({ kind: "reset", detail: "scripted" });
   }
 
+  #drip(request: ActiveRequest, bytes: "comment" | "byte"): void {
+    request.listener.onData(Buffer.from(bytes === "byte" ? "i" : ": .\n\n"));
+    this.#schedule(
+      request,
+      DRIP_INTERVAL_MS,
+      () => this.#drip(request, bytes),
+    );
+  }
+
   #schedule(request: ActiveRequest, ms: number, callback: () => void): void {
     this.#timers.after(ms, () => {
       if (!request.isEnded) callback();
--- /dev/null
+++ b/tools/fuzz/fuzz_relay.ts
@@ -0,0 +1,181 @@
+/**
+ * A relay before raw hosts, over real connections on loopback.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { Random } from "../../src/base/random.ts";
+import { SystemTimers } from "../../src/base/system_timers.ts";
+import { CatalogHolder } from "../../src/core/catalog/catalog_holder.ts";
+import { HostRegistry } from "../../src/core/fleet/host_registry.ts";
+import { ReplicaView } from "../../src/core/fleet/replica_view.ts";
+import { SuspicionTracker } from "../../src/core/fleet/suspicion_tracker.ts";
+import { Relay } from "../../src/core/relay/relay.ts";
+import type {
+  Refusal,
+  RelayResponse,
+} from "../../src/core/relay/relay_request.ts";
+import { HttpRelayClient } from "../../src/platform/http_relay_client.ts";
+import type { RawHeaders } from "../../src/ports/relay_client.ts";
+import { exampleCatalog } from "../../src/standins/fleet/example_catalog.ts";
+import type { Catalog } from "../../src/world/catalog.ts";
+import type { RawHost } from "./raw_host.ts";
+
+/** Keeps hosts in use however many of their responses fail. */
+const GOAL_MS = 60_000;
+
+/** What the caller of one request received. */
+export class CallerResult implements RelayResponse {
+  readonly requestId: string;
+  readonly isRepeatable: boolean;
+  status: number | undefined;
+  body = "";
+  isComplete = false;
+  isAborted = false;
+  refusal: Refusal | undefined;
+  endedAfterMs: number | undefined;
+  readonly #startedAt: number;
+  readonly #now: () => number;
+  readonly #onEnd: () => void;
+
+  constructor(
+    requestId: string,
+    isRepeatable: boolean,
+    now: () => number,
+    onEnd: () => void,
+  ) {
+    this.requestId = requestId;
+    this.isRepeatable = isRepeatable;
+    this.#now = now;
+    this.#startedAt = now();
+    this.#onEnd = onEnd;
+  }
+
+  writeHead(status: number, _headers: RawHeaders): void {
+    this.status = status;
+  }
+
+  write(chunk: Uint8Array): boolean {
+    this.body += Buffer.from(chunk).toString("latin1");
+    return true;
+  }
+
+  end(): void {
+    this.isComplete = true;
+    this.#finish();
+  }
+
+  refuse(refusal: Refusal): void {
+    this.refusal = refusal;
+    this.#finish();
+  }
+
+  abort(): void {
+    this.isAborted = true;
+    this.#finish();
+  }
+
+  onDrain(callback: () => void): void {
+    callback();
+  }
+
+  #finish(): void {
+    this.endedAfterMs = this.#now() - this.#startedAt;
+    this.#onEnd();
+  }
+}
+
+/** Sends requests through a {@linkcode Relay} to hosts of a plain service. */
+export class FuzzRelay {
+  readonly timers = new SystemTimers();
+  readonly abandoned: string[] = [];
+  readonly #relay: Relay;
+
+  constructor(hosts: readonly RawHost[], seed: number) {
+    const { timers } = this;
+    const registry = new HostRegistry();
+    const now = () => timers.now();
+    const catalog = new CatalogHolder(now, now);
+    catalog.installIfNewer(createCatalog());
+    for (const [i, host] of hosts.entries()) {
+      registry.announce({
+        id: host.id,
+        address: host.address,
+        service: "counter",
+        zone: "zone-0",
+        slots: 6,
+        draining: false,
+        coldLeftMs: 0,
+        born: 1 + i,
+        domain: "",
+        staged: [],
+        models: [],
+        membership: undefined,
+      }, timers.now());
+    }
+    this.#relay = new Relay({
+      timers,
+      random: new Random(seed),
+      client: new HttpRelayClient(
+        timers,
+        (hostId, reason) => this.abandoned.push(`${hostId}: ${reason}`),
+      ),
+      catalog,
+      hosts: registry,
+      view: new ReplicaView(registry, catalog, new Set()),
+      suspicions: new SuspicionTracker(),
+      observer: { onEvent() {}, onRefused() {} },
+      nodeId: "node-0",
+      zone: "zone-0",
+      retryBounds: () => ({ ratio: 1, windowMs: 10_000, slack: 10_000 }),
+      maxConfirmationAgeMs: () => Infinity,
+      fleetSize: () => 1,
+      fleetRank: () => 0,
+    });
+    this.#relay.start();
+  }
+
+  /** Number of requests that have not ended. */
+  get inFlight(): number {
+    return this.#relay.inFlight;
+  }
+
+  /** Number of attempts in flight, as placement counts them. */
+  loadOf(host: RawHost): number {
+    return this.#relay.loads.localLoad(host.id).inFlight;
+  }
+
+  /** Sends a request; resolves when its response has ended. */
+  send(requestId: string, isRepeatable: boolean): Promise<CallerResult> {
+    return new Promise((resolve) => {
+      const result = new CallerResult(
+        requestId,
+        isRepeatable,
+        () => this.timers.now(),
+        () => resolve(result),
+      );
+      this.#relay.handle({
+        id: requestId,
+        method: "POST",
+        hostName: "album.example",
+        target: `${isRepeatable ? "/look/" : "/order/"}${requestId}`,
+        headers: ["Oleanderarch-Attempt-Id", requestId],
+        body: Buffer.from("end of body"),
+        apiKey: "bindery-key",
+        deadlineMs: 8_000,
+        lastEventId: undefined,
+        model: undefined,
+        promptTokens: 0,
+        maxTokens: 0,
+        expectedTokens: undefined,
+      }, result);
+    });
+  }
+}
+
+/** The example catalog with goals that failing hosts still meet. */
+function createCatalog(): Catalog {
+  const catalog = exampleCatalog(1);
+  const routes = catalog.routes.map((route) => ({ ...route, goalMs: GOAL_MS }));
+  return { ...catalog, routes };
+}
