--- a/src/core/fleet/host_registry.ts
+++ b/src/core/fleet/host_registry.ts
@@ -5,7 +5,7 @@
  */
 import type { ServingHost } from "../../world/serving_host.ts";
 import type { ReplicaGroupView } from "./replica.ts";
-import { groupKey } from "./replica.ts";
+import { GroupIndex } from "./group_index.ts";
 
 /**
  * A host that is missing after an outage is kept for this time, within which a
@@ -26,7 +26,7 @@
   readonly #entries = new Map<string, HostEntry>();
   readonly #listeners: (() => void)[] = [];
   readonly #removedAt = new Map<string, number>();
-  #groups: Map<string, ReplicaGroupView> | undefined;
+  readonly #groups = new GroupIndex();
   #byService: Map<string, ServingHost[]> | undefined;
 
   /** Adds a listener for changes. */
@@ -132,12 +132,12 @@
 
   /** Replica groups by key. */
   get groups(): ReadonlyMap<string, ReplicaGroupView> {
-    this.#groups ??= collectGroups(this.hosts());
-    return this.#groups;
+    return this.#groups.groups;
   }
 
   #put(host: ServingHost, now: number): void {
     this.#removedAt.delete(host.id);
+    this.#groups.replace(this.#entries.get(host.id)?.host, host);
     this.#entries.set(host.id, {
       host,
       coldUntil: host.coldLeftMs > 0 ? now + host.coldLeftMs : 0,
@@ -146,44 +146,13 @@
   }
 
   #drop(id: string, now: number): void {
+    this.#groups.replace(this.#entries.get(id)?.host, undefined);
     this.#entries.delete(id);
     this.#removedAt.set(id, now);
   }
 
   #invalidate(): void {
-    this.#groups = undefined;
     this.#byService = undefined;
     for (const listener of this.#listeners) listener();
   }
 }
-
-function collectGroups(
-  hosts: Iterable<ServingHost>,
-): Map<string, ReplicaGroupView> {
-  const members = new Map<string, ServingHost[]>();
-  for (const host of hosts) {
-    if (host.membership === undefined) continue;
-    const key = groupKey(host.membership.group, host.membership.epoch);
-    const list = members.get(key) ?? [];
-    list.push(host);
-    members.set(key, list);
-  }
-  const groups = new Map<string, ReplicaGroupView>();
-  for (const [key, list] of members) {
-    list.sort((a, b) => (a.membership?.rank ?? 0) - (b.membership?.rank ?? 0));
-    const [first] = list;
-    if (first.membership === undefined) continue;
-    const head = first.membership.rank === 0 ? first : undefined;
-    groups.set(key, {
-      key,
-      name: first.membership.group,
-      epoch: first.membership.epoch,
-      service: first.service,
-      model: (head ?? first).models[0] ?? "",
-      state: head?.membership?.state ?? "broken",
-      head,
-      members: list,
-    });
-  }
-  return groups;
-}
--- a/src/core/relay/load_tracker.ts
+++ b/src/core/relay/load_tracker.ts
@@ -24,17 +24,33 @@
 }
 
 interface PeerLoads {
-  readonly loads: ReadonlyMap<string, LoadStatus>;
+  readonly loads: readonly LoadStatus[];
   /** When the peer made the report. */
   readonly sentAt: number;
-  /** When the report arrived; each load's `silentMs` counts back from here. */
-  readonly receivedAt: number;
 }
 
-/** Tracks and adds up the load on upstreams. */
+interface MutableLoad {
+  inFlight: number;
+  pendingPromptTokens: number;
+}
+
+const NO_LOAD: TotalLoad = { inFlight: 0, pendingPromptTokens: 0 };
+/** An event time of an upstream is dropped after this time. */
+const EVENT_TTL_MS = 30_000;
+
+/**
+ * Tracks the load on upstreams. The sums over peers are kept up with each report,
+ * so that reading one costs the same however many peers there are.
+ */
 export class LoadTracker {
   readonly #local = new Map<string, LocalLoad>();
+  /** Reports that the sums include. */
   readonly #peers = new Map<string, PeerLoads>();
+  readonly #peerTotals = new Map<string, MutableLoad>();
+  /** When any peer last received an event from each upstream. */
+  readonly #peerEventAt = new Map<string, number>();
+  /** No report that the sums include ends before this time. */
+  #nextExpiryAt = Infinity;
 
   /** Mutable load of this process on an upstream. */
   localLoad(key: string): LocalLoad {
@@ -53,39 +69,73 @@
     receivedAt: number,
     ageMs: number,
   ): void {
-    const loadsByKey = new Map(loads.map((load) => [load.key, load]));
-    this.#peers.set(nodeId, {
-      loads: loadsByKey,
-      receivedAt,
-      sentAt: receivedAt - ageMs,
-    });
+    const previous = this.#peers.get(nodeId);
+    if (previous !== undefined) this.#addToTotals(previous.loads, -1);
+    this.#addToTotals(loads, 1);
+    const sentAt = receivedAt - ageMs;
+    this.#peers.set(nodeId, { loads, sentAt });
+    this.#nextExpiryAt = Math.min(
+      this.#nextExpiryAt,
+      sentAt + PEER_LOAD_TTL_MS,
+    );
+    for (const { key, silentMs } of loads) {
+      if (silentMs < 0) continue;
+      const at = receivedAt - silentMs;
+      if (at > (this.#peerEventAt.get(key) ?? -Infinity)) {
+        this.#peerEventAt.set(key, at);
+      }
+    }
   }
 
   /** Load of all processes on an upstream. */
   totalLoad(key: string, now: number): TotalLoad {
+    if (now > this.#nextExpiryAt) this.#dropOutdated(now);
     const local = this.#local.get(key);
-    let inFlight = local?.inFlight ?? 0;
-    let pendingPromptTokens = local?.pendingPromptTokens ?? 0;
-    for (const peer of this.#peers.values()) {
-      if (now - peer.sentAt > PEER_LOAD_TTL_MS) continue;
-      const load = peer.loads.get(key);
-      if (load === undefined) continue;
-      inFlight += load.inFlight;
-      pendingPromptTokens += load.pendingPromptTokens;
-    }
-    return { inFlight, pendingPromptTokens };
+    const peers = this.#peerTotals.get(key);
+    if (local === undefined) return peers ?? NO_LOAD;
+    if (peers === undefined) return local;
+    return {
+      inFlight: local.inFlight + peers.inFlight,
+      pendingPromptTokens: local.pendingPromptTokens +
+        peers.pendingPromptTokens,
+    };
   }
 
   /** When any process last received an event from the upstream. */
   lastEventAt(key: string): number | undefined {
-    let newest = this.#local.get(key)?.lastEventAt;
-    for (const peer of this.#peers.values()) {
-      const load = peer.loads.get(key);
-      if (load === undefined || load.silentMs < 0) continue;
-      const at = peer.receivedAt - load.silentMs;
-      if (newest === undefined || at > newest) newest = at;
+    const own = this.#local.get(key)?.lastEventAt;
+    const peers = this.#peerEventAt.get(key);
+    if (own === undefined || peers === undefined) return own ?? peers;
+    return Math.max(own, peers);
+  }
+
+  #addToTotals(loads: readonly LoadStatus[], sign: 1 | -1): void {
+    for (const { key, inFlight, pendingPromptTokens } of loads) {
+      let total = this.#peerTotals.get(key);
+      if (total === undefined) {
+        total = { inFlight: 0, pendingPromptTokens: 0 };
+        this.#peerTotals.set(key, total);
+      }
+      total.inFlight += sign * inFlight;
+      total.pendingPromptTokens += sign * pendingPromptTokens;
+      if (total.inFlight === 0 && total.pendingPromptTokens === 0) {
+        this.#peerTotals.delete(key);
+      }
+    }
+  }
+
+  /** Removes reports from the sums that are too old. */
+  #dropOutdated(now: number): void {
+    this.#nextExpiryAt = Infinity;
+    for (const [nodeId, { loads, sentAt }] of this.#peers) {
+      const expiryAt = sentAt + PEER_LOAD_TTL_MS;
+      if (now <= expiryAt) {
+        this.#nextExpiryAt = Math.min(this.#nextExpiryAt, expiryAt);
+        continue;
+      }
+      this.#addToTotals(loads, -1);
+      this.#peers.delete(nodeId);
     }
-    return newest;
   }
 
   /**
@@ -109,15 +159,16 @@
     return loads;
   }
 
-  /** Drops upstreams that were idle for long, and peers without new reports. */
+  /** Drops upstreams that were idle for long, and outdated reports of peers. */
   expire(now: number): void {
     for (const [key, load] of this.#local) {
       // An upstream that has sent no event counts as idle.
       const isIdle = now - (load.lastEventAt ?? now - 60_000) > 30_000;
       if (load.inFlight === 0 && isIdle) this.#local.delete(key);
     }
-    for (const [nodeId, peer] of this.#peers) {
-      if (now - peer.sentAt > 10_000) this.#peers.delete(nodeId);
+    this.#dropOutdated(now);
+    for (const [key, at] of this.#peerEventAt) {
+      if (now - at > EVENT_TTL_MS) this.#peerEventAt.delete(key);
     }
   }
 }
--- a/src/core/relay/placer.ts
+++ b/src/core/relay/placer.ts
@@ -11,8 +11,9 @@
 import type { ReplicaView } from "../fleet/replica_view.ts";
 import type { ColdHostLimiter } from "./cold_host_limiter.ts";
 import { coldHostQuota } from "./cold_host_limiter.ts";
-import { EngineLatencyModel } from "./engine_latency_model.ts";
-import type { LoadTracker } from "./load_tracker.ts";
+import type { LatencyModels } from "./latency_model_cache.ts";
+import { LatencyModelCache } from "./latency_model_cache.ts";
+import type { LoadTracker, TotalLoad } from "./load_tracker.ts";
 import { ReplicaRanking } from "./replica_ranking.ts";
 import type { ReplicaStats } from "./replica_stats.ts";
 
@@ -93,6 +94,7 @@
 export class Placer {
   readonly #deps: PlacerDependencies;
   readonly #ranking: ReplicaRanking;
+  readonly #latencyModels = new LatencyModelCache();
 
   constructor(deps: PlacerDependencies) {
     this.#deps = deps;
@@ -101,25 +103,33 @@
 
   /** Chooses the replica with the lowest cost that can serve in time. */
   place(query: PlacementQuery, now: number): Placement {
-    const { view, suspicions } = this.#deps;
+    const { view, suspicions, loads } = this.#deps;
     const candidates = view.announced(query.service.name, query.model);
     let considered = 0;
     let best: Replica | undefined;
     let bestMs = Infinity;
     let bestCost = Infinity;
     let lowestRejectedMs = Infinity;
+    const latencyModels = this.#latencyModels.of(query.service, query.model);
     for (const replica of candidates) {
       if (suspicions.isSuspected(replica.key)) continue;
       considered += 1;
       if (query.excludes(replica.key)) continue;
-      const expectedMs = this.#expectedMs(replica, query, now);
+      const load = loads.totalLoad(replica.key, now);
+      const expectedMs = this.#expectedMs(
+        replica,
+        load,
+        query,
+        latencyModels,
+        now,
+      );
       const fits = expectedMs <= query.firstByteLimitMs &&
         this.#isWithinColdLimit(replica, query.service, now);
       if (!fits) {
         lowestRejectedMs = Math.min(lowestRejectedMs, expectedMs);
         continue;
       }
-      const cost = expectedMs * this.#costFactor(replica, candidates, now);
+      const cost = expectedMs * this.#costFactor(replica, load, candidates);
       if (cost >= bestCost) continue;
       best = replica;
       bestMs = expectedMs;
@@ -141,13 +151,13 @@
   /** Multiplier that turns a replica's expected time into its cost. */
   #costFactor(
     replica: Replica,
+    { inFlight }: TotalLoad,
     candidates: readonly Replica[],
-    now: number,
   ): number {
-    const { loads, random } = this.#deps;
-    if (replica.model === undefined) return 1 + random.float() * JITTER;
+    if (replica.model === undefined) {
+      return 1 + this.#deps.random.float() * JITTER;
+    }
     const rank = this.#ranking.ranksOf(candidates).get(replica.key) ?? 0;
-    const { inFlight } = loads.totalLoad(replica.key, now);
     const overload = Math.max(
       0,
       inFlight / replica.host.slots - BUSY_UTILIZATION,
@@ -155,16 +165,19 @@
     return (1 + rank * RANK_PENALTY) * (1 + overload);
   }
 
-  #expectedMs(replica: Replica, query: PlacementQuery, now: number): number {
-    const { loads, stats, zone } = this.#deps;
-    const load = loads.totalLoad(replica.key, now);
+  #expectedMs(
+    replica: Replica,
+    load: TotalLoad,
+    query: PlacementQuery,
+    latencyModels: LatencyModels | undefined,
+    now: number,
+  ): number {
+    const { stats, zone } = this.#deps;
     const crossZoneMs = replica.host.zone === zone ? 0 : CROSS_ZONE_MS;
     const slowness = Math.max(1, stats.slowness(replica.key, now));
-    const latencyModel = createLatencyModel(
-      query.service,
-      query.model,
-      replica.isCrossDomain,
-    );
+    const latencyModel = replica.isCrossDomain
+      ? latencyModels?.crossDomain
+      : latencyModels?.oneDomain;
     const baseMs = latencyModel === undefined
       ? plainRequestMs(load.inFlight, replica.host.slots)
       : latencyModel.firstEventMs(
@@ -202,13 +215,3 @@
   const overloadMs = perSlot >= PLAIN_MAX_REQUESTS_PER_SLOT ? 10_000 : 0;
   return PLAIN_REQUEST_MS * (1 + perSlot * 0.3 + queuedPerSlot) + overloadMs;
 }
-
-function createLatencyModel(
-  service: ServiceSpec,
-  model: string | undefined,
-  isCrossDomain: boolean,
-): EngineLatencyModel | undefined {
-  const spec = service.engine?.models.find((m) => m.name === model);
-  if (service.engine === undefined || spec === undefined) return undefined;
-  return new EngineLatencyModel(service.engine, spec, isCrossDomain);
-}
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -188,6 +188,10 @@
     return this.#attempt;
   }
 
+  get isRetry(): boolean {
+    return this.#attemptCount > 0;
+  }
+
   /** Number of attempts that were started. */
   get attemptCount(): number {
     return this.#attemptCount;
