Let a leader of a large fleet repair before all reports are in, and know when it is behind

LoopMonitor measures the lag of the event loop; a missing reply counts as silence only if the loop was behind by at most 50 ms meanwhile. Reconciliation uses at most a fifth of the process's time. planLayout counts groups and spares instead of searching for them.

--- a/features/steps/command_sender_steps.ts
+++ b/features/steps/command_sender_steps.ts
@@ -22,6 +22,8 @@
   /** The host as first announced, before it joined the group. */
   host: ServingHost;
   outcome: CommandOutcome | undefined;
+  /** How far the event loop was behind; none if undefined. */
+  lagMs: number | undefined;
 }
 
 const OWN = { group: "g-1", epoch: 1 };
@@ -49,6 +51,7 @@
       states: this.states,
       log: new RecordedLog(),
       isLeader: () => true,
+      loopLag: { worstSince: () => this.lagMs ?? 0 },
     });
   },
 );
--- a/features/steps/simulated_fleet.ts
+++ b/features/steps/simulated_fleet.ts
@@ -61,6 +61,8 @@
   orchestrator: GroupOrchestrator;
   isLeader = true;
   isStoreUnreachable = false;
+  /** How far the orchestrator's event loop was behind. */
+  lagMs = 0;
   #term = 1;
   #isStarted = false;
   readonly #shape: SimulatedFleetShape;
@@ -159,6 +161,7 @@
       zonesOutOfService: new Set(),
       log: this.log,
       isLeader,
+      loopLag: { worstSince: () => this.lagMs },
       isStoreUnreachable: () => this.isStoreUnreachable,
       demand: () => this.#demand(),
       onGroupResponsive: (key) => this.suspicions.clear(key, this.timers.now()),
--- a/src/core/orchestrator/command_sender.ts
+++ b/src/core/orchestrator/command_sender.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { EventLog } from "../../base/event_log.ts";
+import type { LoopLag } from "../../base/loop_monitor.ts";
 import type { Timers } from "../../base/timers.ts";
 import { sleep } from "../../base/timers.ts";
 import type {
@@ -29,6 +30,12 @@
  */
 const CONFLICT_RETRY_MS = 150;
 
+/**
+ * A missing reply is no sign of a silent host if this process was behind by more
+ * than this meanwhile, as it may not have read the reply in time.
+ */
+const MAX_LAG_MS = 50;
+
 /**
  * Result of a command: "done" if the host accepted it or is already in the
  * requested state, "refused" if the host rejected it or it was not sent, and
@@ -43,6 +50,7 @@
   readonly states: HostStateTracker;
   readonly log: EventLog;
   readonly isLeader: () => boolean;
+  readonly loopLag: LoopLag;
 }
 
 /** Sends one command at a time to each host, and records the outcomes. */
@@ -102,14 +110,22 @@
 
   async #fetchReport(host: ServingHost, wasRefused: boolean): Promise<boolean> {
     const { control, states, timers } = this.#deps;
+    const requestedAt = timers.now();
     const res = await control.report(host);
-    if (res.ok) states.recordReport(host, res.value, timers.now(), wasRefused);
-    else if (res.err.kind !== "malformed") states.setSilent(host, timers.now());
-    if (!res.ok) {
-      const { kind, detail } = res.err;
-      this.#deps.log.info("host_silent", { host: host.id, why: kind, detail });
+    if (res.ok) {
+      states.recordReport(host, res.value, timers.now(), wasRefused);
+      return true;
     }
-    return res.ok;
+    const { kind, detail } = res.err;
+    if (kind === "silent" && this.#wasBehindSince(requestedAt)) return false;
+    if (kind !== "malformed") states.setSilent(host, timers.now());
+    this.#deps.log.info("host_silent", { host: host.id, why: kind, detail });
+    return false;
+  }
+
+  /** Whether this process may have missed replies since a monotonic time. */
+  #wasBehindSince(since: number): boolean {
+    return this.#deps.loopLag.worstSince(since) > MAX_LAG_MS;
   }
 
   async #sendWithRetries(
@@ -117,6 +133,7 @@
     command: HostCommand,
   ): Promise<CommandOutcome> {
     const { control, states, timers } = this.#deps;
+    const startedAt = timers.now();
     let hasReplied = false;
     for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
       if (!this.#deps.isLeader()) return "refused";
@@ -150,7 +167,7 @@
       if (res.value !== "conflict") return "refused";
       if (current.seq === seq) await sleep(timers, CONFLICT_RETRY_MS);
     }
-    if (hasReplied) return "refused";
+    if (hasReplied || this.#wasBehindSince(startedAt)) return "refused";
     states.setSilent(host, timers.now());
     return "silent";
   }
--- a/src/core/orchestrator/group_orchestrator.ts
+++ b/src/core/orchestrator/group_orchestrator.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { EventLog } from "../../base/event_log.ts";
+import type { LoopLag } from "../../base/loop_monitor.ts";
 import type { Timers } from "../../base/timers.ts";
 import type { HostControl } from "../../ports/host_control.ts";
 import type { EngineSpec, ServiceSpec } from "../../world/catalog.ts";
@@ -14,15 +15,19 @@
   SuspicionTracker,
 } from "../fleet/suspicion_tracker.ts";
 import type { HostRegistry } from "../fleet/host_registry.ts";
+import type { ReplicaGroupView } from "../fleet/replica.ts";
+import { groupKey } from "../fleet/replica.ts";
 import { CommandSender } from "./command_sender.ts";
 import { LayoutExecutor } from "./layout_executor.ts";
 import { GroupLifecycle } from "./group_lifecycle.ts";
 import type { TrackedHost } from "./host_state_tracker.ts";
 import { HostStateTracker } from "./host_state_tracker.ts";
+import type { ManagedGroup } from "./managed_group.ts";
 import { collectGroups, isCrossDomain, isHealthy } from "./managed_group.ts";
 import type { FreeHost } from "./layout.ts";
 import { planLayout } from "./layout.ts";
 import { LoadLimiter } from "./load_limiter.ts";
+import { ReportCollector } from "./report_collector.ts";
 import { RetryLimiter } from "./retry_limiter.ts";
 
 const RECONCILE_INTERVAL_MS = 100;
@@ -36,6 +41,10 @@
 const STARTUP_SETTLE_MS = 1_000;
 /** Share of an engine's time that demand may use. */
 const TARGET_UTILIZATION = 0.7;
+/** Largest share of the process's time that reconciliation may use. */
+const MAX_RECONCILE_SHARE = 0.2;
+/** Order of report requests at the start of a term; the lowest comes first. */
+const REPORT_NEED = { repair: 0, free: 1, serving: 2 } as const;
 /** Interval of report requests to a silent host. */
 const REPORT_RETRY_MS = 500;
 
@@ -58,6 +67,7 @@
    * Called when every member of an open, suspected group has sent a report.
    */
   readonly onGroupResponsive: (key: string) => void;
+  readonly loopLag: LoopLag;
   /** Window in which the weight store limits loads, in milliseconds. */
   readonly loadWindowMs: number;
 }
@@ -75,15 +85,12 @@
   readonly #retry = new RetryLimiter();
   readonly #executor: LayoutExecutor;
   readonly #lifecycle: GroupLifecycle;
-  #term = 0;
+  readonly #reports: ReportCollector;
   #hostCount = 0;
   #hostCountChangedAt = 0;
-  /**
-   * Whether the report requests sent at the start of the current term have
-   * completed, successfully or not.
-   */
-  #hasStates = false;
   #isReconcileScheduled = false;
+  /** Time before which the next reconciliation doesn't start. */
+  #nextReconcileAt = -Infinity;
 
   constructor(deps: GroupOrchestratorDependencies) {
     this.#deps = deps;
@@ -95,6 +102,11 @@
       states: this.#states,
       log,
       isLeader,
+      loopLag: deps.loopLag,
+    });
+    this.#reports = new ReportCollector({
+      requestReport: (host) => this.#sender.requestReport(host),
+      onReport: () => this.#scheduleReconcile(),
     });
     this.#loadLimiter = new LoadLimiter(deps.loadWindowMs);
     const shared = {
@@ -125,22 +137,29 @@
   }
 
   /**
-   * Starts a term: requests a report from every engine host, and reconciles once
-   * all requests have completed.
+   * Starts a term: requests a report from every engine host, first from those
+   * whose groups need a repair and from the spares for it. Hosts are left as they
+   * are until their reports have arrived or failed.
    */
-  async onLeaseGained(term: number): Promise<void> {
-    this.#term = term;
+  onLeaseGained(term: number): void {
     this.#executor.beginTerm(term);
-    this.#hasStates = false;
-    const hosts = this.#engineHosts();
-    await Promise.all(
-      hosts.map((host) => this.#sender.requestReport(host)),
-    );
-    if (this.#term !== term) return;
-    this.#hasStates = true;
+    const { groups } = this.#deps.hosts;
+    this.#reports.begin(this.#engineHosts(), ({ membership }) => {
+      if (membership === undefined) return REPORT_NEED.free;
+      const group = groups.get(groupKey(membership.group, membership.epoch));
+      return group?.state === "open" && this.#isComplete(group)
+        ? REPORT_NEED.serving
+        : REPORT_NEED.repair;
+    });
     this.#scheduleReconcile();
   }
 
+  #isComplete({ service, model, members }: ReplicaGroupView): boolean {
+    const engine = this.#engineOf(service);
+    const spec = engine?.models.find(({ name }) => name === model);
+    return members.length === spec?.size;
+  }
+
   /** Probes a newly suspected group at once. */
   onSuspicion(suspicion: Suspicion): void {
     if (this.#deps.isLeader()) this.#probe(suspicion.key);
@@ -181,14 +200,29 @@
   #scheduleReconcile(): void {
     if (this.#isReconcileScheduled || !this.#deps.isLeader()) return;
     this.#isReconcileScheduled = true;
-    this.#deps.timers.after(RECONCILE_DELAY_MS, () => {
+    const waitMs = this.#nextReconcileAt - this.#deps.timers.now();
+    this.#deps.timers.after(Math.max(RECONCILE_DELAY_MS, waitMs), () => {
       this.#isReconcileScheduled = false;
       this.#reconcile();
     });
   }
 
+  /**
+   * Reconciles, unless that would leave the process too little time for requests
+   * and for the lease; then a later reconciliation is scheduled.
+   */
   #reconcile(): void {
-    if (!this.#deps.isLeader() || !this.#hasStates) return;
+    if (!this.#deps.isLeader()) return;
+    const { timers } = this.#deps;
+    const startedAt = timers.now();
+    if (startedAt < this.#nextReconcileAt) return this.#scheduleReconcile();
+    this.#reconcileAll();
+    const endedAt = timers.now();
+    this.#nextReconcileAt = endedAt +
+      (endedAt - startedAt) * (1 / MAX_RECONCILE_SHARE - 1);
+  }
+
+  #reconcileAll(): void {
     const inForce = this.#deps.catalog.inForce;
     if (inForce === undefined) return;
     this.#states.retain(
@@ -233,7 +267,7 @@
     const occupied = new Set<string>();
     const crossDomainGroupByHost = new Map<string, string>();
     for (const group of groups) {
-      this.#lifecycle.reconcile(group, now);
+      if (!this.#hasAwaited(group)) this.#lifecycle.reconcile(group, now);
       const servesCrossDomain = isCrossDomain(group) && isHealthy(group);
       for (const { host } of group.members) {
         if (servesCrossDomain) crossDomainGroupByHost.set(host.id, group.key);
@@ -242,7 +276,8 @@
     }
     const free = states.filter((state) =>
       !occupied.has(state.host.id) && this.#isUsable(state) &&
-      !this.#sender.isBusy(state.host.id)
+      !this.#sender.isBusy(state.host.id) &&
+      !this.#reports.isAwaited(state.host.id)
     );
     this.#updateFreeSince(free, now);
     if (!this.#isHostCountStable(states.length, now)) return;
@@ -269,6 +304,10 @@
     }
   }
 
+  #hasAwaited(group: ManagedGroup): boolean {
+    return group.members.some(({ host }) => this.#reports.isAwaited(host.id));
+  }
+
   /** Drops the state of groups that no longer exist. */
   #prune(): void {
     const keys = new Set(this.#deps.hosts.groups.keys());
--- a/src/core/orchestrator/layout.ts
+++ b/src/core/orchestrator/layout.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { EngineModel } from "../../world/catalog.ts";
+import { SpareCounts } from "./spare_counts.ts";
 import { spareValue } from "./spare_value.ts";
 
 /** A host that is in no group, or only in a cross-domain one. */
@@ -107,6 +108,8 @@
   readonly #input: LayoutInput;
   readonly #free: Map<string, FreeHost[]>;
   readonly #groupCounts = new Map<string, number>();
+  /** Number of groups by domain and model, with those of this plan. */
+  readonly #groupsByDomain = new Map<string, number>();
   /** Model that each spare is to load according to this plan, by host id. */
   readonly #plannedModels = new Map<string, string>();
   #loadBudget: number;
@@ -120,8 +123,9 @@
       list.push(host);
       this.#free.set(host.domain, list);
     }
-    for (const { model } of input.groups) {
+    for (const { model, domain } of input.groups) {
       this.#groupCounts.set(model, (this.#groupCounts.get(model) ?? 0) + 1);
+      this.#countInDomain(domain, model);
     }
   }
 
@@ -182,11 +186,21 @@
       });
       return true;
     }
-    const members = best.hosts.map((host) => host.id);
-    this.steps.push({ kind: "form", model: model.name, members });
+    this.#form(model, best.hosts);
     return true;
   }
 
+  #form(model: EngineModel, hosts: readonly FreeHost[]): void {
+    this.#countInDomain(hosts[0].domain, model.name);
+    const members = hosts.map((host) => host.id);
+    this.steps.push({ kind: "form", model: model.name, members });
+  }
+
+  #countInDomain(domain: string, model: string): void {
+    const key = domainModelKey(domain, model);
+    this.#groupsByDomain.set(key, (this.#groupsByDomain.get(key) ?? 0) + 1);
+  }
+
   /** Forms cross-domain groups from the remaining free hosts of each zone. */
   formCrossDomain(): void {
     if (this.#input.loadsAreCheap) return;
@@ -221,8 +235,7 @@
       model.name,
       (this.#groupCounts.get(model.name) ?? 0) + 0.4,
     );
-    const members = chosen.map((host) => host.id);
-    this.steps.push({ kind: "form", model: model.name, members });
+    this.#form(model, chosen);
     return true;
   }
 
@@ -268,14 +281,16 @@
    */
   prepareSpares(): void {
     for (const [domain, hosts] of this.#free) {
-      for (const host of hosts) this.#prepareSpare(domain, host, hosts);
+      const spares = new SpareCounts();
+      for (const host of hosts) spares.add(this.#modelOf(host));
+      for (const host of hosts) this.#prepareSpare(domain, host, spares);
     }
   }
 
   #prepareSpare(
     domain: string,
     host: FreeHost,
-    spares: readonly FreeHost[],
+    spares: SpareCounts,
   ): void {
     if (host.isLoading || host.crossDomainGroup !== undefined) return;
     const target = this.#bestSpareModel(domain, host, spares);
@@ -288,7 +303,7 @@
       // a spare of another model.
       if (
         this.#groupsIn(domain, current) > 0 &&
-        !this.#hasEquivalentSpare(host, spares)
+        spares.of(current) < 2
       ) {
         return;
       }
@@ -300,14 +315,7 @@
       this.steps.push({ kind: "stage", model: target, host: host.id });
     }
     this.#plannedModels.set(host.id, target);
-  }
-
-  /** Whether another spare has the same model. */
-  #hasEquivalentSpare(host: FreeHost, spares: readonly FreeHost[]): boolean {
-    const current = this.#modelOf(host);
-    return spares.some((spare) =>
-      spare !== host && this.#modelOf(spare) === current
-    );
+    spares.move(current, target);
   }
 
   /** Model that a spare has, is loading or is planned to load. */
@@ -319,14 +327,13 @@
   #bestSpareModel(
     domain: string,
     host: FreeHost,
-    spares: readonly FreeHost[],
+    spares: SpareCounts,
   ): string | undefined {
     const current = this.#modelOf(host);
     let best: { model: string; value: number } | undefined;
     for (const model of this.#input.models) {
-      const otherSpares = spares.filter((spare) =>
-        spare !== host && this.#modelOf(spare) === model.name
-      ).length;
+      const isOwn = current === model.name;
+      const otherSpares = spares.of(model.name) - (isOwn ? 1 : 0);
       const isChange = current !== undefined && current !== model.name &&
         !this.#input.loadsAreCheap;
       const value = this.#spareValue(domain, model, otherSpares) *
@@ -362,15 +369,10 @@
   }
 
   #groupsIn(domain: string, model: string): number {
-    let count = 0;
-    for (const group of this.#input.groups) {
-      if (group.domain === domain && group.model === model) count += 1;
-    }
-    for (const step of this.steps) {
-      if (step.kind !== "form" || step.model !== model) continue;
-      const first = this.#input.free.find((h) => h.id === step.members[0]);
-      if (first?.domain === domain) count += 1;
-    }
-    return count;
+    return this.#groupsByDomain.get(domainModelKey(domain, model)) ?? 0;
   }
 }
+
+function domainModelKey(domain: string, model: string): string {
+  return `${domain}|${model}`;
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { LoopMonitor } from "../base/loop_monitor.ts";
 import type { Random } from "../base/random.ts";
 import type { Timers } from "../base/timers.ts";
 import { CatalogHolder } from "../core/catalog/catalog_holder.ts";
@@ -84,6 +85,7 @@
   /** Availability zones that operators have taken out of service. */
   readonly #zonesOutOfService = new Set<string>();
   readonly #pauseDetector: PauseDetector;
+  readonly #loopMonitor: LoopMonitor;
   readonly #replicaView: ReplicaView;
   readonly #gossip: PeerGossip;
   readonly #fleetState: FleetState;
@@ -111,6 +113,7 @@
       timers,
       () => this.#catalog.readClocks(),
     );
+    this.#loopMonitor = new LoopMonitor(timers);
     this.#replicaView = new ReplicaView(
       this.#hosts,
       this.#catalog,
@@ -186,6 +189,7 @@
         this.#suspicions.clear(key, timers.now());
         this.#gossip.broadcast();
       },
+      loopLag: this.#loopMonitor,
       loadWindowMs: bounds.load_window,
     });
     this.#suspicions.onSuspicion((suspicion, from) => {
@@ -201,6 +205,7 @@
     const { log, settings, incarnation } = this.#deps;
     log.info("start", { incarnation, settings });
     this.#pauseDetector.start();
+    this.#loopMonitor.start();
     this.#fleetState.start();
     this.#registration.start();
     this.#gossip.start();
