--- a/features/responses.feature
+++ b/features/responses.feature
@@ -32,6 +32,7 @@
     Examples:
       | response                  |
       | "endless failure"         |
+      | "stale refusal first"     |
       | "endless interim heads"   |
       | "endless head"            |
       | "endless reason"          |
--- a/tools/fuzz/raw_responses.ts
+++ b/tools/fuzz/raw_responses.ts
@@ -169,6 +169,10 @@
       });
     },
   ),
+  response("stale refusal first", {}, ({ socket, requestId }) => {
+    socket.write(head(503, undefined, NOT_RUN, "Content-Length: 0"));
+    socket.write(whole(200, requestId));
+  }),
   response("bytes after the end", { status: 200 }, ({ socket, requestId }) => {
     socket.write(`${whole(200, requestId)}more`);
   }),
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -462,7 +462,7 @@
     edits: [{
       file: "relay/placer.js",
       find: "1 + rank * RANK_PENALTY",
-      replace: "1 + random.float() * JITTER",
+      replace: "1 + this.#deps.random.float() * JITTER",
     }],
   },
   {
@@ -486,4 +486,134 @@
       replace: "",
     }],
   },
+  {
+    promise: 5,
+    tag: "@responses",
+    mechanism: "A refusal ends its attempt at its head",
+    edits: [{
+      file: "relay/relay_run.js",
+      find: "#endAtHead(attempt, head) {",
+      replace: "#endAtHead(attempt, head) { if (head.notRun) return;",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@responses",
+    mechanism: "An error response is kept up to a size",
+    edits: [{
+      file: "relay/failed_response.js",
+      find: "if (this.#bytes > MAX_FAILURE_BODY_BYTES)",
+      replace: "if (false)",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@responses",
+    mechanism: "A large response that broke off is not joined to its retry",
+    edits: [{
+      file: "relay/relay_run.js",
+      find: "if (!this.#writer.canContinue)",
+      replace: "if (false)",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@responses",
+    mechanism: "A comment is no progress of a stream",
+    edits: [{
+      file: "relay/stream_splice.js",
+      find: "if (!isComment(event))",
+      replace: "",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@responses",
+    mechanism: "A stream that stalls alone is continued elsewhere",
+    edits: [{
+      file: "relay/stall_detector.js",
+      find: "if (!isStalled(run, lastProgressAt))",
+      replace: "if (true)",
+    }],
+  },
+  {
+    promise: 7,
+    tag: "@responses",
+    mechanism: "A promise counts only with the request's id",
+    edits: [{
+      file: "../platform/relay_exchange.js",
+      find: "if (isPromise && echoedId === undefined)",
+      replace: "if (false)",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@responses",
+    mechanism: "Interim responses are limited",
+    edits: [{
+      file: "../platform/relay_exchange.js",
+      find: "return this.#interimHeads > MAX_INTERIM_HEADS",
+      replace: "return false",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@responses",
+    mechanism: "Bytes outside of heads and bodies are limited",
+    edits: [{
+      file: "../platform/upstream_connector.js",
+      find: "if (unparsed <= MAX_UNPARSED_BYTES)",
+      replace: "if (true)",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@responses",
+    mechanism: "A discarded response must end soon",
+    edits: [{
+      file: "../platform/relay_exchange.js",
+      find: "this.#discardTimer = this.#deps.timers.after(MAX_DISCARD_MS",
+      replace: "this.#discardTimer = this.#deps.timers.after(1e6",
+    }],
+  },
+  {
+    promise: 2,
+    tag: "@scale",
+    mechanism: "A new leader leaves hosts alone whose reports it has not seen",
+    edits: [{
+      file: "orchestrator/report_collector.js",
+      find: "return this.#awaited.has(hostId);",
+      replace: "return false;",
+    }],
+  },
+  {
+    promise: 1,
+    tag: "@scale",
+    mechanism: "The hosts of broken groups report first",
+    edits: [{
+      file: "orchestrator/report_collector.js",
+      find: "needOf(b) - needOf(a)",
+      replace: "needOf(a) - needOf(b)",
+    }],
+  },
+  {
+    promise: 1,
+    tag: "@scale",
+    mechanism: "A loop that is behind treats no host as silent",
+    edits: [{
+      file: "orchestrator/command_sender.js",
+      find: 'if (kind === "silent" && this.#wasBehindSince(requestedAt))',
+      replace: "if (false)",
+    }],
+  },
+  {
+    promise: 1,
+    tag: "@scale",
+    mechanism: "Reconciliation leaves time for requests",
+    edits: [{
+      file: "orchestrator/group_orchestrator.js",
+      find: "if (startedAt < this.#nextReconcileAt)",
+      replace: "if (false)",
+    }],
+  },
 ];
