Notice callers that left before placing requests when the loop is behind

Now a request that is read within 200 ms of a lag of more than 100 ms is placed one turn of the loop later; one whose caller has left is dropped. Nothing is refused for it.

Test: 20 requests of callers that left while the loop was 400 ms behind: 20 sent without the change (mutant), 0 with it; of 20 callers that wait, 20 are served.

--- a/features/scale.feature
+++ b/features/scale.feature
@@ -43,3 +43,13 @@
     Given a fleet whose reconciliations each take 50 milliseconds
     When 10 seconds pass with a change of a host every 20 milliseconds
     Then reconciliations took at most 2500 milliseconds in all
+
+  Scenario Outline: should send <sent> requests of callers that <callers> while the event loop was behind
+    Given a relay whose event loop was 400 milliseconds behind
+    When 20 streams are requested by callers that <callers>
+    Then <sent> of them are sent
+
+    Examples:
+      | callers     | sent |
+      | have left   | 0    |
+      | still wait  | 20   |
--- a/features/steps/relay_fixture.ts
+++ b/features/steps/relay_fixture.ts
@@ -95,6 +95,8 @@
     confirmationAgeMs: () => this.catalog.confirmationAgeMs,
     isLeader: () => false,
   });
+  /** How far the relay's event loop was behind. */
+  lagMs = 0;
   readonly #hosts = new HostRegistry();
   #nextId = 0;
 
@@ -115,6 +117,7 @@
       observer: new RequestLog(this.timers, this.log, this.metrics),
       nodeId: "node-0",
       zone: "zone-0",
+      loopLag: { worstSince: () => this.lagMs },
       retryBounds: () => ({ ratio: 0.2, windowMs: 10_000, slack: 136 }),
       maxConfirmationAgeMs: () => 4_250,
       fleetSize: () => 1,
@@ -175,12 +178,16 @@
       expectedTokens: undefined,
     };
     const run = this.relay.handle(request, response);
+    if (this.disconnectAtOnce) run?.onCallerDisconnected();
     response.onEvent = (count) => {
       if (count === this.disconnectAfterEvents) run?.onCallerDisconnected();
     };
     return response;
   }
 
+  /** Whether callers disconnect before the loop reads their requests. */
+  disconnectAtOnce = false;
+
   /** Number of events after which callers disconnect; -1 for never. */
   disconnectAfterEvents = -1;
 
--- a/features/steps/scale_steps.ts
+++ b/features/steps/scale_steps.ts
@@ -22,6 +22,7 @@
 import { RequestQueue } from "../../src/core/relay/request_queue.ts";
 import { exampleCatalog } from "../../src/standins/fleet/example_catalog.ts";
 import type { ServingHost } from "../../src/world/serving_host.ts";
+import { RelayFixture } from "./relay_fixture.ts";
 import { RecordedLog, SimulatedFleet } from "./simulated_fleet.ts";
 
 /** Timers whose clock a test sets, to play a loop that is behind. */
@@ -50,6 +51,7 @@
   manual: ManualTimers;
   monitor: LoopMonitor;
   fleet: SimulatedFleet;
+  fixture: RelayFixture;
   commands: number;
   reconcileMs: number;
 }
@@ -381,6 +383,28 @@
   },
 );
 
+Given(
+  "a relay whose event loop was {int} milliseconds behind",
+  function (this: ScaleWorld, lagMs: number) {
+    this.fixture = new RelayFixture();
+    this.fixture.addGroups(4, "small");
+    this.fixture.lagMs = lagMs;
+  },
+);
+
+When(
+  /^20 streams are requested by callers that (have left|still wait)$/,
+  function (this: ScaleWorld, callers: string) {
+    this.fixture.disconnectAtOnce = callers === "have left";
+    for (let i = 0; i < 20; i++) this.fixture.sendRequest("/draft/");
+    return this.fixture.timers.run(1_000);
+  },
+);
+
+Then("{int} of them are sent", function (this: ScaleWorld, sent: number) {
+  assert.equal(this.fixture.upstreams.attempts.length, sent);
+});
+
 Given(
   "a fleet whose reconciliations each take {int} milliseconds",
   async function (this: ScaleWorld, ms: number) {
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import { sha256 } from "../../base/hash.ts";
+import type { LoopLag } from "../../base/loop_monitor.ts";
 import type { Random } from "../../base/random.ts";
 import type { Timers } from "../../base/timers.ts";
 import type { RelayClient, RelayHead } from "../../ports/relay_client.ts";
@@ -49,6 +50,10 @@
 const EXPIRY_INTERVAL_MS = 1_000;
 /** A request is refused once this many upstreams crashed as it began to run. */
 const MAX_CRASHES = 3;
+/** The event loop is behind if it was late by more than this... */
+const BEHIND_LAG_MS = 100;
+/** ...within this time. */
+const BEHIND_WINDOW_MS = 200;
 /** An upstream that sent an event within this time is considered reachable. */
 const RECENT_EVENT_MS = 150;
 
@@ -76,6 +81,7 @@
   readonly observer: RelayObserver;
   readonly nodeId: string;
   readonly zone: string;
+  readonly loopLag: LoopLag;
   readonly retryBounds: () => RetryBounds;
   /** Maximum age of the catalog's confirmation at which API keys are trusted. */
   readonly maxConfirmationAgeMs: () => number;
@@ -189,10 +195,19 @@
       fingerprint,
     );
     this.#runs.add(run);
-    run.start();
+    if (this.#isBehind(now)) {
+      // Callers that disconnected meanwhile are noticed in this turn of the loop.
+      this.#deps.timers.after(0, () => run.start());
+    } else run.start();
     return run;
   }
 
+  /** Whether requests may have been read long after they arrived. */
+  #isBehind(now: number): boolean {
+    return this.#deps.loopLag.worstSince(now - BEHIND_WINDOW_MS) >
+      BEHIND_LAG_MS;
+  }
+
   /** Returns what is needed to run a request, or why it is refused. */
   #admit(request: RelayRequest): Refusal | {
     readonly route: Route;
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -226,7 +226,9 @@
     return this.#excludedKeys.has(key);
   }
 
+  /** Places the request, unless its caller has disconnected before. */
   start(): void {
+    if (this.#isEnded) return;
     this.#deps.placeOrEnqueue(this);
   }
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -131,6 +131,7 @@
       observer: new RequestLog(timers, deps.log, this.metrics),
       nodeId: node.id,
       zone: node.availability_zone,
+      loopLag: this.#loopMonitor,
       retryBounds: () => {
         const { retry_ratio, retry_window, retry_slack } =
           this.#settings.bounds;
--- a/tools/fuzz/fuzz_relay.ts
+++ b/tools/fuzz/fuzz_relay.ts
@@ -127,6 +127,7 @@
       observer: { onEvent() {}, onRefused() {} },
       nodeId: "node-0",
       zone: "zone-0",
+      loopLag: { worstSince: () => 0 },
       retryBounds: () => ({ ratio: 1, windowMs: 10_000, slack: 10_000 }),
       maxConfirmationAgeMs: () => Infinity,
       fleetSize: () => 1,
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -616,4 +616,14 @@
       replace: "if (false)",
     }],
   },
+  {
+    promise: 8,
+    tag: "@scale",
+    mechanism: "A loop that is behind notices callers that left first",
+    edits: [{
+      file: "relay/relay.js",
+      find: "if (this.#isBehind(now))",
+      replace: "if (false)",
+    }],
+  },
 ];
