Count a caller's deadline from when its request may have arrived

Cause: a loop that is behind reads requests late, and handed hosts the caller's whole time from there: more than the caller had left.

--- a/features/scale.feature
+++ b/features/scale.feature
@@ -53,3 +53,8 @@
       | callers     | sent |
       | have left   | 0    |
       | still wait  | 20   |
+
+  Scenario: should not give hosts more time than callers have left when the event loop was behind
+    Given a relay whose event loop was 400 milliseconds behind
+    When 20 streams are requested by callers that still wait
+    Then the hosts are given at most 4600 milliseconds
--- a/features/steps/scale_steps.ts
+++ b/features/steps/scale_steps.ts
@@ -405,6 +405,17 @@
   assert.equal(this.fixture.upstreams.attempts.length, sent);
 });
 
+Then(
+  "the hosts are given at most {int} milliseconds",
+  function (this: ScaleWorld, limitMs: number) {
+    const times = this.fixture.upstreams.attempts.map(({ attempt }) =>
+      attempt.deadlineMs
+    );
+    assert.equal(times.length, 20);
+    assert.ok(Math.max(...times) <= limitMs, `${Math.max(...times)} ms`);
+  },
+);
+
 Given(
   "a fleet whose reconciliations each take {int} milliseconds",
   async function (this: ScaleWorld, ms: number) {
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -185,27 +185,31 @@
     const now = this.#deps.timers.now();
     this.#retryBudget.recordRequest(service.name, now);
     this.demand.recordRequest(service, request, now);
+    const lateMs = this.#lateMs(now);
     const run = new RelayRun(
       this.#runDependencies,
       request,
       response,
-      new RequestContract(route, request, now),
+      new RequestContract(route, request, now - lateMs),
       service,
       customer,
       fingerprint,
     );
     this.#runs.add(run);
-    if (this.#isBehind(now)) {
+    if (lateMs > 0) {
       // Callers that disconnected meanwhile are noticed in this turn of the loop.
       this.#deps.timers.after(0, () => run.start());
     } else run.start();
     return run;
   }
 
-  /** Whether requests may have been read long after they arrived. */
-  #isBehind(now: number): boolean {
-    return this.#deps.loopLag.worstSince(now - BEHIND_WINDOW_MS) >
-      BEHIND_LAG_MS;
+  /**
+   * How long ago a request that is read now may have arrived, in milliseconds; 0
+   * unless the event loop is behind. The caller's deadline counts from there.
+   */
+  #lateMs(now: number): number {
+    const lagMs = this.#deps.loopLag.worstSince(now - BEHIND_WINDOW_MS);
+    return lagMs > BEHIND_LAG_MS ? lagMs : 0;
   }
 
   /** Returns what is needed to run a request, or why it is refused. */
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -622,8 +622,18 @@
     mechanism: "A loop that is behind notices callers that left first",
     edits: [{
       file: "relay/relay.js",
-      find: "if (this.#isBehind(now))",
+      find: "if (lateMs > 0)",
       replace: "if (false)",
     }],
   },
+  {
+    promise: 6,
+    tag: "@scale",
+    mechanism: "A deadline counts from when the request may have arrived",
+    edits: [{
+      file: "relay/relay.js",
+      find: "now - lateMs",
+      replace: "now",
+    }],
+  },
 ];
