--- a/features/steps/response_steps.ts
+++ b/features/steps/response_steps.ts
@@ -9,7 +9,7 @@
 import { Random } from "../../src/base/random.ts";
 import { SystemTimers } from "../../src/base/system_timers.ts";
 import { sleep } from "../../src/base/timers.ts";
-import type { CallerResult } from "../../tools/fuzz/fuzz_relay.ts";
+import type { CallerResult } from "../../tools/fuzz/caller_result.ts";
 import { FuzzRelay } from "../../tools/fuzz/fuzz_relay.ts";
 import { RawHost } from "../../tools/fuzz/raw_host.ts";
 import {
--- a/src/base/loop_monitor.ts
+++ b/src/base/loop_monitor.ts
@@ -11,7 +11,7 @@
 /** Lags are recorded for this time. */
 const HISTORY_MS = 3_000;
 
-/** Tells whether this process was too busy to notice what arrived in time. */
+/** How late this process may have read what arrived. */
 export interface LoopLag {
   /** Longest lag since a monotonic time, in milliseconds. */
   worstSince(since: number): number;
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -50,9 +50,9 @@
 const EXPIRY_INTERVAL_MS = 1_000;
 /** A request is refused once this many upstreams crashed as it began to run. */
 const MAX_CRASHES = 3;
-/** The event loop is behind if it was late by more than this... */
+/** A lag of the event loop from which requests may have been read late. */
 const BEHIND_LAG_MS = 100;
-/** ...within this time. */
+/** Time for which requests may have been read late after such a lag. */
 const BEHIND_WINDOW_MS = 200;
 /** An upstream that sent an event within this time is considered reachable. */
 const RECENT_EVENT_MS = 150;
--- a/src/platform/http_relay_client.ts
+++ b/src/platform/http_relay_client.ts
@@ -14,13 +14,11 @@
   RelayListener,
 } from "../ports/relay_client.ts";
 import { MAX_HEAD_BYTES } from "../ports/response_limits.ts";
+import { ConnectionObserver } from "./connection_observer.ts";
 import type { RelayExchangeDependencies } from "./relay_exchange.ts";
 import { RelayExchange } from "./relay_exchange.ts";
-import {
-  ConnectionObserver,
-  createConnector,
-  WaitingRequests,
-} from "./upstream_connector.ts";
+import { createConnector } from "./upstream_connector.ts";
+import { WaitingRequests } from "./waiting_requests.ts";
 import { HEADER } from "./wire_names.ts";
 
 /** Above every route's timeout; the request's own deadline applies first. */
--- a/src/platform/relay_exchange.ts
+++ b/src/platform/relay_exchange.ts
@@ -16,8 +16,8 @@
   MAX_DISCARDED_BYTES,
   MAX_INTERIM_HEADS,
 } from "../ports/response_limits.ts";
-import type { ConnectionObserver } from "./upstream_connector.ts";
-import { UNPARSED_BYTES_CODE } from "./upstream_connector.ts";
+import type { ConnectionObserver } from "./connection_observer.ts";
+import { UNPARSED_BYTES_CODE } from "./connection_observer.ts";
 import { forwardedResponseHeaders, HEADER } from "./wire_names.ts";
 
 const EVENT_STREAM_TYPE = "text/event-stream";
@@ -46,7 +46,7 @@
   readonly #hostId: string;
   readonly #requestId: string;
   readonly #listener: RelayListener;
-  /** Called once, when the request is started or fails before that. */
+  /** Called once, when the request has a connection or fails without one. */
   readonly #onConnected: () => void;
   #isWaiting = true;
   #controller: Dispatcher.DispatchController | undefined;
--- a/tools/fuzz/fuzz_relay.ts
+++ b/tools/fuzz/fuzz_relay.ts
@@ -11,80 +11,15 @@
 import { ReplicaView } from "../../src/core/fleet/replica_view.ts";
 import { SuspicionTracker } from "../../src/core/fleet/suspicion_tracker.ts";
 import { Relay } from "../../src/core/relay/relay.ts";
-import type {
-  Refusal,
-  RelayResponse,
-} from "../../src/core/relay/relay_request.ts";
 import { HttpRelayClient } from "../../src/platform/http_relay_client.ts";
-import type { RawHeaders } from "../../src/ports/relay_client.ts";
 import { exampleCatalog } from "../../src/standins/fleet/example_catalog.ts";
 import type { Catalog } from "../../src/world/catalog.ts";
+import { CallerResult } from "./caller_result.ts";
 import type { RawHost } from "./raw_host.ts";
 
 /** Keeps hosts in use however many of their responses fail. */
 const GOAL_MS = 60_000;
 
-/** What the caller of one request received. */
-export class CallerResult implements RelayResponse {
-  readonly requestId: string;
-  readonly isRepeatable: boolean;
-  status: number | undefined;
-  body = "";
-  isComplete = false;
-  isAborted = false;
-  refusal: Refusal | undefined;
-  endedAfterMs: number | undefined;
-  readonly #startedAt: number;
-  readonly #now: () => number;
-  readonly #onEnd: () => void;
-
-  constructor(
-    requestId: string,
-    isRepeatable: boolean,
-    now: () => number,
-    onEnd: () => void,
-  ) {
-    this.requestId = requestId;
-    this.isRepeatable = isRepeatable;
-    this.#now = now;
-    this.#startedAt = now();
-    this.#onEnd = onEnd;
-  }
-
-  writeHead(status: number, _headers: RawHeaders): void {
-    this.status = status;
-  }
-
-  write(chunk: Uint8Array): boolean {
-    this.body += Buffer.from(chunk).toString("latin1");
-    return true;
-  }
-
-  end(): void {
-    this.isComplete = true;
-    this.#finish();
-  }
-
-  refuse(refusal: Refusal): void {
-    this.refusal = refusal;
-    this.#finish();
-  }
-
-  abort(): void {
-    this.isAborted = true;
-    this.#finish();
-  }
-
-  onDrain(callback: () => void): void {
-    callback();
-  }
-
-  #finish(): void {
-    this.endedAfterMs = this.#now() - this.#startedAt;
-    this.#onEnd();
-  }
-}
-
 /** Sends requests through a {@linkcode Relay} to hosts of a plain service. */
 export class FuzzRelay {
   readonly timers = new SystemTimers();
--- a/tools/fuzz/response_fuzz.ts
+++ b/tools/fuzz/response_fuzz.ts
@@ -8,7 +8,7 @@
 import { SystemTimers } from "../../src/base/system_timers.ts";
 import { sleep } from "../../src/base/timers.ts";
 import { guaranteesNotRun } from "../../src/core/relay/relay_request.ts";
-import type { CallerResult } from "./fuzz_relay.ts";
+import type { CallerResult } from "./caller_result.ts";
 import { FuzzRelay } from "./fuzz_relay.ts";
 import type { ReceivedRequest } from "./raw_host.ts";
 import { RawHost } from "./raw_host.ts";
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -561,7 +561,7 @@
     tag: "@responses",
     mechanism: "Bytes outside of heads and bodies are limited",
     edits: [{
-      file: "../platform/upstream_connector.js",
+      file: "../platform/connection_observer.js",
       find: "if (unparsed <= MAX_UNPARSED_BYTES)",
       replace: "if (true)",
     }],
