--- a/features/steps/relay_fixture.ts
+++ b/features/steps/relay_fixture.ts
@@ -175,6 +175,7 @@
       model: isStream ? model : undefined,
       promptTokens: isStream ? 600 : 0,
       maxTokens: 0,
+      promptParts: [],
       expectedTokens: undefined,
     };
     const run = this.relay.handle(request, response);
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -27,6 +27,7 @@
 import type { ReplicaView } from "../fleet/replica_view.ts";
 import { SuspectRequestTracker } from "../retries/suspect_request_tracker.ts";
 import { ColdHostLimiter } from "./cold_host_limiter.ts";
+import type { CrashVerdict } from "./crash_detector.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { LoadTracker } from "./load_tracker.ts";
@@ -67,6 +68,8 @@
     refusal: Refusal,
     catalogVersion: number,
   ): void;
+  /** Called when resets of an upstream's connections have been judged. */
+  onCrashVerdict(verdict: CrashVerdict): void;
 }
 
 /** Dependencies and settings of a {@linkcode Relay}. */
@@ -123,6 +126,7 @@
       deps.timers,
       this.suspectRequests,
       (key) => this.loads.localLoad(key).inFlight,
+      (verdict) => deps.observer.onCrashVerdict(verdict),
     );
     this.#stallDetector = new StallDetector(this.loads, deps.suspicions);
     const placer = new Placer({
--- a/src/core/relay/relay_request.ts
+++ b/src/core/relay/relay_request.ts
@@ -24,6 +24,11 @@
   readonly promptTokens: number;
   /** Limit on output tokens that the caller declares; 0 if it declares none. */
   readonly maxTokens: number;
+  /**
+   * Ids of the parts of the prompt that other requests may share, in order; none
+   * if the caller declares no parts.
+   */
+  readonly promptParts: readonly string[];
   /** The caller's estimate of the output tokens; often inaccurate. */
   readonly expectedTokens: number | undefined;
 }
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -71,6 +71,8 @@
   readonly expectedMs?: number;
   /** Number of announced replicas that were not suspected. */
   readonly considered?: number;
+  /** Time without progress when the attempt ended; undefined if it had none. */
+  readonly silentMs?: number;
 }
 
 /** What a {@linkcode RelayRun} needs from the relay. */
@@ -540,12 +542,13 @@
     const isAborted = outcome === "stalled" || outcome === "cancelled";
     if (isAborted) attempt.handle?.cancel();
     this.#deps.onAttemptEnded(this, attempt, outcome, attempt.head);
-    const { replica } = attempt;
+    const { replica, lastProgressAt } = attempt;
     this.#deps.onEvent(this, {
       event: "attempt_ended",
       outcome,
       detail,
       replica,
+      silentMs: lastProgressAt && this.#deps.timers.now() - lastProgressAt,
     });
   }
 
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -26,6 +26,7 @@
   readonly #duration: Histogram;
   readonly #firstByte: Histogram;
   readonly #abandonedResponses: Counter;
+  readonly #crashes: Counter;
 
   constructor(gauges: NodeGauges) {
     const registers = [this.registry];
@@ -60,6 +61,12 @@
       help: "Responses of hosts whose unneeded rest exceeded a limit",
       registers,
     });
+    this.#crashes = new Counter({
+      name: "oleander_upstream_crashes_total",
+      help: "Resets before the first byte, by whether the upstream crashed",
+      labelNames: ["verdict"],
+      registers,
+    });
     const gaugeReaders: Record<string, () => number> = {
       oleander_requests_in_flight: gauges.inFlight,
       oleander_requests_waiting: gauges.waiting,
@@ -103,6 +110,11 @@
     this.#abandonedResponses.inc();
   }
 
+  /** Counts resets of an upstream's connections, by whether it crashed. */
+  recordCrashVerdict(isCrash: boolean): void {
+    this.#crashes.inc({ verdict: isCrash ? "crash" : "single_reset" });
+  }
+
   /** Counts a request that was refused on arrival. */
   recordRefusal(outcome: string): void {
     this.#requests.inc({ route: "none", outcome });
--- a/src/node/request_log.ts
+++ b/src/node/request_log.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Timers } from "../base/timers.ts";
+import type { CrashVerdict } from "../core/relay/crash_detector.ts";
 import type { Refusal, RelayRequest } from "../core/relay/relay_request.ts";
 import type { RelayObserver } from "../core/relay/relay.ts";
 import type { RelayRun, RunEvent } from "../core/relay/relay_run.ts";
@@ -42,6 +43,12 @@
       considered: event.considered,
       outcome: event.outcome,
       detail: event.detail === "" ? undefined : event.detail,
+      ...(event.outcome === "reset"
+        ? {
+          silentMs: event.silentMs && Math.round(event.silentMs),
+          parts: run.request.promptParts,
+        }
+        : {}),
       ...(event.event === "ended"
         ? {
           route: run.contract.route.name,
@@ -55,6 +62,15 @@
     });
   }
 
+  onCrashVerdict({ upstream, isCrash, requests, inFlight }: CrashVerdict) {
+    this.#metrics.recordCrashVerdict(isCrash);
+    this.#log.info(isCrash ? "crash_recorded" : "crash_retracted", {
+      upstream,
+      requests,
+      inFlight,
+    });
+  }
+
   onRefused(request: RelayRequest, refusal: Refusal, version: number): void {
     this.#metrics.recordRefusal(refusal.kind);
     this.#log.info("request_turned_away", {
--- a/src/platform/relay_server.ts
+++ b/src/platform/relay_server.ts
@@ -255,6 +255,7 @@
     model: headerValue(req, HEADER.model),
     promptTokens: promptTokens ?? 0,
     maxTokens: maxTokens ?? 0,
+    promptParts: parseSharedParts(headerValue(req, HEADER.promptPrefix)),
     expectedTokens,
   };
 }
@@ -273,6 +274,14 @@
   });
 }
 
+/** Returns the ids of all parts but the last, which no other request shares. */
+function parseSharedParts(text: string | undefined): string[] {
+  if (text === undefined) return [];
+  return text.split(",").slice(0, -1)
+    .map((part) => part.split(":")[0].trim().toLowerCase())
+    .filter((id) => id !== "");
+}
+
 function apiKeyOf(authorization: string | undefined): string | undefined {
   return /^Token\s+(\S+)$/i.exec(authorization ?? "")?.[1];
 }
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -23,6 +23,8 @@
   model: "oleanderarch-model",
   /** Prompt tokens and maximum output tokens, separated by a comma. */
   tokenCount: "oleanderarch-token-count",
+  /** Parts of the prompt in order, as `ID:TOKENS` separated by commas. */
+  promptPrefix: "oleanderarch-prompt-prefix",
   /** The caller's estimate of the output tokens. */
   lengthHint: "oleanderarch-length-hint",
   priority: "oleanderarch-request-priority",
--- a/tools/fuzz/fuzz_relay.ts
+++ b/tools/fuzz/fuzz_relay.ts
@@ -59,7 +59,7 @@
       hosts: registry,
       view: new ReplicaView(registry, catalog, new Set()),
       suspicions: new SuspicionTracker(),
-      observer: { onEvent() {}, onRefused() {} },
+      observer: { onEvent() {}, onRefused() {}, onCrashVerdict() {} },
       nodeId: "node-0",
       zone: "zone-0",
       loopLag: { worstSince: () => 0 },
@@ -103,6 +103,7 @@
         model: undefined,
         promptTokens: 0,
         maxTokens: 0,
+        promptParts: [],
         expectedTokens: undefined,
       }, result);
     });
