--- a/features/steps/relay_fixture.ts
+++ b/features/steps/relay_fixture.ts
@@ -17,7 +17,10 @@
 import { exampleCatalog } from "../../src/standins/fleet/example_catalog.ts";
 import { ScriptedUpstreams } from "../../src/standins/fleet/scripted_upstreams.ts";
 import { RecordedLog } from "./simulated_fleet.ts";
-import type { ServingHost } from "../../src/world/serving_host.ts";
+import type {
+  MembershipState,
+  ServingHost,
+} from "../../src/world/serving_host.ts";
 
 /** Records the response to one request. */
 export class RecordedResponse implements RelayResponse {
@@ -82,8 +85,8 @@
 
 /** A relay with scripted upstreams, in virtual time. */
 export class RelayFixture {
-  readonly timers = new VirtualTimers();
-  readonly upstreams = new ScriptedUpstreams(this.timers);
+  readonly timers: VirtualTimers;
+  readonly upstreams: ScriptedUpstreams;
   readonly catalog: CatalogHolder;
   readonly relay: Relay;
   readonly log = new RecordedLog();
@@ -100,7 +103,12 @@
   readonly #hosts = new HostRegistry();
   #nextId = 0;
 
-  constructor() {
+  constructor(
+    timers = new VirtualTimers(),
+    upstreams = new ScriptedUpstreams(timers),
+  ) {
+    this.timers = timers;
+    this.upstreams = upstreams;
     const now = () => this.timers.now();
     this.catalog = new CatalogHolder(now, now);
     this.catalog.installIfNewer(exampleCatalog(1));
@@ -127,17 +135,24 @@
   }
 
   addGroups(count: number, model: string): void {
-    for (let g = 0; g < count; g++) {
-      for (let rank = 0; rank < 3; rank++) {
-        const state = rank === 0 ? "open" : "ready";
-        this.#announce({
-          id: `i-${g}-${rank}`,
-          service: "pool",
-          domain: `domain-${g}`,
-          models: [model],
-          membership: { group: `g-${g}`, epoch: 1, rank, state },
-        });
-      }
+    for (let g = 0; g < count; g++) this.announceGroup(g, model, "open");
+  }
+
+  /** Announces a group's state again, in the given epoch. */
+  announceGroup(g: number, model: string, state: MembershipState, epoch = 1) {
+    for (let rank = 0; rank < 3; rank++) {
+      this.#announce({
+        id: `i-${g}-${rank}`,
+        service: "pool",
+        domain: `domain-${g}`,
+        models: [model],
+        membership: {
+          group: `g-${g}`,
+          epoch,
+          rank,
+          state: rank === 0 ? state : "ready",
+        },
+      });
     }
   }
 
@@ -160,22 +175,53 @@
     crashesUpstreams = false,
     model = "small",
   ): RecordedResponse {
+    return this.#send({
+      path,
+      target: crashesUpstreams ? `${path}poison` : `${path}${this.#nextId}`,
+      body: crashesUpstreams ? "poison" : `body ${this.#nextId}`,
+      apiKey,
+      model,
+      promptParts: [],
+    });
+  }
+
+  /** Sends a request for a stream whose prompt has the given shared parts. */
+  sendPrompt(promptParts: readonly string[], model: string): RecordedResponse {
+    return this.#send({
+      path: "/draft/",
+      target: `/draft/${this.#nextId}`,
+      body: `body ${this.#nextId} of ${promptParts.join(" ")}`,
+      apiKey: "bindery-key",
+      model,
+      promptParts,
+    });
+  }
+
+  #send(options: {
+    path: string;
+    target: string;
+    body: string;
+    apiKey: string;
+    model: string;
+    promptParts: readonly string[];
+  }): RecordedResponse {
+    const { path, target, body, apiKey, model, promptParts } = options;
     const response = new RecordedResponse(() => this.timers.now());
     const isStream = path.startsWith("/draft/") || path.startsWith("/once/");
     const request: RelayRequest = {
       id: `request-${this.#nextId++}`,
       method: "POST",
       hostName: "album.example",
-      target: crashesUpstreams ? `${path}poison` : `${path}${this.#nextId}`,
+      target,
       headers: [],
-      body: Buffer.from(crashesUpstreams ? "poison" : `body ${this.#nextId}`),
+      body: Buffer.from(body),
       apiKey,
       deadlineMs: 8_000,
       lastEventId: undefined,
       model: isStream ? model : undefined,
       promptTokens: isStream ? 600 : 0,
       maxTokens: 0,
-      promptParts: [],
+      promptParts,
       expectedTokens: undefined,
     };
     const run = this.relay.handle(request, response);
--- /dev/null
+++ b/features/steps/relay_fleet.ts
@@ -0,0 +1,79 @@
+/**
+ * Several relays in virtual time that share scripted upstreams.
+ *
+ * @module
+ */
+import type { RelayAttempt } from "../../src/ports/relay_client.ts";
+import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import { ScriptedUpstreams } from "../../src/standins/fleet/scripted_upstreams.ts";
+import type { RecordedResponse } from "./relay_fixture.ts";
+import { RelayFixture } from "./relay_fixture.ts";
+
+/** Time from a crash until the relays see that the group is not open. */
+const BROKEN_SEEN_AFTER_MS = 300;
+/** Time from a crash until the group is open again. */
+const REOPENED_AFTER_MS = 3_000;
+
+/** Relays that receive prompts in turn; crashed groups open again later. */
+export class RelayFleet {
+  readonly timers = new VirtualTimers();
+  readonly upstreams = new ScriptedUpstreams(this.timers);
+  readonly relays: readonly RelayFixture[];
+  /** Attempts at upstreams, with the monotonic time of their start. */
+  readonly attempts: { at: number; attempt: RelayAttempt }[] = [];
+  /** Called after each crash of a group. */
+  onCrash: () => void = () => {};
+  readonly #model: string;
+  readonly #epochs = new Map<number, number>();
+  #next = 0;
+
+  constructor(relayCount: number, groupCount: number, model: string) {
+    this.#model = model;
+    this.relays = Array.from(
+      { length: relayCount },
+      () => new RelayFixture(this.timers, this.upstreams),
+    );
+    for (const relay of this.relays) relay.addGroups(groupCount, model);
+    this.upstreams.onCrash = (hostId) => this.#replaceGroup(hostId);
+  }
+
+  /** Sends a prompt to the next relay. */
+  sendPrompt(parts: readonly string[]): RecordedResponse {
+    const relay = this.relays[this.#next++ % this.relays.length];
+    return relay.sendPrompt(parts, this.#model);
+  }
+
+  /** Lets time pass, and notes the attempts that begin. */
+  async run(ms: number): Promise<void> {
+    for (const { catalog } of this.relays) {
+      catalog.recordConfirmation(1, catalog.readClocks());
+    }
+    await this.timers.run(ms);
+    const begun = this.upstreams.attempts.slice(this.attempts.length);
+    const at = this.timers.now();
+    for (const { attempt } of begun) this.attempts.push({ at, attempt });
+  }
+
+  /** Opens a crashed group again, with a new epoch. */
+  #replaceGroup(hostId: string): void {
+    this.onCrash();
+    const group = Number(hostId.split("-")[1]);
+    const epoch = (this.#epochs.get(group) ?? 1) + 1;
+    this.#epochs.set(group, epoch);
+    this.#announce(BROKEN_SEEN_AFTER_MS, group, "broken", epoch - 1);
+    this.#announce(REOPENED_AFTER_MS, group, "open", epoch);
+  }
+
+  #announce(
+    afterMs: number,
+    group: number,
+    state: "broken" | "open",
+    epoch: number,
+  ): void {
+    this.timers.after(afterMs, () => {
+      for (const relay of this.relays) {
+        relay.announceGroup(group, this.#model, state, epoch);
+      }
+    });
+  }
+}
--- a/src/standins/fleet/scripted_upstreams.ts
+++ b/src/standins/fleet/scripted_upstreams.ts
@@ -101,6 +101,8 @@
   poisonMarker: string | undefined;
   /** Ids of the hosts that crashed, one for each crash. */
   readonly crashedHostIds: string[] = [];
+  /** Called after each crash. */
+  onCrash: (hostId: string) => void = () => {};
 
   /** Number of requests that upstreams are running. */
   get runningCount(): number {
@@ -145,6 +147,7 @@
       this.#end(request);
       request.listener.onEnd({ kind: "reset", detail: "crashed" });
     }
+    this.onCrash(hostId);
   }
 
   #run(request: ActiveRequest): void {
