Quarantine prompt parts that crash engines

Cause: crashes were added up by the identity of a whole request (customer, path, body). Requests that share only the crashing part of a prompt never share that identity, so each was new. The class of fault: failures correlated by a key that is narrower than their cause.

Ruled out: missing evidence (events before the crash) and retraction.

The fix adds crashes up by prompt part. A part is refused once upstreams crashed at three separate moments with it in flight, while three responses without it began and none with it did. Guards: crashes at one moment count once (hosts that fail together have another cause); a response that begins and goes on clears its parts; a quarantined part explains its crashes, so bystanders are cleared; a part is refused only together with the parts that accompanied it at each crash, so its first part stays in use; one process sends one probe after 30 s, then twice as late each time. Statuses carry suspects and clearances; a node that starts learns them from its peers.

A status from a node of an earlier version lacks the new fields; the check that a missing field is rejected keeps all others, and a step shows that these two are read as empty.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -33,3 +33,4 @@
   Scenario: should reject a peer's message that has an invalid field
     Given a batch with every kind of status field
     Then a batch with any field missing or of another type is rejected
+    And one without the fields of later versions is read as empty in these
--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -5,10 +5,15 @@
   prompts are alike; others share their first part or their customer. A crashed
   group serves again three seconds later.
 
-  @known-red
-  Scenario: should stop sending new requests with a prompt part that crashes groups
-    Given 1 relay with 12 replica groups of "small"
+  Scenario Outline: should stop sending new requests with a prompt part that crashes groups
+    Given <relays> relays with 12 replica groups of "small"
     And the prompt part "deadly" crashes each group that begins to answer it
     When 2000 prompts arrive within 20 seconds, every 40th with the deadly part
     Then at most 3 attempts with the deadly part begin later than 3 seconds after the fifth crash
     And 90% of the sound prompts with the same first part are served from 6 seconds after it
+
+    Examples:
+      | relays |
+      | 1      |
+      | 5      |
+      | 20     |
--- a/features/steps/gossip_steps.ts
+++ b/features/steps/gossip_steps.ts
@@ -161,6 +161,8 @@
     suspicions: [],
     cleared: [],
     strikes: [],
+    suspectParts: [],
+    soundParts: [],
     isStoreUnreachable: false,
     leaderTerm: 0,
     hosts: [],
--- a/features/steps/relay_fleet.ts
+++ b/features/steps/relay_fleet.ts
@@ -4,11 +4,17 @@
  * @module
  */
 import type { RelayAttempt } from "../../src/ports/relay_client.ts";
+import {
+  mergePartStatuses,
+  takePartStatuses,
+} from "../../src/core/gossip/part_statuses.ts";
 import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
 import { ScriptedUpstreams } from "../../src/standins/fleet/scripted_upstreams.ts";
 import type { RecordedResponse } from "./relay_fixture.ts";
 import { RelayFixture } from "./relay_fixture.ts";
 
+/** Time between statuses, and until a peer receives one. */
+const STATUS_INTERVAL_MS = 100;
 /** Time from a crash until the relays see that the group is not open. */
 const BROKEN_SEEN_AFTER_MS = 300;
 /** Time from a crash until the group is open again. */
@@ -35,6 +41,7 @@
     );
     for (const relay of this.relays) relay.addGroups(groupCount, model);
     this.upstreams.onCrash = (hostId) => this.#replaceGroup(hostId);
+    this.timers.subscribe(STATUS_INTERVAL_MS, () => this.#exchangeStatuses());
   }
 
   /** Sends a prompt to the next relay. */
@@ -54,6 +61,21 @@
     for (const { attempt } of begun) this.attempts.push({ at, attempt });
   }
 
+  /** Sends what each relay knows of prompt parts to all others. */
+  #exchangeStatuses(): void {
+    for (const sender of this.relays) {
+      const now = this.timers.now();
+      const statuses = takePartStatuses(sender.relay.promptParts, now);
+      this.timers.after(STATUS_INTERVAL_MS, () => {
+        for (const receiver of this.relays) {
+          if (receiver === sender) continue;
+          const { promptParts } = receiver.relay;
+          mergePartStatuses(promptParts, statuses, this.timers.now());
+        }
+      });
+    }
+  }
+
   /** Opens a crashed group again, with a new epoch. */
   #replaceGroup(hostId: string): void {
     this.onCrash();
--- a/features/steps/timer_steps.ts
+++ b/features/steps/timer_steps.ts
@@ -95,6 +95,14 @@
   suspicions: [{ key: "g", kind: "silent", ageMs: 4 }],
   cleared: [["g", 5]],
   strikes: [{ fingerprint: "f", crashed: ["h"] }],
+  suspectParts: [{
+    part: "p",
+    model: "large",
+    companions: ["c"],
+    crashes: [{ upstream: "g", ageMs: 6 }],
+    isQuarantined: true,
+  }],
+  soundParts: [["s", 7]],
   isStoreUnreachable: false,
   leaderTerm: 0,
   hosts: [{
@@ -137,6 +145,20 @@
   },
 );
 
+/** Fields that nodes of earlier versions don't send. */
+const OPTIONAL_FIELDS: ReadonlySet<string> = new Set(["cp", "sp"]);
+
+Then(
+  "one without the fields of later versions is read as empty in these",
+  function (this: TimerWorld) {
+    const batch = this.parsed as { b: Record<string, unknown>[] };
+    const [{ cp: _cp, sp: _sp, ...earlier }] = batch.b;
+    const text = JSON.stringify({ ...batch, b: [earlier] });
+    const [status] = decodeBatch(Buffer.from(text))?.statuses ?? [];
+    assert.deepEqual(status, { ...STATUS, suspectParts: [], soundParts: [] });
+  },
+);
+
 /** Returns copies of a value, each with a field removed or of another type. */
 function invalidCopies(value: unknown): unknown[] {
   const replacements = typeof value === "object"
@@ -163,7 +185,7 @@
   const isMap = "large" in value;
   const without = isMap
     ? []
-    : Object.keys(value).map((key) =>
+    : Object.keys(value).filter((key) => !OPTIONAL_FIELDS.has(key)).map((key) =>
       Object.fromEntries(Object.entries(value).filter(([name]) => name !== key))
     );
   return [...replaced, ...nested, ...without];
--- a/src/core/gossip/message_codec.ts
+++ b/src/core/gossip/message_codec.ts
@@ -69,6 +69,16 @@
     ]),
     u: msg.cleared.map(([key, ageMs]) => [key, Math.round(ageMs)]),
     k: msg.strikes.map((strike) => [strike.fingerprint, [...strike.crashed]]),
+    cp: msg.suspectParts.map((suspect) => [
+      suspect.part,
+      suspect.model,
+      [...suspect.companions],
+      suspect.crashes.map((
+        { upstream, ageMs },
+      ) => [upstream, Math.round(ageMs)]),
+      suspect.isQuarantined,
+    ]),
+    sp: msg.soundParts.map(([part, ageMs]) => [part, Math.round(ageMs)]),
     o: msg.isStoreUnreachable,
     x: msg.leaderTerm,
     h: msg.hosts.map(({ id, model, membership }) => [
@@ -117,6 +127,16 @@
     suspicions: wire.d.map(([key, kind, ageMs]) => ({ key, kind, ageMs })),
     cleared: [...wire.u],
     strikes: wire.k.map(([fingerprint, crashed]) => ({ fingerprint, crashed })),
+    suspectParts: (wire.cp ?? []).map((
+      [part, model, companions, crashes, isQuarantined],
+    ) => ({
+      part,
+      model,
+      companions,
+      crashes: crashes.map(([upstream, ageMs]) => ({ upstream, ageMs })),
+      isQuarantined,
+    })),
+    soundParts: [...wire.sp ?? []],
     isStoreUnreachable: wire.o,
     leaderTerm: wire.x,
     hosts: wire.h.map(([id, model, group, epoch, rank, state]) => ({
--- a/src/core/gossip/messages.ts
+++ b/src/core/gossip/messages.ts
@@ -48,6 +48,22 @@
   readonly crashed: readonly string[];
 }
 
+/** A crash of an upstream, with its age. */
+export interface PartCrashStatus {
+  /** Key of the upstream. */
+  readonly upstream: string;
+  readonly ageMs: number;
+}
+
+/** A prompt part that was in flight at crashes; see `SuspectPart`. */
+export interface SuspectPartStatus {
+  readonly part: string;
+  readonly model: string;
+  readonly companions: readonly string[];
+  readonly crashes: readonly PartCrashStatus[];
+  readonly isQuarantined: boolean;
+}
+
 /** State of a node when it created the status. */
 export interface StatusMessage {
   readonly node: string;
@@ -70,6 +86,9 @@
   /** Upstreams cleared of suspicion, with the time since then. */
   readonly cleared: readonly (readonly [key: string, ageMs: number])[];
   readonly strikes: readonly StrikeStatus[];
+  readonly suspectParts: readonly SuspectPartStatus[];
+  /** Parts to which a response began after crashes, with the time since then. */
+  readonly soundParts: readonly (readonly [part: string, ageMs: number])[];
   /** Whether the node can't reach the store. */
   readonly isStoreUnreachable: boolean;
   /** Term in which the node is the leader; 0 when it is not. */
@@ -128,5 +147,16 @@
       ageMs: suspicion.ageMs + elapsedMs,
     })),
     cleared: status.cleared.map(([key, ageMs]) => [key, ageMs + elapsedMs]),
+    suspectParts: status.suspectParts.map((suspect) => ({
+      ...suspect,
+      crashes: suspect.crashes.map(({ upstream, ageMs }) => ({
+        upstream,
+        ageMs: ageMs + elapsedMs,
+      })),
+    })),
+    soundParts: status.soundParts.map(([part, ageMs]) => [
+      part,
+      ageMs + elapsedMs,
+    ]),
   };
 }
--- a/src/core/gossip/wire_status.ts
+++ b/src/core/gossip/wire_status.ts
@@ -20,6 +20,15 @@
 ];
 type Cleared = [key: string, ageMs: number];
 type Strike = [fingerprint: string, crashed: string[]];
+type PartCrash = [upstream: string, ageMs: number];
+type SuspectPart = [
+  part: string,
+  model: string,
+  companions: string[],
+  crashes: PartCrash[],
+  isQuarantined: boolean,
+];
+type SoundPart = [part: string, ageMs: number];
 type MembershipState =
   | "none"
   | "joining"
@@ -75,6 +84,10 @@
   readonly u: readonly Cleared[];
   /** strikes */
   readonly k: readonly Strike[];
+  /** suspectParts; absent from nodes of earlier versions */
+  readonly cp?: readonly SuspectPart[];
+  /** soundParts; absent from nodes of earlier versions */
+  readonly sp?: readonly SoundPart[];
   /** isStoreUnreachable */
   readonly o: boolean;
   /** leaderTerm */
@@ -144,13 +157,15 @@
 
 function isWireStatus(value: unknown): boolean {
   if (typeof value !== "object" || value === null) return false;
-  const { n, i, a, c, z, s, l, d, u, k, h, e, p, w, ...rest } =
+  const { n, i, a, c, z, s, l, d, u, k, h, e, p, w, cp, sp, ...rest } =
     value as WireStatus;
   const { g, v, t, x, j, y, o, f, m } = rest;
   return [n, i, a, c, z].every(isText) && NODE_STATES.has(s) &&
     [g, v, t, x, j, y].every(isNumber) && [o, f, m].every(isBoolean) &&
-    isListOf(l, isLoad) && isListOf(d, isSuspicion) && isListOf(u, isCleared) &&
-    isListOf(k, isStrike) && isListOf(h, isHost) && isListOf(e, isChange) &&
+    isListOf(l, isLoad) && isListOf(d, isSuspicion) && isListOf(u, isAged) &&
+    isListOf(k, isStrike) && isOptionalListOf(cp, isSuspectPart) &&
+    isOptionalListOf(sp, isAged) && isListOf(h, isHost) &&
+    isListOf(e, isChange) &&
     isListOf(p, isText) && typeof w === "object" && w !== null &&
     Object.values(w).every(isNumber);
 }
@@ -166,7 +181,8 @@
     isNumber(value[2]);
 }
 
-function isCleared(value: unknown): boolean {
+/** Whether a value is a key or a part with an age. */
+function isAged(value: unknown): boolean {
   return isTuple(value, 2) && isText(value[0]) && isNumber(value[1]);
 }
 
@@ -176,6 +192,12 @@
     (value[1] as string[]).length <= MAX_CRASHED_UPSTREAMS;
 }
 
+function isSuspectPart(value: unknown): boolean {
+  return isTuple(value, 5) && isText(value[0]) && isText(value[1]) &&
+    isListOf(value[2], isText) && isListOf(value[3], isAged) &&
+    isBoolean(value[4]);
+}
+
 function isHost(value: unknown): boolean {
   return isTuple(value, 6) && isText(value[0]) && isText(value[1]) &&
     isText(value[2]) && isNumber(value[3]) && isNumber(value[4]) &&
@@ -196,6 +218,13 @@
   return Array.isArray(value) && value.every(isItem);
 }
 
+function isOptionalListOf(
+  value: unknown,
+  isItem: (item: unknown) => boolean,
+): boolean {
+  return value === undefined || isListOf(value, isItem);
+}
+
 function isText(value: unknown): value is string {
   return typeof value === "string";
 }
--- a/src/core/relay/crash_detector.ts
+++ b/src/core/relay/crash_detector.ts
@@ -5,6 +5,10 @@
  * @module
  */
 import type { Timers } from "../../base/timers.ts";
+import type {
+  CrashSuspect,
+  PromptPartTracker,
+} from "../retries/prompt_part_tracker.ts";
 import type { SuspectRequestTracker } from "../retries/suspect_request_tracker.ts";
 
 /** A crash resets all connections of an upstream within this time. */
@@ -21,55 +25,61 @@
   readonly inFlight: number;
 }
 
+/** A request in flight on an upstream whose connections were reset. */
+export interface ResetRequest extends CrashSuspect {
+  readonly fingerprint: string;
+}
+
+/** Dependencies of a {@linkcode CrashDetector}. */
+export interface CrashDetectorDependencies {
+  readonly timers: Timers;
+  readonly suspectRequests: SuspectRequestTracker;
+  readonly promptParts: PromptPartTracker;
+  /** Number of requests in flight on an upstream. */
+  readonly inFlight: (key: string) => number;
+  readonly onVerdict: (verdict: CrashVerdict) => void;
+}
+
 /** Collects connection resets by upstream. */
 export class CrashDetector {
-  readonly #timers: Timers;
-  readonly #suspects: SuspectRequestTracker;
-  readonly #inFlight: (key: string) => number;
-  readonly #onVerdict: (verdict: CrashVerdict) => void;
-  readonly #resetFingerprints = new Map<string, string[]>();
+  readonly #deps: CrashDetectorDependencies;
+  readonly #resets = new Map<string, ResetRequest[]>();
 
-  constructor(
-    timers: Timers,
-    suspects: SuspectRequestTracker,
-    inFlight: (key: string) => number,
-    onVerdict: (verdict: CrashVerdict) => void,
-  ) {
-    this.#timers = timers;
-    this.#suspects = suspects;
-    this.#inFlight = inFlight;
-    this.#onVerdict = onVerdict;
+  constructor(deps: CrashDetectorDependencies) {
+    this.#deps = deps;
   }
 
   /**
-   * Records a crash for a request whose connection was reset before the first
-   * byte: a request that crashes an upstream does so as it begins to run. The
+   * Records a crash for a request whose connection was reset as its response
+   * began: a request that crashes an upstream does so as it begins to run. The
    * crash is retracted if other requests on the upstream survive.
    */
-  recordReset(key: string, fingerprint: string): void {
-    this.#suspects.recordCrash(key, [fingerprint], this.#timers.now());
-    const recorded = this.#resetFingerprints.get(key);
+  recordReset(key: string, request: ResetRequest): void {
+    const { timers, suspectRequests } = this.#deps;
+    suspectRequests.recordCrash(key, [request.fingerprint], timers.now());
+    const recorded = this.#resets.get(key);
     if (recorded !== undefined) {
-      recorded.push(fingerprint);
+      recorded.push(request);
       return;
     }
-    this.#resetFingerprints.set(key, [fingerprint]);
-    this.#timers.after(CRASH_WINDOW_MS, () => this.#confirmOrRetract(key));
+    this.#resets.set(key, [request]);
+    timers.after(CRASH_WINDOW_MS, () => this.#confirmOrRetract(key));
   }
 
   #confirmOrRetract(key: string): void {
-    const fingerprints = this.#resetFingerprints.get(key) ?? [];
-    this.#resetFingerprints.delete(key);
-    const inFlight = this.#inFlight(key);
-    this.#onVerdict({
-      upstream: key,
-      isCrash: inFlight === 0,
-      requests: fingerprints.length,
-      inFlight,
-    });
-    if (inFlight === 0) return;
+    const { timers, suspectRequests, promptParts, onVerdict } = this.#deps;
+    const requests = this.#resets.get(key) ?? [];
+    this.#resets.delete(key);
+    const inFlight = this.#deps.inFlight(key);
+    const isCrash = inFlight === 0;
+    onVerdict({ upstream: key, isCrash, requests: requests.length, inFlight });
+    if (isCrash) {
+      return promptParts.recordCrash(key, requests, timers.now());
+    }
     // Requests still in flight show that the upstream did not crash: only single
     // connections were reset.
-    for (const id of fingerprints) this.#suspects.retractCrash(key, id);
+    for (const { fingerprint } of requests) {
+      suspectRequests.retractCrash(key, fingerprint);
+    }
   }
 }
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -25,6 +25,8 @@
 import type { HostRegistry } from "../fleet/host_registry.ts";
 import type { Replica } from "../fleet/replica.ts";
 import type { ReplicaView } from "../fleet/replica_view.ts";
+import { PromptPartTracker } from "../retries/prompt_part_tracker.ts";
+import type { SuspectPart } from "../retries/suspect_part.ts";
 import { SuspectRequestTracker } from "../retries/suspect_request_tracker.ts";
 import { ColdHostLimiter } from "./cold_host_limiter.ts";
 import type { CrashVerdict } from "./crash_detector.ts";
@@ -51,6 +53,8 @@
 const EXPIRY_INTERVAL_MS = 1_000;
 /** A request is refused once this many upstreams crashed as it began to run. */
 const MAX_CRASHES = 3;
+/** A request that crashes its upstream does so within this time of its first event. */
+const FIRST_EVENT_CRASH_MS = 250;
 /** A lag of the event loop from which requests may have been read late. */
 const BEHIND_LAG_MS = 100;
 /** Time for which requests may have been read late after such a lag. */
@@ -70,6 +74,8 @@
   ): void;
   /** Called when resets of an upstream's connections have been judged. */
   onCrashVerdict(verdict: CrashVerdict): void;
+  /** Called when requests with a prompt part are refused from now on. */
+  onPartQuarantined(suspect: SuspectPart): void;
 }
 
 /** Dependencies and settings of a {@linkcode Relay}. */
@@ -102,6 +108,8 @@
   readonly loads = new LoadTracker();
   /** Requests suspected of causing crashes; `suspicions` concern upstreams. */
   readonly suspectRequests = new SuspectRequestTracker(MAX_CRASHES);
+  /** Prompt parts suspected of causing crashes. */
+  readonly promptParts = new PromptPartTracker();
   readonly demand: DemandMeter;
   readonly #deps: RelayDependencies;
   readonly #stats = new ReplicaStats();
@@ -111,6 +119,8 @@
   readonly #queue: RequestQueue;
   readonly #stallDetector: StallDetector;
   readonly #runs = new Set<RelayRun>();
+  /** Requests that run once although their prompt part is in quarantine. */
+  readonly #probes = new WeakSet<RelayRun>();
   readonly #runDependencies: RelayRunDependencies;
   #isShuttingDown = false;
   #isDispatchScheduled = false;
@@ -122,12 +132,13 @@
       deps.retryBounds,
       deps.fleetSize,
     );
-    this.#crashDetector = new CrashDetector(
-      deps.timers,
-      this.suspectRequests,
-      (key) => this.loads.localLoad(key).inFlight,
-      (verdict) => deps.observer.onCrashVerdict(verdict),
-    );
+    this.#crashDetector = new CrashDetector({
+      timers: deps.timers,
+      suspectRequests: this.suspectRequests,
+      promptParts: this.promptParts,
+      inFlight: (key) => this.loads.localLoad(key).inFlight,
+      onVerdict: (verdict) => deps.observer.onCrashVerdict(verdict),
+    });
     this.#stallDetector = new StallDetector(this.loads, deps.suspicions);
     const placer = new Placer({
       view: deps.view,
@@ -144,6 +155,9 @@
     });
     this.#queue = new RequestQueue((query, now) => placer.place(query, now));
     this.#runDependencies = this.#createRunDependencies();
+    this.promptParts.onQuarantined((suspect) =>
+      deps.observer.onPartQuarantined(suspect)
+    );
     deps.suspicions.onSuspicion((suspicion) => this.#onSuspicion(suspicion));
     deps.hosts.onChange(() => this.#queue.dispatch(deps.timers.now()));
   }
@@ -185,7 +199,7 @@
       response.refuse(admission);
       return undefined;
     }
-    const { route, service, customer, fingerprint } = admission;
+    const { route, service, customer, fingerprint, isProbe } = admission;
     const now = this.#deps.timers.now();
     this.#retryBudget.recordRequest(service.name, now);
     this.demand.recordRequest(service, request, now);
@@ -200,6 +214,7 @@
       fingerprint,
     );
     this.#runs.add(run);
+    if (isProbe) this.#probes.add(run);
     if (lateMs > 0) {
       // Callers that disconnected meanwhile are noticed in this turn of the loop.
       this.#deps.timers.after(0, () => run.start());
@@ -222,6 +237,7 @@
     readonly service: ServiceSpec;
     readonly customer: KeyedCustomer | undefined;
     readonly fingerprint: string;
+    readonly isProbe: boolean;
   } {
     if (this.#isShuttingDown) {
       return refusal("shutting_down", "This host is leaving", 100);
@@ -247,7 +263,21 @@
     if (this.suspectRequests.isRefused(fingerprint)) {
       return refusal("crashes_upstreams", "It ran at several crashes");
     }
-    return { route, service, customer, fingerprint };
+    const { promptParts } = request;
+    const part = this.promptParts.quarantinedPart(promptParts);
+    const isProbe = part !== undefined && this.#mayProbe(promptParts);
+    if (part !== undefined && !isProbe) {
+      const detail = `Upstreams crashed on prompt part ${part}`;
+      return refusal("crashes_upstreams", detail);
+    }
+    return { route, service, customer, fingerprint, isProbe };
+  }
+
+  /** Whether a request may probe its part; one process of the fleet probes. */
+  #mayProbe(promptParts: readonly string[]): boolean {
+    const { fleetRank, timers } = this.#deps;
+    return fleetRank() === 0 &&
+      this.promptParts.takeProbe(promptParts, timers.now());
   }
 
   /**
@@ -299,8 +329,8 @@
       onFirstByte: (run, attempt) => this.#onFirstByte(run, attempt),
       onAttemptEnded: (run, attempt, outcome, head) =>
         this.#onAttemptEnded(run, attempt, outcome, head),
-      crashesUpstreams: (run) =>
-        this.suspectRequests.isRefused(run.fingerprint),
+      onContinued: (run, attempt) => this.#onContinued(run, attempt),
+      crashesUpstreams: (run) => this.#crashesUpstreams(run),
       isHostAnnounced: (replica) => this.#isHostAnnounced(replica),
       onEvent: (run, event) => this.#deps.observer.onEvent(run, event),
       onEnded: (run) => this.#onEnded(run),
@@ -347,6 +377,20 @@
     }
   }
 
+  #onContinued(run: RelayRun, attempt: RunningAttempt): void {
+    const now = this.#deps.timers.now();
+    const begunAt = attempt.firstProgressAt ?? now;
+    if (run.model === undefined) return;
+    const { promptParts } = run.request;
+    this.promptParts.recordBegun(run.model, promptParts, begunAt, now);
+  }
+
+  #crashesUpstreams(run: RelayRun): boolean {
+    if (this.suspectRequests.isRefused(run.fingerprint)) return true;
+    if (this.#probes.has(run) && !run.isRetry) return false;
+    return this.promptParts.isRefused(run.request.promptParts);
+  }
+
   #onAttemptEnded(
     run: RelayRun,
     attempt: RunningAttempt,
@@ -388,8 +432,10 @@
     const { key } = attempt.replica;
     const now = this.#deps.timers.now();
     if (outcome === "answered") this.suspectRequests.clear(run.fingerprint);
-    if (outcome === "reset" && attempt.lastProgressAt === undefined) {
-      this.#crashDetector.recordReset(key, run.fingerprint);
+    if (outcome === "reset" && hasJustBegun(attempt, now)) {
+      const { fingerprint, model, request } = run;
+      const parts = request.promptParts;
+      this.#crashDetector.recordReset(key, { fingerprint, model, parts });
     }
     if (outcome === "not_sent" || outcome === "wrong_host") {
       // A single failed connection does not suggest that the upstream is
@@ -434,11 +480,19 @@
     this.#stats.expire(now);
     this.#coldHostLimiter.expire(now);
     this.suspectRequests.expire(now);
+    this.promptParts.expire(now);
     this.#deps.suspicions.expire(now);
     this.#deps.hosts.expire(now);
   }
 }
 
+/** Whether a response has not begun, or so recently that it may crash its host. */
+function hasJustBegun(attempt: RunningAttempt, now: number): boolean {
+  const { firstProgressAt, hasContinued } = attempt;
+  if (firstProgressAt === undefined) return true;
+  return !hasContinued && now - firstProgressAt < FIRST_EVENT_CRASH_MS;
+}
+
 function refusal(
   kind: Refusal["kind"],
   detail: string,
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -86,13 +86,15 @@
   spendRetry(service: string): boolean;
   onAttemptStarted(run: RelayRun, attempt: RunningAttempt): void;
   onFirstByte(run: RelayRun, attempt: RunningAttempt): void;
+  /** Called once when a response goes on, or ends, after its first byte. */
+  onContinued(run: RelayRun, attempt: RunningAttempt): void;
   onAttemptEnded(
     run: RelayRun,
     attempt: RunningAttempt,
     outcome: AttemptOutcome,
     head: RelayHead | undefined,
   ): void;
-  /** Whether too many upstreams crashed as the request began to run. */
+  /** Whether upstreams crashed too often as such a request began to run. */
   crashesUpstreams(run: RelayRun): boolean;
   /** Whether the upstream's host is still announced. */
   isHostAnnounced(replica: Replica): boolean;
@@ -236,6 +238,7 @@
 
   /** Sends the request to the upstream that was chosen. */
   onPlaced(placement: Placement & { kind: "send" }): void {
+    if (this.#deps.crashesUpstreams(this)) return this.#refuseAsCrashing();
     const { replica, expectedMs, considered } = placement;
     const now = this.#deps.timers.now();
     this.#attemptCount += 1;
@@ -245,6 +248,8 @@
       expectedMs,
       handle: undefined,
       head: undefined,
+      firstProgressAt: undefined,
+      hasContinued: false,
       lastProgressAt: undefined,
       paused: false,
     };
@@ -386,9 +391,18 @@
   }
 
   #recordProgress(attempt: RunningAttempt): void {
-    const isFirst = attempt.lastProgressAt === undefined;
-    attempt.lastProgressAt = this.#deps.timers.now();
-    if (isFirst) this.#deps.onFirstByte(this, attempt);
+    const now = this.#deps.timers.now();
+    attempt.lastProgressAt = now;
+    if (attempt.firstProgressAt === undefined) {
+      attempt.firstProgressAt = now;
+      this.#deps.onFirstByte(this, attempt);
+    } else this.#recordContinued(attempt);
+  }
+
+  #recordContinued(attempt: RunningAttempt): void {
+    if (attempt.hasContinued) return;
+    attempt.hasContinued = true;
+    this.#deps.onContinued(this, attempt);
   }
 
   /** Closes the connection of a response that can't be forwarded. */
@@ -440,6 +454,7 @@
       return this.#onFailedStatus(attempt, head);
     }
     const isComplete = this.#writer.finish();
+    if (isComplete) this.#recordContinued(attempt);
     this.#endAttempt(attempt, isComplete ? "answered" : "malformed", "");
     if (!isComplete) return this.#onError(attempt, "ended within an event");
     this.#finish("answered");
@@ -471,10 +486,7 @@
     this.contract.recordAttempt(
       mayHaveRun && this.#deps.isHostAnnounced(attempt.replica),
     );
-    if (this.#deps.crashesUpstreams(this)) {
-      const kind = "crashes_upstreams";
-      return this.#refuse({ kind, detail: "It ran at several crashes" });
-    }
+    if (this.#deps.crashesUpstreams(this)) return this.#refuseAsCrashing();
     const mayRetry = this.contract.mayRetry(now) &&
       this.#deps.spendRetry(this.service.name);
     if (!mayRetry) {
@@ -502,6 +514,11 @@
     this.#refuse({ kind, detail: "The time is up" });
   }
 
+  #refuseAsCrashing(): void {
+    const kind = "crashes_upstreams";
+    this.#refuse({ kind, detail: "It ran at several crashes" });
+  }
+
   /** Refuses as `kind`, or as `upstream_failed` if the request may have run. */
   #refuseOrFail(
     kind: RefusalKind,
--- a/src/core/relay/running_attempt.ts
+++ b/src/core/relay/running_attempt.ts
@@ -36,6 +36,10 @@
   readonly expectedMs: number;
   handle: RelayHandle | undefined;
   head: RelayHead | undefined;
+  /** Monotonic time of the first progress. */
+  firstProgressAt: number | undefined;
+  /** Whether there was progress after the first, or the end of the response. */
+  hasContinued: boolean;
   /**
    * Monotonic time of the last progress, or of the end of a pause after it;
    * undefined before the first. A stream makes progress with each new event, any
--- /dev/null
+++ b/src/core/retries/prompt_part_tracker.ts
@@ -0,0 +1,323 @@
+/**
+ * Prompt parts that crash the engines that answer them, found from crashes and
+ * from responses that began.
+ *
+ * @module
+ */
+import type { PartCrash, SuspectPart } from "./suspect_part.ts";
+import { countMoments, mergeCrashes } from "./suspect_part.ts";
+
+/** Requests with a part are refused after crashes at this many moments. */
+const QUARANTINE_MOMENTS = 3;
+/**
+ * Responses without the part that must have begun since its first crash. If none
+ * begins, the engines are failing for all requests.
+ */
+const MIN_OTHER_RESPONSES = 3;
+/**
+ * Time after the last crash from which one request may probe the part. It doubles
+ * with each further moment of crashes.
+ */
+const FIRST_PROBE_AFTER_MS = 30_000;
+/** Time after which a probe without an outcome no longer prevents another. */
+const PROBE_TIMEOUT_MS = 10_000;
+/** Time after the last crash at which a part's record is dropped. */
+const RECORD_TTL_MS = 7_200_000;
+/**
+ * Time after the last crash for which each status has the part. Those in
+ * quarantine for longer take turns.
+ */
+const SHARE_MS = 30_000;
+/** Maximum number of parts in a status. */
+const MAX_SHARED = 8;
+/** Time for which it is shared that a part turned out to be sound. */
+const SOUND_SHARE_MS = 1_000;
+/** Maximum number of suspect parts; beyond it, the least recent is dropped. */
+const MAX_SUSPECTS = 1_024;
+/** Maximum number of parts that are remembered as sound. */
+const MAX_SOUND_PARTS = 8_192;
+/** Maximum number of upstreams whose crashes are known to have a cause. */
+const MAX_EXPLAINED = 4_096;
+/** Number of the newest crashes that are kept of each part. */
+const MAX_CRASHES = 8;
+/** Parts of one request that are tracked. */
+const MAX_PARTS = 64;
+
+/** A request in flight at a crash whose response had not begun, or only just. */
+export interface CrashSuspect {
+  /** Undefined for a service without an engine. */
+  readonly model: string | undefined;
+  readonly parts: readonly string[];
+}
+
+interface PartRecord {
+  readonly model: string;
+  companions: ReadonlySet<string>;
+  crashes: readonly PartCrash[];
+  isQuarantined: boolean;
+  /** Responses of the model that had begun when the first crash was recorded. */
+  begunAtFirstCrash: number;
+  probedAt: number;
+}
+
+/**
+ * Finds prompt parts that crash engines. A part is quarantined once upstreams
+ * crashed at {@linkcode QUARANTINE_MOMENTS} moments with it in flight, while
+ * responses without it began and none with it did. A response with it that
+ * begins later shows that it is sound.
+ */
+export class PromptPartTracker {
+  readonly #listeners: ((suspect: SuspectPart) => void)[] = [];
+  readonly #records = new Map<string, PartRecord>();
+  /** When a response last began to a prompt with each part. */
+  readonly #soundAt = new Map<string, number>();
+  /** When parts were last found to be sound after crashes. */
+  readonly #clearedAt = new Map<string, number>();
+  readonly #begunByModel = new Map<string, number>();
+  /** Upstreams that crashed with a quarantined part in flight, and that part. */
+  readonly #explained = new Map<string, string>();
+  /** Number of statuses so far, by which parts in quarantine take turns. */
+  #turn = 0;
+
+  /** Adds a listener for parts that are quarantined. */
+  onQuarantined(listener: (suspect: SuspectPart) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Records the requests in flight at an upstream's crash. */
+  recordCrash(
+    upstream: string,
+    suspects: readonly CrashSuspect[],
+    now: number,
+  ): void {
+    const crashes = [{ upstream, at: now }];
+    for (const { parts } of suspects) {
+      const cause = this.quarantinedPart(parts);
+      if (cause !== undefined) this.#explain(crashes, cause);
+    }
+    for (const { model, parts } of suspects) {
+      if (model === undefined) continue;
+      const tracked = [...new Set(parts)].slice(0, MAX_PARTS);
+      for (const part of tracked) {
+        const companions = tracked.filter((other) => other !== part);
+        const isQuarantined = false;
+        this.merge({ part, model, companions, crashes, isQuarantined }, now);
+      }
+    }
+  }
+
+  /** Records that a response began at `at`, and went on. */
+  recordBegun(
+    model: string,
+    parts: readonly string[],
+    at: number,
+    now: number,
+  ): void {
+    const begun = this.#begunByModel.get(model) ?? 0;
+    this.#begunByModel.set(model, begun + 1);
+    for (const part of parts) this.recordSound(part, at, now);
+    // A part may have had enough crashes before other responses began.
+    for (const [part, record] of this.#records) {
+      if (record.model === model) this.#quarantineIfDue(part, record);
+    }
+  }
+
+  /** Records that a response to a prompt with the part began at `at`. */
+  recordSound(part: string, at: number, now: number): void {
+    if (at <= this.#soundAtOf(part)) return;
+    // Deleted first, so that the map is in order of use.
+    this.#soundAt.delete(part);
+    this.#soundAt.set(part, at);
+    dropOldest(this.#soundAt, MAX_SOUND_PARTS);
+    const record = this.#records.get(part);
+    if (record === undefined) return;
+    this.#clearedAt.set(part, now);
+    record.crashes = record.crashes.filter((crash) => crash.at > at);
+    if (record.crashes.length === 0) this.#records.delete(part);
+  }
+
+  /** Merges crashes of a part, or what a peer knows of it. */
+  merge(suspect: SuspectPart, now: number): void {
+    const { part, model, companions } = suspect;
+    const crashes = suspect.crashes.filter(({ upstream, at }) =>
+      at > this.#soundAtOf(part) &&
+      !this.#isExplainedByAnother(upstream, suspect)
+    );
+    const wasCleared = suspect.crashes.some(({ at }) =>
+      at <= this.#soundAtOf(part)
+    );
+    if (wasCleared) this.#clearedAt.set(part, now);
+    if (crashes.length === 0) return;
+    const record = this.#records.get(part) ??
+      this.#createRecord(part, model, companions);
+    record.companions = new Set(
+      companions.filter((other) => record.companions.has(other)),
+    );
+    record.crashes = mergeCrashes(record.crashes, crashes).slice(-MAX_CRASHES);
+    if (record.isQuarantined) this.#explain(record.crashes, part);
+    else if (suspect.isQuarantined) this.#quarantine(part, record);
+    else this.#quarantineIfDue(part, record);
+  }
+
+  /**
+   * Whether a request must not run: it has a quarantined part, together with all
+   * parts that accompanied it at each crash.
+   */
+  isRefused(parts: readonly string[]): boolean {
+    return this.quarantinedPart(parts) !== undefined;
+  }
+
+  /** The quarantined part for which a request is refused. */
+  quarantinedPart(parts: readonly string[]): string | undefined {
+    if (this.#records.size === 0) return undefined;
+    return parts.find((part) => {
+      const record = this.#records.get(part);
+      if (record === undefined || !record.isQuarantined) return false;
+      return this.#companionsOf(record).every((other) => parts.includes(other));
+    });
+  }
+
+  /**
+   * Whether a request that is refused otherwise may run, to find out whether its
+   * part is sound by now. True for one request at a time.
+   */
+  takeProbe(parts: readonly string[], now: number): boolean {
+    const record = this.#records.get(this.quarantinedPart(parts) ?? "");
+    if (record === undefined) return false;
+    const isRunning = now - record.probedAt < PROBE_TIMEOUT_MS;
+    if (isRunning || now < probeDueAt(record)) return false;
+    record.probedAt = now;
+    return true;
+  }
+
+  /** Suspect parts for the next status to peers, the most recent first. */
+  takeShared(now: number): SuspectPart[] {
+    const all = [...this.#records]
+      .sort(([, a], [, b]) => lastCrashAt(b) - lastCrashAt(a))
+      .map(([part, record]) => this.#toSuspect(part, record));
+    const isRecent = ({ crashes }: SuspectPart) =>
+      now - (crashes.at(-1)?.at ?? -Infinity) <= SHARE_MS;
+    const shared = all.filter(isRecent).slice(0, MAX_SHARED);
+    const others = all.filter((suspect) =>
+      suspect.isQuarantined && !shared.includes(suspect)
+    );
+    if (others.length === 0) return shared;
+    return [...shared, others[this.#turn++ % others.length]];
+  }
+
+  /** When parts began well that had crashes before, to share with peers. */
+  cleared(now: number): [part: string, at: number][] {
+    return [...this.#clearedAt]
+      .filter(([, clearedAt]) => now - clearedAt <= SOUND_SHARE_MS)
+      .map(([part]): [string, number] => [part, this.#soundAtOf(part)])
+      .slice(-MAX_SHARED);
+  }
+
+  /** Drops outdated records. */
+  expire(now: number): void {
+    for (const [part, record] of this.#records) {
+      if (now - lastCrashAt(record) > RECORD_TTL_MS) this.#records.delete(part);
+    }
+    for (const [part, at] of this.#clearedAt) {
+      if (now - at > SOUND_SHARE_MS) this.#clearedAt.delete(part);
+    }
+    for (const [upstream, part] of this.#explained) {
+      if (!this.#records.has(part)) this.#explained.delete(upstream);
+    }
+  }
+
+  #createRecord(
+    part: string,
+    model: string,
+    companions: readonly string[],
+  ): PartRecord {
+    const record: PartRecord = {
+      model,
+      companions: new Set(companions),
+      crashes: [],
+      isQuarantined: false,
+      begunAtFirstCrash: this.#begunByModel.get(model) ?? 0,
+      probedAt: -Infinity,
+    };
+    this.#records.set(part, record);
+    dropOldest(this.#records, MAX_SUSPECTS);
+    return record;
+  }
+
+  #soundAtOf(part: string): number {
+    return this.#soundAt.get(part) ?? -Infinity;
+  }
+
+  /**
+   * Parts that accompanied a part at each crash, and to which no response began
+   * since.
+   */
+  #companionsOf(record: PartRecord): string[] {
+    const firstCrashAt = record.crashes[0]?.at ?? -Infinity;
+    return [...record.companions].filter((part) =>
+      this.#soundAtOf(part) <= firstCrashAt
+    );
+  }
+
+  #quarantineIfDue(part: string, record: PartRecord): void {
+    if (record.isQuarantined) return;
+    if (countMoments(record.crashes) < QUARANTINE_MOMENTS) return;
+    const begun = this.#begunByModel.get(record.model) ?? 0;
+    if (begun - record.begunAtFirstCrash < MIN_OTHER_RESPONSES) return;
+    this.#quarantine(part, record);
+  }
+
+  #quarantine(part: string, record: PartRecord): void {
+    record.isQuarantined = true;
+    this.#explain(record.crashes, part);
+    const suspect = this.#toSuspect(part, record);
+    for (const listener of this.#listeners) listener(suspect);
+  }
+
+  /** Takes a quarantined part as the cause of crashes, instead of other parts. */
+  #explain(crashes: readonly PartCrash[], cause: string): void {
+    for (const { upstream } of crashes) {
+      this.#explained.set(upstream, cause);
+      dropOldest(this.#explained, MAX_EXPLAINED);
+    }
+    for (const [part, record] of this.#records) {
+      if (record.isQuarantined) continue;
+      const suspect = this.#toSuspect(part, record);
+      record.crashes = record.crashes.filter(({ upstream }) =>
+        !this.#isExplainedByAnother(upstream, suspect)
+      );
+      if (record.crashes.length === 0) this.#records.delete(part);
+    }
+  }
+
+  /** Whether a crash has a cause that isn't a part or one of its companions. */
+  #isExplainedByAnother(
+    upstream: string,
+    { part, companions }: SuspectPart,
+  ): boolean {
+    const cause = this.#explained.get(upstream);
+    return cause !== undefined && cause !== part && !companions.includes(cause);
+  }
+
+  #toSuspect(part: string, record: PartRecord): SuspectPart {
+    const { model, crashes, isQuarantined } = record;
+    const companions = this.#companionsOf(record);
+    return { part, model, companions, crashes, isQuarantined };
+  }
+}
+
+function lastCrashAt({ crashes }: PartRecord): number {
+  return crashes.at(-1)?.at ?? -Infinity;
+}
+
+function probeDueAt(record: PartRecord): number {
+  const further = countMoments(record.crashes) - QUARANTINE_MOMENTS;
+  const afterMs = FIRST_PROBE_AFTER_MS * 2 ** Math.max(0, further);
+  return lastCrashAt(record) + afterMs;
+}
+
+function dropOldest<K>(map: Map<K, unknown>, max: number): void {
+  if (map.size <= max) return;
+  const [oldest] = map.keys();
+  if (oldest !== undefined) map.delete(oldest);
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -15,6 +15,10 @@
 import { ReplicaView } from "../core/fleet/replica_view.ts";
 import type { HubCandidate } from "../core/gossip/hub_election.ts";
 import type { HostStatus, StatusMessage } from "../core/gossip/messages.ts";
+import {
+  mergePartStatuses,
+  takePartStatuses,
+} from "../core/gossip/part_statuses.ts";
 import { PauseDetector } from "../core/gossip/pause_detector.ts";
 import { PeerGossip } from "../core/gossip/peer_gossip.ts";
 import { GroupOrchestrator } from "../core/orchestrator/group_orchestrator.ts";
@@ -159,6 +163,7 @@
       onHubChange: (hub) => deps.log.info("status_hub", { hub: hub ?? "none" }),
       isFresh: () => this.#pauseDetector.isFresh,
     });
+    this.relay.promptParts.onQuarantined(() => this.#gossip.broadcast());
     this.#fleetState = this.#createFleetState();
     this.#registration = new NodeRegistration(
       timers,
@@ -371,6 +376,7 @@
           now - at,
         ]),
       strikes: this.relay.suspectRequests.recent(now).slice(0, 16),
+      ...takePartStatuses(this.relay.promptParts, now),
       isStoreUnreachable: this.#fleetState.isStoreUnreachable,
       leaderTerm: this.#isLeader ? this.#leaderLease.term : 0,
       hosts: this.#isLeader && this.#isStoreUnreachableForAnyNode
@@ -408,6 +414,10 @@
     for (const strike of status.strikes) {
       this.relay.suspectRequests.merge(strike, now);
     }
+    // Ages in messages that were queued during a pause are too small.
+    if (this.#pauseDetector.isFresh) {
+      mergePartStatuses(this.relay.promptParts, status, now);
+    }
     this.#fleetState.receiveUpdate(status);
     if (this.#fleetState.isStoreUnreachable && !this.#isLeader) {
       for (const host of status.hosts) this.#applyHostStatus(host);
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -27,6 +27,7 @@
   readonly #firstByte: Histogram;
   readonly #abandonedResponses: Counter;
   readonly #crashes: Counter;
+  readonly #quarantinedParts: Counter;
 
   constructor(gauges: NodeGauges) {
     const registers = [this.registry];
@@ -67,6 +68,11 @@
       labelNames: ["verdict"],
       registers,
     });
+    this.#quarantinedParts = new Counter({
+      name: "oleander_quarantined_prompt_parts_total",
+      help: "Prompt parts refused because upstreams crashed on them",
+      registers,
+    });
     const gaugeReaders: Record<string, () => number> = {
       oleander_requests_in_flight: gauges.inFlight,
       oleander_requests_waiting: gauges.waiting,
@@ -115,6 +121,11 @@
     this.#crashes.inc({ verdict: isCrash ? "crash" : "single_reset" });
   }
 
+  /** Counts a prompt part whose requests are refused from now on. */
+  recordQuarantinedPart(): void {
+    this.#quarantinedParts.inc();
+  }
+
   /** Counts a request that was refused on arrival. */
   recordRefusal(outcome: string): void {
     this.#requests.inc({ route: "none", outcome });
--- a/src/node/request_log.ts
+++ b/src/node/request_log.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Timers } from "../base/timers.ts";
+import type { SuspectPart } from "../core/retries/suspect_part.ts";
 import type { CrashVerdict } from "../core/relay/crash_detector.ts";
 import type { Refusal, RelayRequest } from "../core/relay/relay_request.ts";
 import type { RelayObserver } from "../core/relay/relay.ts";
@@ -71,6 +72,16 @@
     });
   }
 
+  onPartQuarantined({ part, model, companions, crashes }: SuspectPart): void {
+    this.#metrics.recordQuarantinedPart();
+    this.#log.warn("prompt_part_quarantined", {
+      part,
+      model,
+      companions,
+      upstreams: crashes.map(({ upstream }) => upstream),
+    });
+  }
+
   onRefused(request: RelayRequest, refusal: Refusal, version: number): void {
     this.#metrics.recordRefusal(refusal.kind);
     this.#log.info("request_turned_away", {
--- a/tools/fuzz/fuzz_relay.ts
+++ b/tools/fuzz/fuzz_relay.ts
@@ -59,7 +59,12 @@
       hosts: registry,
       view: new ReplicaView(registry, catalog, new Set()),
       suspicions: new SuspicionTracker(),
-      observer: { onEvent() {}, onRefused() {}, onCrashVerdict() {} },
+      observer: {
+        onEvent() {},
+        onRefused() {},
+        onCrashVerdict() {},
+        onPartQuarantined() {},
+      },
       nodeId: "node-0",
       zone: "zone-0",
       loopLag: { worstSince: () => 0 },
