Clear parts that another part explains better, and test the quarantine's guards

Found by the scenario "should clear bystanders" (failed first): of two parts that were in flight at the same three crashes, the one that came first in the prompt was taken as the cause of all, so that the deadly part lost these crashes as evidence and needed three more. Now a quarantined part explains a crash of another only if the other was absent at one of its crashes, and a part whose crashes are explained leaves quarantine again.

--- a/features/steps/prompt_part_steps.ts
+++ b/features/steps/prompt_part_steps.ts
@@ -6,6 +6,11 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { Buffer } from "node:buffer";
+import {
+  mergePartStatuses,
+  takePartStatuses,
+} from "../../src/core/gossip/part_statuses.ts";
+import { PromptPartTracker } from "../../src/core/retries/prompt_part_tracker.ts";
 import type { RecordedResponse } from "./relay_fixture.ts";
 import { RelayFleet } from "./relay_fleet.ts";
 
@@ -17,6 +22,8 @@
 }
 
 interface PromptPartWorld {
+  tracker: PromptPartTracker;
+  now: number;
   fleet: RelayFleet;
   deadlyPart: string;
   /** Monotonic time of each crash. */
@@ -24,6 +31,9 @@
   prompts: SentPrompt[];
 }
 
+const MODEL = "small";
+/** Pause between crashes that happen one after the other. */
+const CRASH_INTERVAL_MS = 400;
 /** First parts of prompts; those with the deadly part have the first one. */
 const FIRST_PARTS = 6;
 
@@ -99,6 +109,123 @@
   },
 );
 
+When(
+  "the relays are replaced one by one, each {int} seconds after the other",
+  async function (this: PromptPartWorld, seconds: number) {
+    for (let i = 0; i < this.fleet.relays.length; i++) {
+      this.fleet.replaceRelay(i);
+      await this.fleet.run(seconds * 1_000);
+    }
+  },
+);
+
+Given("a tracker of prompt parts", function (this: PromptPartWorld) {
+  this.tracker = new PromptPartTracker();
+  this.now = 10_000;
+});
+
+When(
+  /^groups? "(.*?)" crash(?:es)?( at once| one after the other|) with "(.*?)"(?: and "(.*?)")? in flight$/,
+  function (
+    this: PromptPartWorld,
+    groups: string,
+    order: string,
+    prompt: string,
+    other: string | null,
+  ) {
+    const prompts = other === null ? [prompt] : [prompt, other];
+    const suspects = prompts.map((text) => ({
+      model: MODEL,
+      parts: partsOf(text),
+    }));
+    for (const group of groups.split(", ")) {
+      this.tracker.recordCrash(`${group}@1`, suspects, this.now);
+      this.now += order === " at once" ? 1 : CRASH_INTERVAL_MS;
+    }
+  },
+);
+
+When(
+  "{int} responses to other prompts begin",
+  function (this: PromptPartWorld, count: number) {
+    for (let i = 0; i < count; i++) begin(this, [`other-${i}`]);
+  },
+);
+
+When(
+  "a response to {string} begins",
+  function (this: PromptPartWorld, prompt: string) {
+    begin(this, partsOf(prompt));
+  },
+);
+
+When(
+  "{int} groups crash, each with another prompt of {int} parts in flight",
+  function (this: PromptPartWorld, count: number, parts: number) {
+    for (let i = 0; i < count; i++) {
+      const names = Array.from({ length: parts }, (_, n) => `part-${i}-${n}`);
+      const suspect = { model: MODEL, parts: names };
+      this.tracker.recordCrash(`g-${i}@1`, [suspect], this.now++);
+    }
+    this.tracker.expire(this.now);
+  },
+);
+
+Then(
+  /^a prompt of "(.*)" is (accepted|refused)$/,
+  function (this: PromptPartWorld, prompt: string, verdict: string) {
+    const isRefused = this.tracker.isRefused(partsOf(prompt));
+    assert.equal(isRefused, verdict === "refused");
+  },
+);
+
+Then(
+  "peers learn that {string} is sound",
+  function (this: PromptPartWorld, part: string) {
+    const peer = new PromptPartTracker();
+    for (const group of ["g-1", "g-2", "g-3"]) {
+      const suspects = [{ model: MODEL, parts: [part] }];
+      peer.recordCrash(`${group}@1`, suspects, this.now - 1_500);
+    }
+    mergePartStatuses(peer, takePartStatuses(this.tracker, this.now), this.now);
+    assert.deepEqual(peer.takeShared(this.now), []);
+  },
+);
+
+Then(
+  "no request may probe {string} within {int} seconds",
+  function (this: PromptPartWorld, prompt: string, seconds: number) {
+    const at = this.now + seconds * 1_000 - CRASH_INTERVAL_MS;
+    assert.equal(this.tracker.takeProbe(partsOf(prompt), at), false);
+  },
+);
+
+Then(
+  "one request may probe {string} after {int} seconds",
+  function (this: PromptPartWorld, prompt: string, seconds: number) {
+    this.now += seconds * 1_000;
+    assert.equal(this.tracker.takeProbe(partsOf(prompt), this.now), true);
+    assert.equal(this.tracker.takeProbe(partsOf(prompt), this.now), false);
+  },
+);
+
+Then(
+  "the tracker shares at most {int} parts",
+  function (this: PromptPartWorld, max: number) {
+    assert.ok(this.tracker.size <= 1_024);
+    assert.ok(this.tracker.takeShared(this.now).length <= max);
+  },
+);
+
+function partsOf(prompt: string): string[] {
+  return prompt.split(", ");
+}
+
+function begin(world: PromptPartWorld, parts: readonly string[]): void {
+  world.now += 10;
+  world.tracker.recordBegun(MODEL, parts, world.now, world.now);
+}
+
 /** Time of the fifth crash, or of the last one if there were fewer. */
 function fifthCrashAt({ crashTimes }: PromptPartWorld): number {
   assert.ok(crashTimes.length > 0, "no group crashed");
--- a/features/steps/relay_fleet.ts
+++ b/features/steps/relay_fleet.ts
@@ -24,12 +24,13 @@
 export class RelayFleet {
   readonly timers = new VirtualTimers();
   readonly upstreams = new ScriptedUpstreams(this.timers);
-  readonly relays: readonly RelayFixture[];
+  readonly relays: RelayFixture[];
   /** Attempts at upstreams, with the monotonic time of their start. */
   readonly attempts: { at: number; attempt: RelayAttempt }[] = [];
   /** Called after each crash of a group. */
   onCrash: () => void = () => {};
   readonly #model: string;
+  readonly #groupCount: number;
   readonly #epochs = new Map<number, number>();
   #next = 0;
 
@@ -39,6 +40,7 @@
       { length: relayCount },
       () => new RelayFixture(this.timers, this.upstreams),
     );
+    this.#groupCount = groupCount;
     for (const relay of this.relays) relay.addGroups(groupCount, model);
     this.upstreams.onCrash = (hostId) => this.#replaceGroup(hostId);
     this.timers.subscribe(STATUS_INTERVAL_MS, () => this.#exchangeStatuses());
@@ -50,6 +52,16 @@
     return relay.sendPrompt(parts, this.#model);
   }
 
+  /** Replaces a relay by one that knows the groups, but nothing else. */
+  replaceRelay(index: number): void {
+    const relay = new RelayFixture(this.timers, this.upstreams);
+    for (let group = 0; group < this.#groupCount; group++) {
+      const epoch = this.#epochs.get(group) ?? 1;
+      relay.announceGroup(group, this.#model, "open", epoch);
+    }
+    this.relays[index] = relay;
+  }
+
   /** Lets time pass, and notes the attempts that begin. */
   async run(ms: number): Promise<void> {
     for (const { catalog } of this.relays) {
--- a/src/core/retries/prompt_part_tracker.ts
+++ b/src/core/retries/prompt_part_tracker.ts
@@ -79,6 +79,11 @@
   /** Number of statuses so far, by which parts in quarantine take turns. */
   #turn = 0;
 
+  /** Number of suspect parts, with those in quarantine. */
+  get size(): number {
+    return this.#records.size;
+  }
+
   /** Adds a listener for parts that are quarantined. */
   onQuarantined(listener: (suspect: SuspectPart) => void): void {
     this.#listeners.push(listener);
@@ -132,16 +137,16 @@
     const record = this.#records.get(part);
     if (record === undefined) return;
     this.#clearedAt.set(part, now);
-    record.crashes = record.crashes.filter((crash) => crash.at > at);
-    if (record.crashes.length === 0) this.#records.delete(part);
+    this.#keepCrashes(part, record, (crash) => crash.at > at);
   }
 
   /** Merges crashes of a part, or what a peer knows of it. */
   merge(suspect: SuspectPart, now: number): void {
     const { part, model, companions } = suspect;
+    const known = this.#records.get(part)?.crashes ?? [];
     const crashes = suspect.crashes.filter(({ upstream, at }) =>
       at > this.#soundAtOf(part) &&
-      !this.#isExplainedByAnother(upstream, suspect)
+      !this.#isExplainedByAnother(upstream, part, known)
     );
     const wasCleared = suspect.crashes.some(({ at }) =>
       at <= this.#soundAtOf(part)
@@ -153,10 +158,14 @@
     record.companions = new Set(
       companions.filter((other) => record.companions.has(other)),
     );
-    record.crashes = mergeCrashes(record.crashes, crashes).slice(-MAX_CRASHES);
-    if (record.isQuarantined) this.#explain(record.crashes, part);
-    else if (suspect.isQuarantined) this.#quarantine(part, record);
-    else this.#quarantineIfDue(part, record);
+    const merged = mergeCrashes(record.crashes, crashes);
+    const hasNew = merged !== record.crashes;
+    record.crashes = merged.slice(-MAX_CRASHES);
+    if (!record.isQuarantined && suspect.isQuarantined) {
+      return this.#quarantine(part, record);
+    }
+    if (record.isQuarantined && hasNew) this.#explain(record.crashes, part);
+    this.#quarantineIfDue(part, record);
   }
 
   /**
@@ -281,22 +290,43 @@
       dropOldest(this.#explained, MAX_EXPLAINED);
     }
     for (const [part, record] of this.#records) {
-      if (record.isQuarantined) continue;
-      const suspect = this.#toSuspect(part, record);
-      record.crashes = record.crashes.filter(({ upstream }) =>
-        !this.#isExplainedByAnother(upstream, suspect)
+      const known = record.crashes;
+      this.#keepCrashes(
+        part,
+        record,
+        ({ upstream }) => !this.#isExplainedByAnother(upstream, part, known),
       );
-      if (record.crashes.length === 0) this.#records.delete(part);
     }
   }
 
-  /** Whether a crash has a cause that isn't a part or one of its companions. */
+  /** Drops all other crashes of a part, and its record if none is left. */
+  #keepCrashes(
+    part: string,
+    record: PartRecord,
+    isKept: (crash: PartCrash) => boolean,
+  ): void {
+    const kept = record.crashes.filter(isKept);
+    if (kept.length === record.crashes.length) return;
+    record.crashes = kept;
+    if (kept.length === 0) this.#records.delete(part);
+    if (countMoments(kept) < QUARANTINE_MOMENTS) record.isQuarantined = false;
+  }
+
+  /**
+   * Whether a crash has another cause than a part that was in flight at it, which
+   * was not in flight at all other crashes with that cause.
+   */
   #isExplainedByAnother(
     upstream: string,
-    { part, companions }: SuspectPart,
+    part: string,
+    crashes: readonly PartCrash[],
   ): boolean {
     const cause = this.#explained.get(upstream);
-    return cause !== undefined && cause !== part && !companions.includes(cause);
+    if (cause === undefined || cause === part) return false;
+    const inFlightAt = new Set(crashes.map((crash) => crash.upstream));
+    inFlightAt.add(upstream);
+    const causedCrashes = this.#records.get(cause)?.crashes ?? [];
+    return causedCrashes.some((crash) => !inFlightAt.has(crash.upstream));
   }
 
   #toSuspect(part: string, record: PartRecord): SuspectPart {
