Share the newest strikes of requests, and never in a message that peers reject

A status carried the first 16 suspects in order of their first crash: once 16 requests were in flight at crashes, peers learned of no further one for a minute. And a request with more than eight crashes made its node's whole message invalid to its peers, as if the node had gone.

Now the newest are shared first, and a strike is cut to eight crashes. Two scenarios fail without it.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -30,6 +30,14 @@
     Then the process woke up 98 to 103 times
     And the work every 50 milliseconds was called 0 times
 
+  Scenario: should share the most recent strikes when there are too many for a message
+    Given a gateway that has recorded strikes of 40 requests, one every second
+    Then the 16 that it shares are the most recent ones
+
+  Scenario: should send a message that peers accept when a request has many strikes
+    Given a status with a request that was in flight at 12 crashes
+    Then its peers accept the message, with 8 of the crashes
+
   Scenario: should reject a peer's message that has an invalid field
     Given a batch with every kind of status field
     Then a batch with any field missing or of another type is rejected
--- a/features/steps/order_steps.ts
+++ b/features/steps/order_steps.ts
@@ -38,6 +38,7 @@
 }
 
 interface SuspectWorld {
+  suspects: SuspectRequestTracker;
   gatewaySuspects: [SuspectRequestTracker, SuspectRequestTracker];
 }
 
@@ -141,14 +142,34 @@
   },
 );
 
+Given(
+  "a gateway that has recorded strikes of {int} requests, one every second",
+  function (this: SuspectWorld, count: number) {
+    const suspects = new SuspectRequestTracker();
+    for (let i = 0; i < count; i++) {
+      suspects.recordCrash(`u-${i}`, [`f-${i}`], i * 1_000);
+    }
+    this.suspects = suspects;
+  },
+);
+
+Then(
+  "the {int} that it shares are the most recent ones",
+  function (this: SuspectWorld, max: number) {
+    const shared = this.suspects.shared(40_000, max);
+    const newest = Array.from({ length: max }, (_, i) => `f-${39 - i}`);
+    assert.deepEqual(shared.map(({ fingerprint }) => fingerprint), newest);
+  },
+);
+
 When(
   "they exchange their strikes for {int} minutes",
   function (this: SuspectWorld, minutes: number) {
     const [first, second] = this.gatewaySuspects;
     for (let now = 0; now < minutes * 60_000; now += 500) {
-      for (const suspect of first.recent(now)) second.merge(suspect, now);
+      for (const suspect of first.shared(now, 200)) second.merge(suspect, now);
       first.expire(now);
-      for (const suspect of second.recent(now)) first.merge(suspect, now);
+      for (const suspect of second.shared(now, 200)) first.merge(suspect, now);
       second.expire(now);
     }
   },
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -340,7 +340,10 @@
 
 Then("no request is refused as a suspect", function (this: RelayWorld) {
   const { suspectRequests } = this.fixture.relay;
-  const [suspect] = suspectRequests.recent(this.fixture.timers.now());
+  const [suspect] = suspectRequests.shared(
+    this.fixture.timers.now(),
+    1,
+  );
   assert.ok(
     suspect === undefined || !suspectRequests.isRefused(suspect.fingerprint),
   );
--- a/features/steps/timer_steps.ts
+++ b/features/steps/timer_steps.ts
@@ -13,7 +13,10 @@
   decodeBatch,
   encodeBatch,
 } from "../../src/core/gossip/message_codec.ts";
-import type { StatusMessage } from "../../src/core/gossip/messages.ts";
+import type {
+  StatusBatch,
+  StatusMessage,
+} from "../../src/core/gossip/messages.ts";
 
 interface TimerWorld {
   timers: VirtualTimers;
@@ -22,6 +25,7 @@
   calls: Map<number, number>;
   subscribed: Timer[];
   parsed: Record<string, unknown>;
+  batch: StatusBatch;
 }
 
 Given(
@@ -145,6 +149,27 @@
   },
 );
 
+Given(
+  "a status with a request that was in flight at {int} crashes",
+  function (this: TimerWorld, count: number) {
+    const crashed = Array.from({ length: count }, (_, i) => `h-${i}`);
+    const strikes = [{ fingerprint: "f", crashed }];
+    this.batch = {
+      isForwarded: false,
+      isUrgent: false,
+      statuses: [{ ...STATUS, strikes }],
+    };
+  },
+);
+
+Then(
+  "its peers accept the message, with {int} of the crashes",
+  function (this: TimerWorld, count: number) {
+    const received = decodeBatch(encodeBatch(this.batch));
+    assert.equal(received?.statuses[0].strikes[0].crashed.length, count);
+  },
+);
+
 /** Fields that nodes of earlier versions don't send. */
 const OPTIONAL_FIELDS: ReadonlySet<string> = new Set(["cp", "sp"]);
 
--- a/src/core/gateway/gateway.ts
+++ b/src/core/gateway/gateway.ts
@@ -512,7 +512,7 @@
       recordsHash: this.#table.recordsHash,
       warm: [...this.#budgets.shares.warm],
       cold: this.#budgets.shares.recentlyCooled(now),
-      suspects: this.#suspects.recent(now).slice(-MAX_SHARED_SUSPECTS),
+      suspects: this.#suspects.shared(now, MAX_SHARED_SUSPECTS),
       reports,
     };
   }
--- a/src/core/gossip/message_codec.ts
+++ b/src/core/gossip/message_codec.ts
@@ -6,7 +6,7 @@
 import { Buffer } from "node:buffer";
 import type { LoadStatus, StatusBatch, StatusMessage } from "./messages.ts";
 import type { WireChange, WireStatus } from "./wire_status.ts";
-import { isWireBatch } from "./wire_status.ts";
+import { isWireBatch, MAX_CRASHED_UPSTREAMS } from "./wire_status.ts";
 
 /**
  * Encodes a batch.
@@ -68,7 +68,10 @@
       Math.round(suspicion.ageMs),
     ]),
     u: msg.cleared.map(([key, ageMs]) => [key, Math.round(ageMs)]),
-    k: msg.strikes.map((strike) => [strike.fingerprint, [...strike.crashed]]),
+    k: msg.strikes.map((strike) => [
+      strike.fingerprint,
+      strike.crashed.slice(0, MAX_CRASHED_UPSTREAMS),
+    ]),
     cp: msg.suspectParts.map((suspect) => [
       suspect.part,
       suspect.model,
--- a/src/core/gossip/wire_status.ts
+++ b/src/core/gossip/wire_status.ts
@@ -139,7 +139,7 @@
   "broken",
 ]);
 /** Maximum number of upstreams in a strike; a batch with more is rejected. */
-const MAX_CRASHED_UPSTREAMS = 8;
+export const MAX_CRASHED_UPSTREAMS = 8;
 
 /**
  * Checks that a parsed message is a batch of statuses.
--- a/src/core/retries/suspect_request_tracker.ts
+++ b/src/core/retries/suspect_request_tracker.ts
@@ -89,10 +89,12 @@
     if (!this.isRefused(fingerprint)) this.#records.delete(fingerprint);
   }
 
-  /** Suspects with recent strikes, to share with peers. */
-  recent(now: number): Suspect[] {
+  /** Up to `max` suspects to share with peers, with the most recent strikes first. */
+  shared(now: number, max: number): Suspect[] {
     return [...this.#records]
       .filter(([, record]) => now - record.lastCrashAt <= STRIKE_SHARE_MS)
+      .sort(([, a], [, b]) => b.lastCrashAt - a.lastCrashAt)
+      .slice(0, max)
       .map(([id]) => this.#toSuspect(id));
   }
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -35,6 +35,8 @@
 import { RequestLog } from "./request_log.ts";
 
 const GOSSIP_PERIOD_MS = 100;
+/** Maximum number of suspect requests in a status. */
+const MAX_SHARED_STRIKES = 16;
 /**
  * Number of nodes that poll the store for the catalog at short intervals; their
  * gossip confirms the catalog for the other nodes.
@@ -375,7 +377,10 @@
           key,
           now - at,
         ]),
-      strikes: this.relay.suspectRequests.recent(now).slice(0, 16),
+      strikes: this.relay.suspectRequests.shared(
+        now,
+        MAX_SHARED_STRIKES,
+      ),
       ...takePartStatuses(this.relay.promptParts, now),
       isStoreUnreachable: this.#fleetState.isStoreUnreachable,
       leaderTerm: this.#isLeader ? this.#leaderLease.term : 0,
