Reject a body that contains the head of another response

Cause: a host wrote late for an earlier request, on a connection that was in use again; the bytes filled the body up to its Content-Length, so that it looked complete. A 200 can be completed this way as well, so this is a fault of ours and the check asks nothing too much.

Evidence: the fuzz now names the response before on the same connection. Ruled out: a second request sent before the first response was over; in each case the connection was free.

A body with a length, or until the end of its connection, is searched for a status line followed by a header that only hosts send; chunked bodies can't hold such bytes.

--- a/features/responses.feature
+++ b/features/responses.feature
@@ -38,6 +38,21 @@
       | "endless reason"          |
       | "endless chunk extension" |
 
+  Scenario Outline: should not take a late <write> for an earlier request as the rest of a body
+    Given a relay before one host
+    And the host writes a late <write> 15 milliseconds after its first response
+    And its second response has status <status> and stops within its body of 60 bytes
+    When two requests are sent on one connection, one right after the other
+    Then the first caller has a complete response
+    And the second caller gets "<outcome>" and no byte of the late write
+
+    Examples:
+      | write   | status | outcome         |
+      | copy    | 500    | upstream_failed |
+      | copy    | 200    | upstream_failed |
+      | refusal | 500    | upstream_failed |
+      | refusal | 200    | upstream_failed |
+
   Scenario Outline: should show callers only what a host completed for their request, seed <seed>
     When 4 callers send 12 requests each to hosts with the responses of seed <seed>
     Then every caller received what the rules allow
--- a/features/steps/response_steps.ts
+++ b/features/steps/response_steps.ts
@@ -12,10 +12,13 @@
 import type { CallerResult } from "../../tools/fuzz/caller_result.ts";
 import { FuzzRelay } from "../../tools/fuzz/fuzz_relay.ts";
 import { RawHost } from "../../tools/fuzz/raw_host.ts";
+import type { RawResponse } from "../../tools/fuzz/raw_responses.ts";
 import {
   bodyOf,
   FAULTY_RESPONSES,
+  lateWrite,
   SOUND_RESPONSES,
+  stopsWithinBody,
 } from "../../tools/fuzz/raw_responses.ts";
 import type { FuzzResult } from "../../tools/fuzz/response_fuzz.ts";
 import { fuzzResponses } from "../../tools/fuzz/response_fuzz.ts";
@@ -24,11 +27,15 @@
 const BYTES_PER_MB = 1_048_576;
 /** Time in which a closed connection is closed on the host's side, too. */
 const CLOSE_MS = 400;
+/** Time after a response in which its connection can be used again. */
+const CONNECTION_FREE_MS = 3;
 const FIRST_EVENTS = 4;
 const OTHER_STREAMS = 3;
 
 interface ResponseWorld {
   rawHosts: RawHost[];
+  /** Responses of a single host to its next requests. */
+  script: RawResponse[];
   relay: FuzzRelay;
   results: CallerResult[];
   residentBefore: number;
@@ -62,6 +69,63 @@
   },
 );
 
+Given("a relay before one host", async function (this: ResponseWorld) {
+  const timers = new SystemTimers();
+  this.script = [];
+  const host = new RawHost("first", timers, new Random(1), () => {
+    const response = this.script.shift();
+    assert.ok(response, "an unexpected request");
+    return response;
+  });
+  this.rawHosts = [host];
+  await host.listen();
+  this.relay = new FuzzRelay(this.rawHosts, 1);
+});
+
+Given(
+  /^the host writes a late (copy|refusal) (\d+) milliseconds after its first response$/,
+  function (this: ResponseWorld, kind: "copy" | "refusal", ms: number) {
+    this.script.push(lateWrite(kind, Number(ms)));
+  },
+);
+
+Given(
+  "its second response has status {int} and stops within its body of {int} bytes",
+  function (this: ResponseWorld, status: number, bytes: number) {
+    this.script.push(stopsWithinBody(status, bytes));
+  },
+);
+
+When(
+  "two requests are sent on one connection, one right after the other",
+  async function (this: ResponseWorld) {
+    const first = await this.relay.send("r0", false);
+    await sleep(this.relay.timers, CONNECTION_FREE_MS);
+    this.results = [first, await this.relay.send("r1", false)];
+    const [, second] = this.rawHosts[0].received;
+    assert.equal(second.previous?.requestId, "r0");
+  },
+);
+
+Then(
+  "the first caller has a complete response",
+  function (this: ResponseWorld) {
+    const [{ isComplete, body }] = this.results;
+    assert.ok(isComplete);
+    assert.equal(body, bodyOf("r0"));
+  },
+);
+
+Then(
+  "the second caller gets {string} and no byte of the late write",
+  function (this: ResponseWorld, kind: string) {
+    const [, { refusal, body, isComplete }] = this.results;
+    assert.equal(isComplete, false);
+    assert.equal(refusal?.kind, kind);
+    assert.equal(body, "");
+  },
+);
+
 When(
   "{int} requests that are {word} repeatable are sent to the first host",
   function (this: ResponseWorld, count: number, _not: string) {
--- a/src/platform/relay_exchange.ts
+++ b/src/platform/relay_exchange.ts
@@ -18,6 +18,7 @@
 } from "../ports/response_limits.ts";
 import type { ConnectionObserver } from "./connection_observer.ts";
 import { UNPARSED_BYTES_CODE } from "./connection_observer.ts";
+import { ForeignHeadDetector } from "./foreign_head_detector.ts";
 import { forwardedResponseHeaders, HEADER } from "./wire_names.ts";
 
 const EVENT_STREAM_TYPE = "text/event-stream";
@@ -56,6 +57,8 @@
   #interimHeads = 0;
   /** Whether only the end of the connection marks the end of the response. */
   #isCloseDelimited = false;
+  /** Undefined for a chunked body, whose framing a foreign head violates. */
+  #foreignHeads: ForeignHeadDetector | undefined;
   /** Number of discarded bytes; undefined unless the response is discarded. */
   #discardedBytes: number | undefined;
   #discardTimer: Timer | undefined;
@@ -120,18 +123,26 @@
       return;
     }
     if (status < 200) return;
+    const isChunked = headers["transfer-encoding"] !== undefined;
     this.#isCloseDelimited = headers["content-length"] === undefined &&
-      headers["transfer-encoding"] === undefined;
+      !isChunked;
+    if (!isChunked) this.#foreignHeads = new ForeignHeadDetector();
     this.#listener.onHead(this.#toRelayHead(status, headers));
   }
 
   onResponseData(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     chunk: Uint8Array,
   ): void {
     this.#deps.observer.recordParsed();
     if (this.#discardedBytes !== undefined) this.#countDiscarded(chunk);
-    if (!this.#ended) this.#listener.onData(chunk);
+    if (this.#ended) return;
+    if (this.#foreignHeads?.push(chunk)) {
+      this.#protocolError = "The body contains the head of another response";
+      controller.abort(new Error(this.#protocolError));
+      return;
+    }
+    this.#listener.onData(chunk);
   }
 
   onResponseEnd(): void {
--- a/tools/fuzz/raw_host.ts
+++ b/tools/fuzz/raw_host.ts
@@ -16,6 +16,10 @@
   readonly requestId: string;
   readonly hostId: string;
   readonly response: RawResponse;
+  /** The request before it on the same connection. */
+  readonly previous: ReceivedRequest | undefined;
+  /** Monotonic time at which the request was received, in milliseconds. */
+  readonly at: number;
 }
 
 /** Listens on loopback and responds to each request as chosen by its caller. */
@@ -71,13 +75,16 @@
     this.#sockets.add(socket);
     socket.on("error", () => {});
     let text = "";
+    let previous: ReceivedRequest | undefined;
     socket.on("data", (data) => {
       text += data.toString("latin1");
       const requestId = /attempt-id: (\S+)\r\n/i.exec(text)?.[1];
       if (requestId === undefined || !text.endsWith("end of body")) return;
       text = "";
       const response = this.#choose(requestId);
-      this.received.push({ requestId, hostId: this.id, response });
+      const at = this.#timers.now();
+      previous = { requestId, hostId: this.id, response, previous, at };
+      this.received.push(previous);
       response.write({
         socket,
         requestId,
--- a/tools/fuzz/raw_responses.ts
+++ b/tools/fuzz/raw_responses.ts
@@ -101,6 +101,44 @@
 
 const NOT_RUN = "Oleanderarch-Not-Executed: 1";
 
+/**
+ * A complete response, and after `ms` a copy of it or a refusal without an id on
+ * the same connection, whatever it is used for by then.
+ *
+ * @example
+ * ```ts
+ * lateWrite("copy", 15).write(context);
+ * ```
+ */
+export function lateWrite(kind: "copy" | "refusal", ms: number): RawResponse {
+  return response(
+    `late ${kind}`,
+    { status: 200 },
+    ({ socket, requestId, timers }) => {
+      const late = kind === "copy"
+        ? whole(200, requestId)
+        : head(503, undefined, NOT_RUN, "Content-Length: 0");
+      socket.write(whole(200, requestId));
+      timers.after(ms, () => socket.write(late));
+    },
+  );
+}
+
+/**
+ * A response that stops after the first bytes of its body of `bytes`.
+ *
+ * @example
+ * ```ts
+ * stopsWithinBody(500, 90).write(context);
+ * ```
+ */
+export function stopsWithinBody(status: number, bytes: number): RawResponse {
+  return response("stops within its body", {}, ({ socket, requestId }) => {
+    const length = `Content-Length: ${bytes}`;
+    socket.write(`${head(status, requestId, length)}part`);
+  });
+}
+
 /** Complete responses of sound hosts. */
 export const SOUND_RESPONSES: readonly RawResponse[] = [
   response("whole", { status: 200 }, ({ socket, requestId }) => {
--- a/tools/fuzz/response_fuzz.ts
+++ b/tools/fuzz/response_fuzz.ts
@@ -104,8 +104,8 @@
   const runs = own.filter(({ response }) => response.runs);
   const problems: string[] = [];
   const report = (text: string) => {
-    const names = own.map(({ hostId, response }) =>
-      `${hostId} ${response.name}`
+    const names = own.map((request) =>
+      `${request.hostId} ${request.response.name}${describePrevious(request)}`
     );
     problems.push(
       `${requestId} (${outcomeOf(result)}, hosts: ${
@@ -131,6 +131,13 @@
   return problems;
 }
 
+/** Says which response came before on the connection, and how long ago. */
+function describePrevious({ previous, at }: ReceivedRequest): string {
+  if (previous === undefined) return " on a new connection";
+  const agoMs = Math.round(at - previous.at);
+  return `, ${agoMs} ms after "${previous.response.name}" to ${previous.requestId}`;
+}
+
 function excerpt(text: string): string {
   return text.length > 60 ? `${text.slice(0, 60)}... (${text.length})` : text;
 }
