Take a stream that ends before its first event as broken off

Streams may come with neither a length nor chunks and end with their connection, so a host that closes it before the first event left its caller an empty stream that looked complete.

--- a/features/responses.feature
+++ b/features/responses.feature
@@ -70,6 +70,12 @@
     When an order is looked up
     Then the response is aborted after 1 attempt
 
+  Scenario: should not take a stream that ends before its first event for a response
+    Given a relay with 2 replica groups of "small"
+    And the first group ends its stream after 0 events
+    When a stream of 10 events is requested
+    Then the caller has events 1 to 10 and a complete response after 2 attempts
+
   Scenario Outline: should continue a stream elsewhere when its group sends only <bytes>s
     Given a relay with 2 replica groups of "small"
     And the first group sends only a <bytes> now and then after 4 events
--- a/features/steps/response_steps.ts
+++ b/features/steps/response_steps.ts
@@ -246,6 +246,13 @@
   },
 );
 
+Given(
+  "the first group ends its stream after {int} events",
+  function (this: ResponseWorld, events: number) {
+    this.fixture.upstreams.setNextScript({ kind: "end_after", events });
+  },
+);
+
 Given(
   /^the first group sends only a (byte|comment) now and then after 4 events$/,
   function (this: ResponseWorld, bytes: "byte" | "comment") {
--- a/src/core/relay/relay_response_writer.ts
+++ b/src/core/relay/relay_response_writer.ts
@@ -40,7 +40,10 @@
   setHead(head: RelayHead): void;
   /** Writes or buffers bytes of the current attempt's response. */
   write(chunk: Uint8Array): WriteResult;
-  /** Ends the response, or returns false if its last event is incomplete. */
+  /**
+   * Ends the response, or returns false if its last event is incomplete or it is
+   * a stream without events.
+   */
   finish(): boolean;
   /** Discards unwritten data of an attempt that ended. */
   discardPartial(): void;
@@ -160,6 +163,8 @@
 
   finish(): boolean {
     if (this.#splice.hasPartialEvent) return false;
+    // Only a caller that resumes may have had all events before.
+    if (!this.#started && this.#callerLastEventId === undefined) return false;
     this.#writeHead();
     this.#response.end();
     return true;
--- a/src/standins/fleet/scripted_upstreams.ts
+++ b/src/standins/fleet/scripted_upstreams.ts
@@ -48,6 +48,8 @@
    * the connection.
    */
   | { readonly kind: "reset_after"; readonly events: number }
+  /** Sends the events up to id `events`, then ends the response. */
+  | { readonly kind: "end_after"; readonly events: number }
   /** Resets the connection before the response. */
   | { readonly kind: "reset_before_response" }
   /** Responds with 503 and the guarantee that the request did not run. */
@@ -241,11 +243,15 @@
   }
 
   /**
-   * Resets the connection within event `id` if the script is `reset_after`;
-   * otherwise sends nothing more.
+   * Resets the connection within event `id` or ends the response, if the script
+   * says so; otherwise sends nothing more.
    */
   #interrupt(request: ActiveRequest, script: UpstreamScript, id: number): void {
     if (script.kind === "drip_after") return this.#drip(request, script.bytes);
+    if (script.kind === "end_after") {
+      this.#end(request);
+      return request.listener.onEnd({ kind: "ended" });
+    }
     if (script.kind !== "reset_after") return;
     request.listener.onData(streamEvent(id).subarray(0, 5));
     this.#end(request);
