Quarantine a part that takes every engine down before a response can begin

In a small simulated cluster (three groups, one deadly request a second) each group crashed again as soon as it had formed, so that no other response began, and the part was never quarantined: 18 crashes in 30 s, ended only by the scenario. The guard against a general outage had no end. Five moments of crashes with a part in flight and no response to it now suffice without other responses; a wrong verdict ends with the first response to the part, or with the probe after 30 s. That probe counts from the quarantine, whatever number of crashes led to it.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -31,6 +31,13 @@
     When 10 responses to other prompts begin
     Then a prompt of "first, second" is refused
 
+  Scenario: should refuse a part that takes all groups down before a response begins
+    Given a tracker of prompt parts
+    When groups "g-1, g-2, g-3, g-4, g-5" crash one after the other with "first" in flight
+    Then a prompt of "first" is refused
+    When a response to "first" begins
+    Then a prompt of "first" is accepted
+
   Scenario: should not suspect parts to which responses begin between the crashes
     Given a tracker of prompt parts
     When groups "g-1, g-2" crash one after the other with "first, second" in flight
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -456,7 +456,9 @@
     const isComplete = this.#writer.finish();
     if (isComplete) this.#recordContinued(attempt);
     this.#endAttempt(attempt, isComplete ? "answered" : "malformed", "");
-    if (!isComplete) return this.#onError(attempt, "ended within or before an event");
+    if (!isComplete) {
+      return this.#onError(attempt, "ended within or before an event");
+    }
     this.#finish("answered");
   }
 
--- a/src/core/retries/prompt_part_tracker.ts
+++ b/src/core/retries/prompt_part_tracker.ts
@@ -7,16 +7,21 @@
 import type { PartCrash, SuspectPart } from "./suspect_part.ts";
 import { countMoments, mergeCrashes } from "./suspect_part.ts";
 
-/** Requests with a part are refused after crashes at this many moments. */
-const QUARANTINE_MOMENTS = 3;
 /**
- * Responses without the part that must have begun since its first crash. If none
- * begins, the engines are failing for all requests.
+ * Requests with a part are refused after crashes at this many moments, if
+ * responses to other prompts begin meanwhile.
  */
+const QUARANTINE_MOMENTS = 3;
+/** Number of such responses. */
 const MIN_OTHER_RESPONSES = 3;
+/**
+ * Requests with a part are refused after crashes at this many moments even if no
+ * response begins: the part may crash every engine before one can begin.
+ */
+const OUTAGE_QUARANTINE_MOMENTS = 5;
 /**
  * Time after the last crash from which one request may probe the part. It doubles
- * with each further moment of crashes.
+ * with each moment of crashes in quarantine.
  */
 const FIRST_PROBE_AFTER_MS = 30_000;
 /** Time after which a probe without an outcome no longer prevents another. */
@@ -55,6 +60,8 @@
   companions: ReadonlySet<string>;
   crashes: readonly PartCrash[];
   isQuarantined: boolean;
+  /** Time of the crash after which the part was quarantined. */
+  quarantinedAt: number;
   /** Responses of the model that had begun when the first crash was recorded. */
   begunAtFirstCrash: number;
   probedAt: number;
@@ -63,8 +70,8 @@
 /**
  * Finds prompt parts that crash engines. A part is quarantined once upstreams
  * crashed at {@linkcode QUARANTINE_MOMENTS} moments with it in flight, while
- * responses without it began and none with it did. A response with it that
- * begins later shows that it is sound.
+ * responses to other prompts began and none to a prompt with it did. A response
+ * to such a prompt that begins later shows that the part is sound.
  */
 export class PromptPartTracker {
   readonly #listeners: ((suspect: SuspectPart) => void)[] = [];
@@ -245,6 +252,7 @@
       companions: new Set(companions),
       crashes: [],
       isQuarantined: false,
+      quarantinedAt: Infinity,
       begunAtFirstCrash: this.#begunByModel.get(model) ?? 0,
       probedAt: -Infinity,
     };
@@ -270,14 +278,18 @@
 
   #quarantineIfDue(part: string, record: PartRecord): void {
     if (record.isQuarantined) return;
-    if (countMoments(record.crashes) < QUARANTINE_MOMENTS) return;
+    const moments = countMoments(record.crashes);
     const begun = this.#begunByModel.get(record.model) ?? 0;
-    if (begun - record.begunAtFirstCrash < MIN_OTHER_RESPONSES) return;
-    this.#quarantine(part, record);
+    const others = begun - record.begunAtFirstCrash;
+    const isDue = others >= MIN_OTHER_RESPONSES
+      ? moments >= QUARANTINE_MOMENTS
+      : moments >= OUTAGE_QUARANTINE_MOMENTS;
+    if (isDue) this.#quarantine(part, record);
   }
 
   #quarantine(part: string, record: PartRecord): void {
     record.isQuarantined = true;
+    record.quarantinedAt = lastCrashAt(record);
     this.#explain(record.crashes, part);
     const suspect = this.#toSuspect(part, record);
     for (const listener of this.#listeners) listener(suspect);
@@ -341,8 +353,8 @@
 }
 
 function probeDueAt(record: PartRecord): number {
-  const further = countMoments(record.crashes) - QUARANTINE_MOMENTS;
-  const afterMs = FIRST_PROBE_AFTER_MS * 2 ** Math.max(0, further);
+  const since = record.crashes.filter(({ at }) => at > record.quarantinedAt);
+  const afterMs = FIRST_PROBE_AFTER_MS * 2 ** countMoments(since);
   return lastCrashAt(record) + afterMs;
 }
 
