Quarantine prompt parts at the gateways of the product's own deployments as well

The same cause elsewhere: core/gateway counts crashes by a hash of customer, path and body, so that requests that share a system prompt which crashes engines are each new. CrashSuspects joins both trackers; the shared parts of a chat are its messages but the last. The first of the declared gateways may probe.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -94,6 +94,13 @@
     And 600 prompts arrive within 6 seconds, every 40th with the deadly part
     Then at most 3 attempts with the deadly part begin later than 3 seconds after the fifth crash
 
+  Scenario: should refuse a prompt part that crashes engines at the gateways as well
+    Given a small cluster under load
+    When 30 requests arrive that share a prompt part that crashes engines, one every second
+    Then at most 8 engines have crashed
+    When 20 seconds pass that are checked
+    Then at least 95 percent of requests are served in time
+
   Scenario: should keep the memory of parts bounded
     Given a tracker of prompt parts
     When 1000 groups crash, each with another prompt of 200 parts in flight
--- a/features/steps/promise_steps.ts
+++ b/features/steps/promise_steps.ts
@@ -312,6 +312,38 @@
   assert.notEqual(leader.process.name, this.pausedController);
 });
 
+When(
+  "{int} requests arrive that share a prompt part that crashes engines, one every second",
+  { timeout: 60_000 },
+  async function (this: PromiseWorld, count: number) {
+    const { callers, cluster } = this.run;
+    const [part] = cluster.deployment.workload;
+    const promptParts = ["deadly"];
+    for (let i = 0; i < count; i++) {
+      callers.send(part, { poisonous: true, promptParts });
+      await this.run.advance(1_000);
+    }
+  },
+);
+
+When(
+  "{int} seconds pass that are checked",
+  async function (this: PromiseWorld, seconds: number) {
+    this.run.checkedFrom = this.run.cluster.timers.now();
+    await this.run.advance(seconds * 1_000);
+  },
+);
+
+Then(
+  "at most {int} engines have crashed",
+  function (this: PromiseWorld, max: number) {
+    const crashed = this.run.cluster.journal.filter((event) =>
+      event.kind === "crashed"
+    );
+    assert.ok(crashed.length > 0 && crashed.length <= max, `${crashed.length}`);
+  },
+);
+
 Then("no engine has crashed", function (this: PromiseWorld) {
   const crashed = this.run.cluster.journal.filter((e) => e.kind === "crashed");
   assert.equal(crashed.length, 0);
--- a/src/bench/callers.ts
+++ b/src/bench/callers.ts
@@ -92,6 +92,8 @@
 /** Options of a single request. */
 export interface SendOptions {
   readonly poisonous?: boolean;
+  /** Ids of the parts of the prompt that other requests may share. */
+  readonly promptParts?: readonly string[];
   /** Idempotency key of an order; a new one by default. */
   readonly key?: string;
   /** Id of the gateway; chosen by the caller by default. */
@@ -152,7 +154,7 @@
     options: SendOptions = {},
   ): SentRequest | undefined {
     const caller = this.#random.int(CALLER_COUNT);
-    const body = this.#makeBody(options.poisonous === true);
+    const body = this.#makeBody(options);
     const key = part.kind === "service"
       ? options.key ?? `order-${this.#requestCount}`
       : undefined;
@@ -181,11 +183,14 @@
     });
   }
 
-  #makeBody(poisonous: boolean): string {
+  #makeBody({ poisonous, promptParts }: SendOptions): string {
     this.#requestCount += 1;
+    if (poisonous === true && promptParts !== undefined) {
+      return `${POISON_MARKER} request ${this.#requestCount}`;
+    }
     // Requests for the same album have the same `prefixKey`.
     const prefix = `album ${this.#random.int(40)}`;
-    return poisonous
+    return poisonous === true
       ? POISON_MARKER
       : `${prefix} request ${this.#requestCount}`;
   }
@@ -207,6 +212,7 @@
       part,
       options.body,
       options.key,
+      options.promptParts,
     );
     const request: SentRequest = {
       requestId: callerRequest.id,
@@ -230,11 +236,12 @@
       if (!isRetryable || !failed || options.retriesLeft === 0) return;
       this.#cluster.timers.after(RETRY_DELAY_MS, () => {
         const otherCaller = (caller + 1) % CALLER_COUNT;
-        const { body, key, poisonous, retriesLeft } = options;
+        const { body, key, poisonous, promptParts, retriesLeft } = options;
         this.#sendFrom(otherCaller, part, {
           body,
           key,
           poisonous,
+          promptParts,
           retriesLeft: retriesLeft - 1,
         });
       });
@@ -330,6 +337,7 @@
     part: WorkloadPart,
     body: string,
     idempotencyKey: string | undefined,
+    promptParts: readonly string[] | undefined,
   ): CallerRequest {
     const { deployment } = this.#cluster;
     const customer = this.#pickCustomer();
@@ -357,6 +365,7 @@
       fingerprint,
       // The album's name; its number has at most two digits.
       prefixKey: body.slice(0, 9),
+      promptParts: promptParts ?? [],
       idempotencyKey,
       resumeAfter: 0,
     };
--- a/src/core/configuration/administration.ts
+++ b/src/core/configuration/administration.ts
@@ -234,6 +234,8 @@
       warm: [],
       cold: [],
       suspects: [],
+      suspectParts: [],
+      soundParts: [],
       reports: [],
     };
   }
--- a/src/core/gateway/caller_request.ts
+++ b/src/core/gateway/caller_request.ts
@@ -26,6 +26,11 @@
   readonly fingerprint: string;
   /** Key of the prompt's prefix; requests with the same key share a cache. */
   readonly prefixKey: string;
+  /**
+   * Ids of the parts of the prompt that other requests may share: its messages
+   * but the last. Empty for plain services.
+   */
+  readonly promptParts: readonly string[];
   readonly idempotencyKey?: string;
   /** Number of events that the caller received on earlier connections. */
   readonly resumeAfter: number;
--- a/src/core/gateway/gateway.ts
+++ b/src/core/gateway/gateway.ts
@@ -28,13 +28,13 @@
 import { GatewayRegistration } from "../membership/gateway_registration.ts";
 import { OrderStore } from "../orders/order_store.ts";
 import { RetryBudget } from "../retries/retry_budget.ts";
-import { SuspectRequestTracker } from "../retries/suspect_request_tracker.ts";
 import type { Router } from "../routing/router.ts";
 import type { UpstreamEntry } from "../routing/upstream_entry.ts";
 import type { Evidence } from "../routing/upstream_table.ts";
 import { UpstreamTable } from "../routing/upstream_table.ts";
 import type { AttemptRun } from "./attempt_run.ts";
 import type { CallerRequest, CallerResponse } from "./caller_request.ts";
+import { CrashSuspects } from "./crash_suspects.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import type { AddressList, EntryGateway } from "./entry_gateway.ts";
@@ -53,8 +53,6 @@
 const TICK_PERIOD_MS = 50;
 /** Longest wait for peers to receive new strikes before a request is retried. */
 const SUSPECT_SYNC_TIMEOUT_MS = 250;
-/** Largest number of suspect requests in one message. */
-const MAX_SHARED_SUSPECTS = 200;
 
 /** External systems and settings of a gateway. */
 export interface GatewayDependencies {
@@ -79,7 +77,7 @@
   readonly #replica: ConfigReplica;
   readonly #table = new UpstreamTable();
   readonly #budgets: ColdBudgets;
-  readonly #suspects = new SuspectRequestTracker();
+  readonly #suspects = new CrashSuspects(() => this.#mayProbeParts);
   readonly #orders: OrderStore;
   readonly #dispatcher: Dispatcher;
   readonly #sync: PeerSync;
@@ -372,7 +370,8 @@
   #attemptCompleted(run: RequestRun, attempt: AttemptRun): void {
     attempt.entry.completed += 1;
     attempt.entry.lastCompletedAt = this.#deps.timers.now();
-    this.#suspects.clear(run.request.fingerprint);
+    const now = this.#deps.timers.now();
+    this.#suspects.recordCompleted(run.request, attempt.startedAt, now);
   }
 
   #requestFinished(run: RequestRun, result: RequestResult): void {
@@ -392,10 +391,8 @@
   async #upstreamCrashed(entry: UpstreamEntry, detail: string): Promise<void> {
     const id = entry.upstream.id;
     if (entry.upstream.kind === "group") {
-      const fingerprints = this.#requests.runsOn(id).map((run) =>
-        run.request.fingerprint
-      );
-      this.#suspects.recordCrash(id, fingerprints, this.#deps.timers.now());
+      const requests = this.#requests.runsOn(id).map((run) => run.request);
+      this.#suspects.recordCrash(id, requests, this.#deps.timers.now());
     }
     this.#upstreamUnreachable(entry, detail);
     await Promise.race([
@@ -430,10 +427,16 @@
 
   #suspectRunsOn(entry: UpstreamEntry, run: RequestRun): boolean {
     return this.#requests.runsOn(entry.upstream.id).some((other) =>
-      other !== run && this.#suspects.strikes(other.request.fingerprint) > 0
+      other !== run && this.#suspects.isSuspected(other.request)
     );
   }
 
+  /** Whether this is the first of the gateways that the operators declared. */
+  get #mayProbeParts(): boolean {
+    const ids = this.#replica.cfg?.gateways.map(({ id }) => id) ?? [];
+    return ids.sort()[0] === this.#deps.self.id;
+  }
+
   #tick(): void {
     const now = this.#deps.timers.now();
     for (const run of this.#requests.runs) run.tick(now);
@@ -467,7 +470,7 @@
     this.#mergeRecords(msg.records);
     for (const evidence of msg.evidence) this.#applyEvidence(evidence, "peer");
     this.#budgets.applyPeerState(msg);
-    for (const suspect of msg.suspects) this.#suspects.merge(suspect, now);
+    this.#suspects.merge(msg, now);
     for (const shared of msg.reports) {
       const entry = this.#table.entries.get(shared.upstreamId);
       entry?.recordReport(shared.report, now - shared.ageMs, false);
@@ -512,7 +515,7 @@
       recordsHash: this.#table.recordsHash,
       warm: [...this.#budgets.shares.warm],
       cold: this.#budgets.shares.recentlyCooled(now),
-      suspects: this.#suspects.shared(now, MAX_SHARED_SUSPECTS),
+      ...this.#suspects.takeStatuses(now),
       reports,
     };
   }
--- a/src/core/gateway/request_run.ts
+++ b/src/core/gateway/request_run.ts
@@ -14,7 +14,6 @@
 import type { OrderClaim, Orders } from "../orders/order_store.ts";
 import type { OrderRecord, OrderRef } from "../orders/order_record.ts";
 import type { RetryBudget } from "../retries/retry_budget.ts";
-import type { SuspectRequestTracker } from "../retries/suspect_request_tracker.ts";
 import type { RouteDecision } from "../routing/router.ts";
 import type { UpstreamEntry } from "../routing/upstream_entry.ts";
 import type { AttemptObserver } from "./attempt_run.ts";
@@ -26,6 +25,7 @@
   Problem,
   ProblemKind,
 } from "./caller_request.ts";
+import type { CrashSuspects } from "./crash_suspects.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { DropReason, QueuedRequest } from "./dispatcher.ts";
 import { FailureHistory } from "./failure_history.ts";
@@ -67,7 +67,7 @@
   readonly timers: Timers;
   readonly client: UpstreamClient;
   readonly cfg: () => Configuration;
-  readonly suspects: SuspectRequestTracker;
+  readonly suspects: CrashSuspects;
   readonly retryBudget: RetryBudget;
   readonly orders: Orders;
   readonly log: DecisionLog;
@@ -112,6 +112,8 @@
   #mayHaveRun = false;
   #queued = false;
   #hedged = false;
+  /** Whether the request runs once although its prompt part is refused. */
+  #isProbe = false;
   #paused = false;
   #done = false;
   #deadline: number;
@@ -173,8 +175,10 @@
    * queues it.
    */
   start(): void {
-    if (this.#deps.suspects.isRefused(this.request.fingerprint)) {
-      return this.#failAsSuspect();
+    const { suspects } = this.#deps;
+    if (suspects.isRefused(this.request)) {
+      this.#isProbe = suspects.takeProbe(this.request, this.#arrivedAt);
+      if (!this.#isProbe) return this.#failAsSuspect();
     }
     this.#deps.retryBudget.recordFirstAttempt();
     if (this.repeatable) return this.#enqueue();
@@ -205,13 +209,14 @@
 
   excludes(entry: UpstreamEntry): boolean {
     if (this.#failures.excludes(entry)) return true;
-    const suspected = this.#deps.suspects.strikes(this.request.fingerprint) > 0;
+    const suspected = this.#deps.suspects.isSuspected(this.request);
     return suspected && this.#deps.suspectRunsOn(entry, this);
   }
 
   onAssigned(entry: UpstreamEntry, decision: RouteDecision): void {
     this.#queued = false;
-    if (this.#deps.suspects.isRefused(this.request.fingerprint)) {
+    const mayRun = this.#isProbe && this.#attemptCount === 0;
+    if (!mayRun && this.#deps.suspects.isRefused(this.request)) {
       return this.#failAsSuspect();
     }
     this.#attemptCount += 1;
@@ -388,7 +393,7 @@
   /** Queues a second attempt when the first byte is late. */
   #maybeHedge(attempt: AttemptRun, now: number): void {
     if (this.#hedged || this.#queued || this.#attempts.size > 1) return;
-    if (this.#deps.suspects.strikes(this.request.fingerprint) > 0) return;
+    if (this.#deps.suspects.isSuspected(this.request)) return;
     const delayMs = this.request.serviceClass.firstTokenMs * HEDGE_FRACTION;
     if (now - attempt.startedAt < Math.max(MIN_HEDGE_MS, delayMs)) return;
     if (!this.#deps.retryBudget.spend()) return;
@@ -506,7 +511,7 @@
    */
   #retry(isFree: boolean): void {
     if (this.#done || this.#queued || this.#attempts.size > 0) return;
-    if (this.#deps.suspects.isRefused(this.request.fingerprint)) {
+    if (this.#deps.suspects.isRefused(this.request)) {
       return this.#failAsSuspect();
     }
     const allowed = this.#attemptCount < MAX_ATTEMPTS &&
--- a/src/core/membership/messages.ts
+++ b/src/core/membership/messages.ts
@@ -11,6 +11,7 @@
 import type { DomainRecord } from "../../world/replica_group.ts";
 import type { LoadReport } from "../../world/upstream.ts";
 import type { ShareRequest, ShareResponse } from "../limits/share_allocator.ts";
+import type { PartStatuses } from "../gossip/part_statuses.ts";
 import type { Suspect } from "../retries/suspect_request_tracker.ts";
 import type { Evidence } from "../routing/upstream_table.ts";
 
@@ -42,7 +43,7 @@
  * State that a gateway sends to a peer, which responds with a message of the
  * same type.
  */
-export interface SyncMessage {
+export interface SyncMessage extends PartStatuses {
   readonly from: string;
   readonly incarnation: string;
   readonly lifecycle: Lifecycle;
--- a/src/core/membership/peer_sync.ts
+++ b/src/core/membership/peer_sync.ts
@@ -10,6 +10,7 @@
 import type { DomainRecord } from "../../world/replica_group.ts";
 import type { ConfigReplica } from "../configuration/config_replica.ts";
 import { confirmers } from "../configuration/config_replica.ts";
+import type { PartStatuses } from "../gossip/part_statuses.ts";
 import type { Suspect } from "../retries/suspect_request_tracker.ts";
 import type { Evidence } from "../routing/upstream_table.ts";
 import type {
@@ -45,6 +46,8 @@
   readonly warm: readonly string[];
   readonly cold: readonly string[];
   readonly suspects: readonly Suspect[];
+  readonly suspectParts: PartStatuses["suspectParts"];
+  readonly soundParts: PartStatuses["soundParts"];
   readonly reports: readonly SharedReport[];
 }
 
@@ -222,6 +225,8 @@
       warm,
       cold: state.cold,
       suspects: state.suspects,
+      suspectParts: state.suspectParts,
+      soundParts: state.soundParts,
       reports: state.reports,
     };
   }
--- a/src/gateway/request_parser.ts
+++ b/src/gateway/request_parser.ts
@@ -21,6 +21,7 @@
  * characters.
  */
 const MAX_PREFIX_CHARS = 512;
+const PART_ID_CHARS = 16;
 const MAX_IDEMPOTENCY_KEY_CHARS = 255;
 
 /** Why a request was rejected before it reached the gateway core. */
@@ -125,6 +126,7 @@
     target: { kind: "model", name: model },
     streaming: stream === true,
     prefixKey: `${request.customer.name} ${prefix}`,
+    promptParts: (messages ?? []).slice(0, -1).map(hashMessage),
   });
 }
 
@@ -142,12 +144,23 @@
     target: { kind: "service", name },
     streaming: false,
     prefixKey: request.customer.name,
+    promptParts: [],
   });
 }
 
+/** Id of a message as a part of prompts. */
+function hashMessage(message: object): string {
+  return sha256(JSON.stringify(message)).slice(0, PART_ID_CHARS);
+}
+
 function buildCallerRequest(
   request: AuthenticatedRequest,
-  details: { target: RequestTarget; streaming: boolean; prefixKey: string },
+  details: {
+    target: RequestTarget;
+    streaming: boolean;
+    prefixKey: string;
+    promptParts: readonly string[];
+  },
 ): Outcome<CallerRequest, RequestError> {
   const { req, customer, cfg } = request;
   const className = readHeader(req, "x-service-class") ?? customer.defaultClass;
--- a/src/peer/sync_codec.ts
+++ b/src/peer/sync_codec.ts
@@ -37,6 +37,12 @@
       fingerprint: suspect.fingerprint,
       crashed: [...suspect.crashed],
     })),
+    suspectParts: msg.suspectParts.map((suspect) => ({
+      ...suspect,
+      companions: [...suspect.companions],
+      crashes: [...suspect.crashes],
+    })),
+    soundParts: msg.soundParts.map(([part, ageMs]) => ({ part, ageMs })),
     reports: msg.reports.map((item) => ({
       upstreamId: item.upstreamId,
       ageMs: item.ageMs,
@@ -75,6 +81,8 @@
     warm: wire.warm,
     cold: wire.cold,
     suspects: wire.suspects,
+    suspectParts: wire.suspectParts,
+    soundParts: wire.soundParts.map(({ part, ageMs }) => [part, ageMs]),
     reports: wire.reports.map((item) => ({
       upstreamId: item.upstreamId,
       ageMs: item.ageMs,
