Describe quarantined prompt parts, and disable each of their guards in turn

Run of @prompt_parts: at first 8 killed, 1 survived (bystanders: the scenario's last crashes had no other responses after them, so that nothing could be suspected); with two more steps 9 killed, 0 survived.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -64,8 +64,10 @@
     And group "g-4" crashes with "fourth, second" in flight
     And 10 responses to other prompts begin
     And groups "g-5, g-6, g-7" crash one after the other with "fourth, second" and "late" in flight
+    And 10 responses to other prompts begin
     Then a prompt of "fifth, second" is refused
     And a prompt of "late" is accepted
+    And a prompt of "bystander" is accepted
 
   Scenario: should accept a part again as soon as a response to it begins
     Given a tracker of prompt parts
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -636,4 +636,105 @@
       replace: "now",
     }],
   },
+  {
+    promise: 1,
+    tag: "@prompt_parts",
+    mechanism: "Crashes count for each shared part of the prompts in flight",
+    edits: [{
+      file: "retries/prompt_part_tracker.js",
+      find: "recordCrash(upstream, suspects, now) {",
+      replace: "recordCrash(upstream, suspects, now) { return;",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@prompt_parts",
+    mechanism: "Crashes at one moment count once",
+    edits: [{
+      file: "retries/suspect_part.js",
+      find: "if (at - momentAt < CRASH_MOMENT_MS)",
+      replace: "if (false)",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@prompt_parts",
+    mechanism:
+      "A part is not suspected while the engines fail for all requests",
+    edits: [{
+      file: "retries/prompt_part_tracker.js",
+      find: "others >= MIN_OTHER_RESPONSES",
+      replace: "true",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@prompt_parts",
+    mechanism: "A response that begins clears its parts",
+    edits: [{
+      file: "retries/prompt_part_tracker.js",
+      find: "recordSound(part, at, now) {",
+      replace: "recordSound(part, at, now) { return;",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@prompt_parts",
+    mechanism: "A part is refused only with those that accompanied it",
+    edits: [{
+      file: "retries/prompt_part_tracker.js",
+      find: "every((other) => parts.includes(other))",
+      replace: "every(() => true)",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@prompt_parts",
+    mechanism: "A known cause clears bystanders",
+    edits: [{
+      file: "retries/prompt_part_tracker.js",
+      find: "isExplainedByAnother(upstream, part, crashes) {",
+      replace: "isExplainedByAnother(upstream, part, crashes) { return false;",
+    }],
+  },
+  {
+    promise: 1,
+    tag: "@prompt_parts",
+    mechanism: "One request at a time probes a refused part",
+    edits: [{
+      file: "retries/prompt_part_tracker.js",
+      find: "if (isRunning || now < probeDueAt(record))",
+      replace: "if (isRunning)",
+    }],
+  },
+  {
+    promise: 1,
+    tag: "@prompt_parts",
+    mechanism: "Nodes share prompt parts that crash groups",
+    edits: [{
+      file: "gossip/part_statuses.js",
+      find: "suspectParts: promptParts.takeShared(now).map(",
+      replace: "suspectParts: [].map(",
+    }],
+  },
+  {
+    promise: 1,
+    tag: "@prompt_parts",
+    mechanism: "Gateways refuse prompt parts that crash engines",
+    edits: [{
+      file: "gateway/crash_suspects.js",
+      find: "this.#promptParts.recordCrash(upstreamId, suspects, now);",
+      replace: "",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@responses",
+    mechanism: "A stream that ends before its first event is broken off",
+    edits: [{
+      file: "relay/relay_response_writer.js",
+      find: "if (!this.#started && this.#callerLastEventId === undefined)",
+      replace: "if (false)",
+    }],
+  },
 ];
