Keep statuses small when suspect prompts have many parts

A datagram that is too large is not sent, so that its node would seem to have gone. Found by reading: a suspect part is shared with its companions, up to 63 of them. Twelve statuses with the parts of one prompt of 200 came to 92,390 bytes (the scenario failed); with at most 128 ids in a status they fit into 60,000.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -103,7 +103,8 @@
     When 20 seconds pass that are checked
     Then at least 95 percent of requests are served in time
 
-  Scenario: should keep the memory of parts bounded
+  Scenario: should keep memory and messages bounded when prompts have many parts
     Given a tracker of prompt parts
     When 1000 groups crash, each with another prompt of 200 parts in flight
-    Then the tracker shares at most 9 parts
+    Then the tracker keeps at most 1024 parts
+    And a datagram of 12 statuses fits into 60000 bytes
--- a/features/steps/prompt_part_steps.ts
+++ b/features/steps/prompt_part_steps.ts
@@ -11,6 +11,8 @@
   takePartStatuses,
 } from "../../src/core/gossip/part_statuses.ts";
 import { PromptPartTracker } from "../../src/core/retries/prompt_part_tracker.ts";
+import { encodeBatch } from "../../src/core/gossip/message_codec.ts";
+import { sampleStatus } from "./sample_status.ts";
 import type { RecordedResponse } from "./relay_fixture.ts";
 import { RelayFleet } from "./relay_fleet.ts";
 
@@ -210,10 +212,21 @@
 );
 
 Then(
-  "the tracker shares at most {int} parts",
+  "the tracker keeps at most {int} parts",
   function (this: PromptPartWorld, max: number) {
-    assert.ok(this.tracker.size <= 1_024);
-    assert.ok(this.tracker.takeShared(this.now).length <= max);
+    assert.ok(this.tracker.size <= max);
+  },
+);
+
+Then(
+  "a datagram of {int} statuses fits into {int} bytes",
+  function (this: PromptPartWorld, count: number, max: number) {
+    const parts = takePartStatuses(this.tracker, this.now);
+    assert.ok(parts.suspectParts.length > 0);
+    const statuses = Array(count).fill({ ...sampleStatus(), ...parts });
+    const batch = { isForwarded: true, isUrgent: false, statuses };
+    const { byteLength } = encodeBatch(batch);
+    assert.ok(byteLength < max, `${byteLength} bytes`);
   },
 );
 
--- a/features/steps/timer_steps.ts
+++ b/features/steps/timer_steps.ts
@@ -13,10 +13,8 @@
   decodeBatch,
   encodeBatch,
 } from "../../src/core/gossip/message_codec.ts";
-import type {
-  StatusBatch,
-  StatusMessage,
-} from "../../src/core/gossip/messages.ts";
+import type { StatusBatch } from "../../src/core/gossip/messages.ts";
+import { sampleStatus } from "./sample_status.ts";
 
 interface TimerWorld {
   timers: VirtualTimers;
@@ -85,49 +83,7 @@
   },
 );
 
-const STATUS: StatusMessage = {
-  node: "n-1",
-  ageMs: 5,
-  incarnation: "run-1",
-  internalAddress: "10.0.0.1:7",
-  callerAddress: "10.0.0.1:8",
-  zone: "z",
-  state: "serving",
-  catalogVersion: 3,
-  confirmedMs: 10,
-  loads: [{ key: "g", inFlight: 1, pendingPromptTokens: 2, silentMs: 3 }],
-  suspicions: [{ key: "g", kind: "silent", ageMs: 4 }],
-  cleared: [["g", 5]],
-  strikes: [{ fingerprint: "f", crashed: ["h"] }],
-  suspectParts: [{
-    part: "p",
-    model: "large",
-    companions: ["c"],
-    crashes: [{ upstream: "g", ageMs: 6 }],
-    isQuarantined: true,
-  }],
-  soundParts: [["s", 7]],
-  isStoreUnreachable: false,
-  leaderTerm: 0,
-  hosts: [{
-    id: "h",
-    model: "large",
-    membership: { group: "g", epoch: 1, rank: 0, state: "open" },
-  }],
-  publishesHosts: true,
-  hostChanges: [{
-    key: "hosts/h",
-    revision: 9,
-    previous: 8,
-    value: "{}",
-    isLapsed: false,
-  }],
-  isTruncated: false,
-  hostRevision: 9,
-  operatorRevision: 7,
-  demand: { large: 1 },
-  peers: ["10.0.0.2:7"],
-};
+const STATUS = sampleStatus();
 
 Given("a batch with every kind of status field", function (this: TimerWorld) {
   const batch = { isForwarded: true, isUrgent: false, statuses: [STATUS] };
--- a/src/core/retries/prompt_part_tracker.ts
+++ b/src/core/retries/prompt_part_tracker.ts
@@ -33,8 +33,13 @@
  * quarantine for longer take turns.
  */
 const SHARE_MS = 30_000;
-/** Maximum number of parts in a status. */
+/** Maximum number of parts in a status, beside one that takes its turn. */
 const MAX_SHARED = 8;
+/**
+ * Maximum number of ids in a status, of parts, companions and upstreams, so that
+ * twelve statuses fit into a datagram.
+ */
+const MAX_SHARED_IDS = 128;
 /** Time for which it is shared that a part turned out to be sound. */
 const SOUND_SHARE_MS = 1_000;
 /** Maximum number of suspect parts; beyond it, the least recent is dropped. */
@@ -213,7 +218,7 @@
       .map(([part, record]) => this.#toSuspect(part, record));
     const isRecent = ({ crashes }: SuspectPart) =>
       now - (crashes.at(-1)?.at ?? -Infinity) <= SHARE_MS;
-    const shared = all.filter(isRecent).slice(0, MAX_SHARED);
+    const shared = takeWithinLimits(all.filter(isRecent));
     const others = all.filter((suspect) =>
       suspect.isQuarantined && !shared.includes(suspect)
     );
@@ -348,6 +353,18 @@
   }
 }
 
+/** Takes parts from the start, until a limit on their number or ids is reached. */
+function takeWithinLimits(suspects: readonly SuspectPart[]): SuspectPart[] {
+  const taken: SuspectPart[] = [];
+  let ids = 0;
+  for (const suspect of suspects.slice(0, MAX_SHARED)) {
+    ids += 1 + suspect.companions.length + suspect.crashes.length;
+    if (ids > MAX_SHARED_IDS) break;
+    taken.push(suspect);
+  }
+  return taken;
+}
+
 function lastCrashAt({ crashes }: PartRecord): number {
   return crashes.at(-1)?.at ?? -Infinity;
 }
