Let an unexpected error end its own request, message or timer call only

Other operators saw one unexpected error take a whole process down. Here it did, by the code: oleander-node exited on any uncaught exception, with all streams in flight, and in one tick of the shared timer the work after a callback that threw was not called. Now the caller of a request that fails so gets a 500, other periodic work goes on, and the process logs unexpected_error and continues; a broken invariant, or more than 20 such errors within a minute, still ends it, as its state can't be trusted then.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -30,6 +30,23 @@
     Then the process woke up 98 to 103 times
     And the work every 50 milliseconds was called 0 times
 
+  Scenario: should call other periodic work when one callback fails unexpectedly
+    Given periodic work every 50 milliseconds that fails, and other work at the same times
+    When 1 seconds elapse
+    Then the other work was called 20 times, and 20 errors were reported
+
+  Scenario Outline: should end the process after <errors>
+    Given an error policy
+    Then <errors> <verdict> the process
+
+    Examples:
+      | errors                               | verdict      |
+      | "1 unexpected errors"                | does not end |
+      | "20 unexpected errors at once"       | does not end |
+      | "21 unexpected errors at once"       | ends         |
+      | "60 unexpected errors in 10 minutes" | does not end |
+      | "1 broken invariants"                | ends         |
+
   Scenario: should share the most recent strikes when there are too many for a message
     Given a gateway that has recorded strikes of 40 requests, one every second
     Then the 16 that it shares are the most recent ones
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -33,6 +33,14 @@
     Then the caller receives status 503
     And the caller receives a retry delay of 0.25 seconds
 
+  Scenario: should fail only the request whose handling fails unexpectedly
+    Given a relay server that fails unexpectedly on its first request
+    When a caller sends a small request
+    Then the caller receives status 500
+    And the error is reported once
+    When a caller sends a small request
+    Then the caller receives status 200
+
   Scenario: should never let an aborted response look complete
     Given a relay server that aborts responses after 10 bytes
     When a caller sends a small request
--- a/features/steps/relay_server_steps.ts
+++ b/features/steps/relay_server_steps.ts
@@ -29,6 +29,7 @@
   port: number;
   requests: RelayRequest[];
   callerDisconnected: boolean;
+  errors: unknown[];
   received: string;
   isClosed: boolean;
 }
@@ -40,6 +41,7 @@
 async function startServer(
   world: RelayServerWorld,
   handle: (response: RelayResponse) => void,
+  onError?: (err: unknown) => void,
 ): Promise<void> {
   world.requests = [];
   world.callerDisconnected = false;
@@ -52,7 +54,7 @@
         world.callerDisconnected = true;
       },
     };
-  });
+  }, onError);
   server.limits = LIMITS;
   await server.listen(HOST, 0);
   world.port = server.port;
@@ -70,6 +72,23 @@
   },
 );
 
+Given(
+  "a relay server that fails unexpectedly on its first request",
+  function (this: RelayServerWorld) {
+    this.errors = [];
+    return startServer(this, (response) => {
+      if (this.requests.length === 1) throw new Error("unexpected");
+      response.writeHead(200, ["x-test", "1"]);
+      response.write(Buffer.from("fine"));
+      response.end();
+    }, (err) => this.errors.push(err));
+  },
+);
+
+Then("the error is reported once", function (this: RelayServerWorld) {
+  assert.equal(this.errors.length, 1);
+});
+
 Given(
   "a relay server that leaves requests pending",
   function (this: RelayServerWorld) {
--- a/features/steps/timer_steps.ts
+++ b/features/steps/timer_steps.ts
@@ -6,6 +6,8 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { InvariantError } from "../../src/base/outcome.ts";
+import { ErrorPolicy } from "../../src/node/error_policy.ts";
 import { PeriodicTimers } from "../../src/base/periodic_timers.ts";
 import type { Timer } from "../../src/base/timers.ts";
 import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
@@ -24,6 +26,9 @@
   subscribed: Timer[];
   parsed: Record<string, unknown>;
   batch: StatusBatch;
+  errors: unknown[];
+  errorPolicy: ErrorPolicy;
+  elapsedMs: number;
 }
 
 Given(
@@ -53,6 +58,60 @@
   },
 );
 
+Given(
+  "periodic work every {int} milliseconds that fails, and other work at the same times",
+  function (this: TimerWorld, period: number) {
+    this.timers = new VirtualTimers();
+    this.calls = new Map();
+    this.errors = [];
+    this.periodic = new PeriodicTimers(
+      this.timers,
+      (err) => this.errors.push(err),
+    );
+    this.periodic.add(period, () => {
+      throw new Error("unexpected");
+    });
+    this.periodic.add(period, () => {
+      this.calls.set(period, (this.calls.get(period) ?? 0) + 1);
+    });
+  },
+);
+
+Then(
+  "the other work was called {int} times, and {int} errors were reported",
+  function (this: TimerWorld, calls: number, errors: number) {
+    assert.equal(this.calls.get(50), calls);
+    assert.equal(this.errors.length, errors);
+  },
+);
+
+Given("an error policy", function (this: TimerWorld) {
+  this.errorPolicy = new ErrorPolicy(() => this.elapsedMs);
+  this.elapsedMs = 0;
+});
+
+Then(
+  /^"(\d+) (unexpected errors|broken invariants)(?: in (\d+) minutes| at once)?" (ends|does not end) the process$/,
+  function (
+    this: TimerWorld,
+    count: string,
+    kind: string,
+    minutes: string | null,
+    verdict: string,
+  ) {
+    const err = kind === "broken invariants"
+      ? new InvariantError("broken")
+      : new Error("unexpected");
+    const intervalMs = Number(minutes ?? 0) * 60_000 / Number(count);
+    let isFatal = false;
+    for (let i = 0; i < Number(count); i++) {
+      isFatal = this.errorPolicy.isFatal(err);
+      this.elapsedMs += intervalMs;
+    }
+    assert.equal(isFatal, verdict === "ends");
+  },
+);
+
 When(
   "{int} seconds elapse",
   async function (this: TimerWorld, seconds: number) {
--- a/src/base/outcome.ts
+++ b/src/base/outcome.ts
@@ -33,6 +33,13 @@
   return { ok: false, err };
 }
 
+/** A broken invariant: the state of the process is wrong. */
+export class InvariantError extends Error {
+  constructor(message: string) {
+    super(`Invariant violated: ${message}`);
+  }
+}
+
 /**
  * Throws when an invariant does not hold.
  *
@@ -45,5 +52,5 @@
   condition: boolean,
   message: string,
 ): asserts condition {
-  if (!condition) throw new Error(`Invariant violated: ${message}`);
+  if (!condition) throw new InvariantError(message);
 }
--- a/src/base/periodic_timers.ts
+++ b/src/base/periodic_timers.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import type { ErrorReporter } from "./report_error.ts";
+import { reportError } from "./report_error.ts";
 import type { Timer, Timers } from "./timers.ts";
 
 /** Callbacks due within this time of each other are called together. */
@@ -22,12 +24,17 @@
  */
 export class PeriodicTimers {
   readonly #clock: Pick<Timers, "now" | "after">;
+  readonly #onError: ErrorReporter;
   readonly #subscriptions = new Set<Subscription>();
   #timer: Timer | undefined;
   #timerDueAt = Infinity;
 
-  constructor(clock: Pick<Timers, "now" | "after">) {
+  constructor(
+    clock: Pick<Timers, "now" | "after">,
+    onError: ErrorReporter = reportError,
+  ) {
     this.#clock = clock;
+    this.#onError = onError;
   }
 
   /** Calls `callback` every `periodMs` until the timer is cancelled. */
@@ -72,7 +79,18 @@
     }
     this.#arm(now);
     for (const subscription of due) {
-      if (this.#subscriptions.has(subscription)) subscription.callback();
+      if (this.#subscriptions.has(subscription)) {
+        this.#call(subscription.callback);
+      }
+    }
+  }
+
+  /** Calls a callback; its error doesn't keep others from being called. */
+  #call(callback: () => void): void {
+    try {
+      callback();
+    } catch (err) {
+      this.#onError(err);
     }
   }
 }
--- a/src/bin/oleander_node.ts
+++ b/src/bin/oleander_node.ts
@@ -43,8 +43,7 @@
     process.exit(0);
   });
   process.on("uncaughtException", (err) => {
-    node.logCrash(err);
-    process.exit(1);
+    if (node.handleUnexpectedError(err) === "exit") process.exit(1);
   });
   await node.start();
 }
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -28,6 +28,7 @@
   readonly #abandonedResponses: Counter;
   readonly #crashes: Counter;
   readonly #quarantinedParts: Counter;
+  readonly #unexpectedErrors: Counter;
 
   constructor(gauges: NodeGauges) {
     const registers = [this.registry];
@@ -73,6 +74,11 @@
       help: "Prompt parts refused because upstreams crashed on them",
       registers,
     });
+    this.#unexpectedErrors = new Counter({
+      name: "oleander_unexpected_errors_total",
+      help: "Errors that nothing caught",
+      registers,
+    });
     const gaugeReaders: Record<string, () => number> = {
       oleander_requests_in_flight: gauges.inFlight,
       oleander_requests_waiting: gauges.waiting,
@@ -126,6 +132,11 @@
     this.#quarantinedParts.inc();
   }
 
+  /** Counts an error that nothing caught. */
+  recordUnexpectedError(): void {
+    this.#unexpectedErrors.inc();
+  }
+
   /** Counts a request that was refused on arrival. */
   recordRefusal(outcome: string): void {
     this.#requests.inc({ route: "none", outcome });
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -25,6 +25,7 @@
 import type { NodeSettings } from "../settings/node_settings.ts";
 import { NodeSettingsSchema } from "../settings/node_settings.ts";
 import { SettingsWatcher } from "../settings/settings_watcher.ts";
+import { ErrorPolicy } from "./error_policy.ts";
 import { Node } from "./node.ts";
 
 /** Callers cache an address this long, and some of them three times as long. */
@@ -38,6 +39,7 @@
 export class NodeProcess {
   readonly #settings: NodeSettings;
   readonly #timers = new SystemTimers();
+  readonly #errorPolicy = new ErrorPolicy(() => this.#timers.now());
   readonly #lineBuffer: LineBuffer;
   readonly #log: EventLog;
   readonly #settingsWatcher: SettingsWatcher<typeof NodeSettingsSchema>;
@@ -133,10 +135,16 @@
     });
   }
 
-  /** Logs an error that ends the process. */
-  logCrash(err: Error): void {
-    this.#log.warn("crashed", { message: err.message, stack: err.stack });
+  /** Logs an error that nothing caught, and returns whether the process ends. */
+  handleUnexpectedError(err: Error): "exit" | "continue" {
+    const isFatal = this.#node === undefined || this.#errorPolicy.isFatal(err);
+    this.#node?.metrics.recordUnexpectedError();
+    this.#log.warn(isFatal ? "crashed" : "unexpected_error", {
+      message: err.message,
+      stack: err.stack,
+    });
     this.#lineBuffer.flush();
+    return isFatal ? "exit" : "continue";
   }
 
   /**
--- a/src/platform/relay_server.ts
+++ b/src/platform/relay_server.ts
@@ -7,6 +7,8 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import type { Socket } from "node:net";
+import type { ErrorReporter } from "../base/report_error.ts";
+import { reportError } from "../base/report_error.ts";
 import type { RawHeaders } from "../ports/relay_client.ts";
 import type { CallerLimits } from "../world/catalog.ts";
 import type {
@@ -55,11 +57,14 @@
 export class RelayServer {
   readonly #server: Server;
   readonly #handle: RequestHandler;
+  readonly #onError: ErrorReporter;
   #limits = INITIAL_LIMITS;
   #draining = false;
 
-  constructor(handle: RequestHandler) {
+  /** Creates a server. `onError` receives what `handle` throws. */
+  constructor(handle: RequestHandler, onError: ErrorReporter = reportError) {
     this.#handle = handle;
+    this.#onError = onError;
     this.#server = createServer({
       maxHeaderSize: PARSER_MAX_HEADER_BYTES,
       connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MS,
@@ -148,7 +153,12 @@
     });
     req.on("end", () => {
       if (response.finished) return;
-      onBody(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
+      try {
+        onBody(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
+      } catch (err) {
+        response.respond(500, "Unexpected error");
+        this.#onError(err);
+      }
     });
     req.on("error", () => {});
   }
