Never drop a quarantined part for newer suspects, and give sound parts a module

Found while reading: the bound on suspects dropped the part that was recorded first, which is most likely the one in quarantine; 1,000 crashes with other prompts would have put it in use again. Without the new condition the scenario fails (14 passed, 1 failed). A crash that remains after a response cleared earlier ones also counts other responses anew. SoundParts and dropOldest are modules of their own; what a status holds is decided beside SuspectPart. @prompt_parts: 15 passed.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -103,6 +103,13 @@
     When 20 seconds pass that are checked
     Then at least 95 percent of requests are served in time
 
+  Scenario: should keep refusing a part however many others are suspected later
+    Given a tracker of prompt parts
+    When groups "g-1, g-2, g-3" crash one after the other with "first" in flight
+    And 10 responses to other prompts begin
+    And 1000 groups crash, each with another prompt of 200 parts in flight
+    Then a prompt of "first" is refused
+
   Scenario: should keep memory and messages bounded when prompts have many parts
     Given a tracker of prompt parts
     When 1000 groups crash, each with another prompt of 200 parts in flight
--- a/src/core/retries/prompt_part_tracker.ts
+++ b/src/core/retries/prompt_part_tracker.ts
@@ -4,8 +4,15 @@
  *
  * @module
  */
+import { dropOldest } from "../../base/collections.ts";
+import { SoundParts } from "./sound_parts.ts";
 import type { PartCrash, SuspectPart } from "./suspect_part.ts";
-import { countMoments, mergeCrashes } from "./suspect_part.ts";
+import {
+  countMoments,
+  lastCrashAt,
+  mergeCrashes,
+  takeWithinLimits,
+} from "./suspect_part.ts";
 
 /**
  * Requests with a part are refused after crashes at this many moments, if
@@ -33,19 +40,11 @@
  * quarantine for longer take turns.
  */
 const SHARE_MS = 30_000;
-/** Maximum number of parts in a status, beside one that takes its turn. */
-const MAX_SHARED = 8;
 /**
- * Maximum number of ids in a status, of parts, companions and upstreams, so that
- * twelve statuses fit into a datagram.
+ * Maximum number of suspect parts; beyond it, the oldest is dropped that is not in
+ * quarantine.
  */
-const MAX_SHARED_IDS = 128;
-/** Time for which it is shared that a part turned out to be sound. */
-const SOUND_SHARE_MS = 1_000;
-/** Maximum number of suspect parts; beyond it, the least recent is dropped. */
 const MAX_SUSPECTS = 1_024;
-/** Maximum number of parts that are remembered as sound. */
-const MAX_SOUND_PARTS = 8_192;
 /** Maximum number of upstreams whose crashes are known to have a cause. */
 const MAX_EXPLAINED = 4_096;
 /** Number of the newest crashes that are kept of each part. */
@@ -81,10 +80,7 @@
 export class PromptPartTracker {
   readonly #listeners: ((suspect: SuspectPart) => void)[] = [];
   readonly #records = new Map<string, PartRecord>();
-  /** When a response last began to a prompt with each part. */
-  readonly #soundAt = new Map<string, number>();
-  /** When parts were last found to be sound after crashes. */
-  readonly #clearedAt = new Map<string, number>();
+  readonly #soundParts = new SoundParts();
   readonly #begunByModel = new Map<string, number>();
   /** Upstreams that crashed with a quarantined part in flight, and that part. */
   readonly #explained = new Map<string, string>();
@@ -130,8 +126,7 @@
     at: number,
     now: number,
   ): void {
-    const begun = this.#begunByModel.get(model) ?? 0;
-    this.#begunByModel.set(model, begun + 1);
+    this.#begunByModel.set(model, this.#begunCount(model) + 1);
     for (const part of parts) this.recordSound(part, at, now);
     // A part may have had enough crashes before other responses began.
     for (const [part, record] of this.#records) {
@@ -141,29 +136,24 @@
 
   /** Records that a response to a prompt with the part began at `at`. */
   recordSound(part: string, at: number, now: number): void {
-    if (at <= this.#soundAtOf(part)) return;
-    // Deleted first, so that the map is in order of use.
-    this.#soundAt.delete(part);
-    this.#soundAt.set(part, at);
-    dropOldest(this.#soundAt, MAX_SOUND_PARTS);
+    if (!this.#soundParts.record(part, at)) return;
     const record = this.#records.get(part);
     if (record === undefined) return;
-    this.#clearedAt.set(part, now);
+    this.#soundParts.markCleared(part, now);
     this.#keepCrashes(part, record, (crash) => crash.at > at);
+    record.begunAtFirstCrash = this.#begunCount(record.model);
   }
 
   /** Merges crashes of a part, or what a peer knows of it. */
   merge(suspect: SuspectPart, now: number): void {
     const { part, model, companions } = suspect;
     const known = this.#records.get(part)?.crashes ?? [];
+    const begunAt = this.#soundParts.begunAt(part);
+    const wasCleared = suspect.crashes.some(({ at }) => at <= begunAt);
+    if (wasCleared) this.#soundParts.markCleared(part, now);
     const crashes = suspect.crashes.filter(({ upstream, at }) =>
-      at > this.#soundAtOf(part) &&
-      !this.#isExplainedByAnother(upstream, part, known)
+      at > begunAt && !this.#isExplainedByAnother(upstream, part, known)
     );
-    const wasCleared = suspect.crashes.some(({ at }) =>
-      at <= this.#soundAtOf(part)
-    );
-    if (wasCleared) this.#clearedAt.set(part, now);
     if (crashes.length === 0) return;
     const record = this.#records.get(part) ??
       this.#createRecord(part, model, companions);
@@ -216,9 +206,9 @@
     const all = [...this.#records]
       .sort(([, a], [, b]) => lastCrashAt(b) - lastCrashAt(a))
       .map(([part, record]) => this.#toSuspect(part, record));
-    const isRecent = ({ crashes }: SuspectPart) =>
-      now - (crashes.at(-1)?.at ?? -Infinity) <= SHARE_MS;
-    const shared = takeWithinLimits(all.filter(isRecent));
+    const shared = takeWithinLimits(
+      all.filter((suspect) => now - lastCrashAt(suspect) <= SHARE_MS),
+    );
     const others = all.filter((suspect) =>
       suspect.isQuarantined && !shared.includes(suspect)
     );
@@ -226,12 +216,9 @@
     return [...shared, others[this.#turn++ % others.length]];
   }
 
-  /** When parts began well that had crashes before, to share with peers. */
+  /** Parts that turned out to be sound after crashes, to share with peers. */
   cleared(now: number): [part: string, at: number][] {
-    return [...this.#clearedAt]
-      .filter(([, clearedAt]) => now - clearedAt <= SOUND_SHARE_MS)
-      .map(([part]): [string, number] => [part, this.#soundAtOf(part)])
-      .slice(-MAX_SHARED);
+    return this.#soundParts.cleared(now);
   }
 
   /** Drops outdated records. */
@@ -239,9 +226,7 @@
     for (const [part, record] of this.#records) {
       if (now - lastCrashAt(record) > RECORD_TTL_MS) this.#records.delete(part);
     }
-    for (const [part, at] of this.#clearedAt) {
-      if (now - at > SOUND_SHARE_MS) this.#clearedAt.delete(part);
-    }
+    this.#soundParts.expire(now);
     for (const [upstream, part] of this.#explained) {
       if (!this.#records.has(part)) this.#explained.delete(upstream);
     }
@@ -258,16 +243,20 @@
       crashes: [],
       isQuarantined: false,
       quarantinedAt: Infinity,
-      begunAtFirstCrash: this.#begunByModel.get(model) ?? 0,
+      begunAtFirstCrash: this.#begunCount(model),
       probedAt: -Infinity,
     };
     this.#records.set(part, record);
-    dropOldest(this.#records, MAX_SUSPECTS);
+    dropOldest(
+      this.#records,
+      MAX_SUSPECTS,
+      (dropped) => !dropped.isQuarantined && dropped !== record,
+    );
     return record;
   }
 
-  #soundAtOf(part: string): number {
-    return this.#soundAt.get(part) ?? -Infinity;
+  #begunCount(model: string): number {
+    return this.#begunByModel.get(model) ?? 0;
   }
 
   /**
@@ -277,15 +266,14 @@
   #companionsOf(record: PartRecord): string[] {
     const firstCrashAt = record.crashes[0]?.at ?? -Infinity;
     return [...record.companions].filter((part) =>
-      this.#soundAtOf(part) <= firstCrashAt
+      this.#soundParts.begunAt(part) <= firstCrashAt
     );
   }
 
   #quarantineIfDue(part: string, record: PartRecord): void {
     if (record.isQuarantined) return;
     const moments = countMoments(record.crashes);
-    const begun = this.#begunByModel.get(record.model) ?? 0;
-    const others = begun - record.begunAtFirstCrash;
+    const others = this.#begunCount(record.model) - record.begunAtFirstCrash;
     const isDue = others >= MIN_OTHER_RESPONSES
       ? moments >= QUARANTINE_MOMENTS
       : moments >= OUTAGE_QUARANTINE_MOMENTS;
@@ -353,30 +341,9 @@
   }
 }
 
-/** Takes parts from the start, until a limit on their number or ids is reached. */
-function takeWithinLimits(suspects: readonly SuspectPart[]): SuspectPart[] {
-  const taken: SuspectPart[] = [];
-  let ids = 0;
-  for (const suspect of suspects.slice(0, MAX_SHARED)) {
-    ids += 1 + suspect.companions.length + suspect.crashes.length;
-    if (ids > MAX_SHARED_IDS) break;
-    taken.push(suspect);
-  }
-  return taken;
-}
-
-function lastCrashAt({ crashes }: PartRecord): number {
-  return crashes.at(-1)?.at ?? -Infinity;
-}
-
+/** Monotonic time from which one request may probe a quarantined part. */
 function probeDueAt(record: PartRecord): number {
   const since = record.crashes.filter(({ at }) => at > record.quarantinedAt);
   const afterMs = FIRST_PROBE_AFTER_MS * 2 ** countMoments(since);
   return lastCrashAt(record) + afterMs;
 }
-
-function dropOldest<K>(map: Map<K, unknown>, max: number): void {
-  if (map.size <= max) return;
-  const [oldest] = map.keys();
-  if (oldest !== undefined) map.delete(oldest);
-}
--- a/src/core/retries/suspect_part.ts
+++ b/src/core/retries/suspect_part.ts
@@ -30,6 +30,13 @@
  * the same moment has another cause than a request.
  */
 const CRASH_MOMENT_MS = 200;
+/** Maximum number of parts in a status, beside one that takes its turn. */
+const MAX_SHARED = 8;
+/**
+ * Maximum number of ids in a status, of parts, companions and upstreams, so that
+ * twelve statuses fit into a datagram.
+ */
+const MAX_SHARED_IDS = 128;
 
 /**
  * Number of moments at which crashes happened.
@@ -68,3 +75,38 @@
   if (unknown.length === 0) return known;
   return [...known, ...unknown].sort((a, b) => a.at - b.at);
 }
+
+/**
+ * Monotonic time of the last crash.
+ *
+ * @example
+ * ```ts
+ * const isOld = now - lastCrashAt(suspect) > MAX_AGE_MS;
+ * ```
+ */
+export function lastCrashAt(
+  { crashes }: Pick<SuspectPart, "crashes">,
+): number {
+  return crashes.at(-1)?.at ?? -Infinity;
+}
+
+/**
+ * Takes parts from the start, until a status has no room for more.
+ *
+ * @example
+ * ```ts
+ * const shared = takeWithinLimits(suspects);
+ * ```
+ */
+export function takeWithinLimits(
+  suspects: readonly SuspectPart[],
+): SuspectPart[] {
+  const taken: SuspectPart[] = [];
+  let ids = 0;
+  for (const suspect of suspects.slice(0, MAX_SHARED)) {
+    ids += 1 + suspect.companions.length + suspect.crashes.length;
+    if (ids > MAX_SHARED_IDS) break;
+    taken.push(suspect);
+  }
+  return taken;
+}
