--- a/src/core/relay/crash_detector.ts
+++ b/src/core/relay/crash_detector.ts
@@ -19,7 +19,7 @@
   /** Key of the upstream. */
   readonly upstream: string;
   readonly isCrash: boolean;
-  /** Number of requests that had no event before the reset. */
+  /** Number of requests whose response had not begun, or only just. */
   readonly requests: number;
   /** Number of requests that are still in flight on the upstream. */
   readonly inFlight: number;
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -518,7 +518,8 @@
 
   #refuseAsCrashing(): void {
     const kind = "crashes_upstreams";
-    this.#refuse({ kind, detail: "It ran at several crashes" });
+    const detail = "Upstreams crashed on it, or on a part of its prompt";
+    this.#refuse({ kind, detail });
   }
 
   /** Refuses as `kind`, or as `upstream_failed` if the request may have run. */
