Log and measure the lag of the event loop and the traffic of statuses

The logs don't tell apart the hypotheses of docs/incidents/departed-callers.md: whether a loop is behind, and whether statuses fill a node's link. Lags from 200 ms and seconds with 2 MB of statuses or more get a line each (`loop_behind`, `status_traffic_high`); a histogram and a counter have the rest. No decision uses them.

--- a/src/base/loop_monitor.ts
+++ b/src/base/loop_monitor.ts
@@ -21,11 +21,14 @@
 /** Records how late the ticks of a timer are. */
 export class LoopMonitor implements LoopLag {
   readonly #timers: Timers;
+  readonly #onLag: (lagMs: number) => void;
   #lastTickAt: number;
   #lags: { readonly at: number; readonly lagMs: number }[] = [];
 
-  constructor(timers: Timers) {
+  /** Creates a monitor. `onLag` receives each recorded lag, in milliseconds. */
+  constructor(timers: Timers, onLag: (lagMs: number) => void = () => {}) {
     this.#timers = timers;
+    this.#onLag = onLag;
     this.#lastTickAt = timers.now();
   }
 
@@ -51,6 +54,8 @@
     if (this.#lags.length > 0 && now - this.#lags[0].at > HISTORY_MS) {
       this.#lags = this.#lags.filter(({ at }) => now - at <= HISTORY_MS);
     }
-    if (lagMs >= MIN_LAG_MS) this.#lags.push({ at: now, lagMs });
+    if (lagMs < MIN_LAG_MS) return;
+    this.#lags.push({ at: now, lagMs });
+    this.#onLag(lagMs);
   }
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -31,6 +31,8 @@
 import type { RelayClient } from "../ports/relay_client.ts";
 import type { NodeSettings } from "../settings/node_settings.ts";
 import type { CallerLimits } from "../world/catalog.ts";
+import type { DatagramTraffic } from "./metered_datagrams.ts";
+import { MeteredDatagrams } from "./metered_datagrams.ts";
 import { NodeMetrics } from "./node_metrics.ts";
 import { RequestLog } from "./request_log.ts";
 
@@ -56,6 +58,10 @@
  * refuse a revoked key.
  */
 const KEY_TRUST_RATIO = 0.85;
+/** Bytes of statuses in a second, sent or received, from which a line is logged. */
+const LOGGED_STATUS_BYTES = 2_000_000;
+/** Lags of the event loop from which a line is logged. */
+const LOGGED_LAG_MS = 200;
 /** Suspicions that were raised or cleared longer ago are not sent to peers. */
 const SUSPICION_MAX_AGE_MS = 400;
 
@@ -119,7 +125,7 @@
       timers,
       () => this.#catalog.readClocks(),
     );
-    this.#loopMonitor = new LoopMonitor(timers);
+    this.#loopMonitor = new LoopMonitor(timers, (lagMs) => this.#onLag(lagMs));
     this.#replicaView = new ReplicaView(
       this.#hosts,
       this.#catalog,
@@ -153,7 +159,11 @@
     });
     this.#gossip = new PeerGossip({
       timers,
-      datagrams: deps.datagrams,
+      datagrams: new MeteredDatagrams(
+        timers,
+        deps.datagrams,
+        (traffic) => this.#onStatusTraffic(traffic),
+      ),
       selfId: node.id,
       selfAddress: this.#internalAddress,
       seeds: () =>
@@ -329,6 +339,23 @@
     });
   }
 
+  #onStatusTraffic(traffic: DatagramTraffic): void {
+    this.metrics.recordStatusTraffic(traffic);
+    const { sentBytes, receivedBytes } = traffic;
+    if (Math.max(sentBytes, receivedBytes) < LOGGED_STATUS_BYTES) return;
+    this.#deps.log.warn("status_traffic_high", { ...traffic });
+  }
+
+  #onLag(lagMs: number): void {
+    this.metrics.recordLoopLag(lagMs);
+    if (lagMs < LOGGED_LAG_MS) return;
+    this.#deps.log.warn("loop_behind", {
+      lagMs: Math.round(lagMs),
+      inFlight: this.relay.inFlight,
+      waiting: this.relay.queuedCount,
+    });
+  }
+
   #onLeadershipGained(term: number): void {
     this.#deps.log.info("acting_gained", { term });
     this.#orchestrator.onLeaseGained(term);
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -4,9 +4,11 @@
  * @module
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { DatagramTraffic } from "./metered_datagrams.ts";
 import type { RelayRun, RunEvent } from "../core/relay/relay_run.ts";
 
 const LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 2, 5];
+const LOOP_LAG_BUCKETS_S = [0.02, 0.05, 0.1, 0.25, 0.5, 1, 2];
 
 /** Sources of the gauges, read at each scrape. */
 export interface NodeGauges {
@@ -29,6 +31,8 @@
   readonly #crashes: Counter;
   readonly #quarantinedParts: Counter;
   readonly #unexpectedErrors: Counter;
+  readonly #loopLag: Histogram;
+  readonly #statusBytes: Counter;
 
   constructor(gauges: NodeGauges) {
     const registers = [this.registry];
@@ -79,6 +83,18 @@
       help: "Errors that nothing caught",
       registers,
     });
+    this.#loopLag = new Histogram({
+      name: "oleander_loop_lag_seconds",
+      help: "Lags of the event loop of 10 ms or more",
+      buckets: LOOP_LAG_BUCKETS_S,
+      registers,
+    });
+    this.#statusBytes = new Counter({
+      name: "oleander_status_bytes_total",
+      help: "Bytes of statuses, by direction",
+      labelNames: ["direction"],
+      registers,
+    });
     const gaugeReaders: Record<string, () => number> = {
       oleander_requests_in_flight: gauges.inFlight,
       oleander_requests_waiting: gauges.waiting,
@@ -137,6 +153,17 @@
     this.#unexpectedErrors.inc();
   }
 
+  /** Records a lag of the event loop. */
+  recordLoopLag(lagMs: number): void {
+    this.#loopLag.observe(lagMs / 1_000);
+  }
+
+  /** Records the statuses that were exchanged with peers. */
+  recordStatusTraffic({ sentBytes, receivedBytes }: DatagramTraffic): void {
+    this.#statusBytes.inc({ direction: "sent" }, sentBytes);
+    this.#statusBytes.inc({ direction: "received" }, receivedBytes);
+  }
+
   /** Counts a request that was refused on arrival. */
   recordRefusal(outcome: string): void {
     this.#requests.inc({ route: "none", outcome });
