Give the exchange of observations with peers a module of its own

Node built and applied suspicions, clearances, strikes and prompt parts inside its status handling, where only a whole node could test them. Moved as it was; no logic changed.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -15,10 +15,7 @@
 import { ReplicaView } from "../core/fleet/replica_view.ts";
 import type { HubCandidate } from "../core/gossip/hub_election.ts";
 import type { HostStatus, StatusMessage } from "../core/gossip/messages.ts";
-import {
-  mergePartStatuses,
-  takePartStatuses,
-} from "../core/gossip/part_statuses.ts";
+import { ObservationExchange } from "../core/gossip/observation_exchange.ts";
 import { PauseDetector } from "../core/gossip/pause_detector.ts";
 import { PeerGossip } from "../core/gossip/peer_gossip.ts";
 import { GroupOrchestrator } from "../core/orchestrator/group_orchestrator.ts";
@@ -37,8 +34,6 @@
 import { RequestLog } from "./request_log.ts";
 
 const GOSSIP_PERIOD_MS = 100;
-/** Maximum number of suspect requests in a status. */
-const MAX_SHARED_STRIKES = 16;
 /**
  * Number of nodes that poll the store for the catalog at short intervals; their
  * gossip confirms the catalog for the other nodes.
@@ -62,8 +57,6 @@
 const LOGGED_STATUS_BYTES = 2_000_000;
 /** Lags of the event loop from which a line is logged. */
 const LOGGED_LAG_MS = 200;
-/** Suspicions that were raised or cleared longer ago are not sent to peers. */
-const SUSPICION_MAX_AGE_MS = 400;
 
 /** Settings and dependencies of a node. */
 export interface NodeDependencies {
@@ -99,6 +92,7 @@
   readonly #pauseDetector: PauseDetector;
   readonly #loopMonitor: LoopMonitor;
   readonly #replicaView: ReplicaView;
+  readonly #observations: ObservationExchange;
   readonly #gossip: PeerGossip;
   readonly #fleetState: FleetState;
   readonly #registration: NodeRegistration;
@@ -157,6 +151,12 @@
       fleetSize: () => this.#gossip.fleetSize,
       fleetRank: () => this.#gossip.rank,
     });
+    this.#observations = new ObservationExchange({
+      suspicions: this.#suspicions,
+      suspectRequests: this.relay.suspectRequests,
+      promptParts: this.relay.promptParts,
+      isFresh: () => this.#pauseDetector.isFresh,
+    });
     this.#gossip = new PeerGossip({
       timers,
       datagrams: new MeteredDatagrams(
@@ -339,13 +339,6 @@
     });
   }
 
-  #onStatusTraffic(traffic: DatagramTraffic): void {
-    this.metrics.recordStatusTraffic(traffic);
-    const { sentBytes, receivedBytes } = traffic;
-    if (Math.max(sentBytes, receivedBytes) < LOGGED_STATUS_BYTES) return;
-    this.#deps.log.warn("status_traffic_high", { ...traffic });
-  }
-
   #onLag(lagMs: number): void {
     this.metrics.recordLoopLag(lagMs);
     if (lagMs < LOGGED_LAG_MS) return;
@@ -356,6 +349,13 @@
     });
   }
 
+  #onStatusTraffic(traffic: DatagramTraffic): void {
+    this.metrics.recordStatusTraffic(traffic);
+    const { sentBytes, receivedBytes } = traffic;
+    if (Math.max(sentBytes, receivedBytes) < LOGGED_STATUS_BYTES) return;
+    this.#deps.log.warn("status_traffic_high", { ...traffic });
+  }
+
   #onLeadershipGained(term: number): void {
     this.#deps.log.info("acting_gained", { term });
     this.#orchestrator.onLeaseGained(term);
@@ -393,22 +393,7 @@
       catalogVersion: this.#catalog.version,
       confirmedMs: confirmationAgeMs < 60_000 ? confirmationAgeMs : -1,
       loads: this.relay.loads.localLoads(now),
-      suspicions: this.#suspicions.suspectedSince(now - SUSPICION_MAX_AGE_MS)
-        .map((suspicion) => ({
-          key: suspicion.key,
-          kind: suspicion.kind,
-          ageMs: now - suspicion.at,
-        })),
-      cleared: this.#suspicions.clearedSince(now - SUSPICION_MAX_AGE_MS)
-        .map(([key, at]) => [
-          key,
-          now - at,
-        ]),
-      strikes: this.relay.suspectRequests.shared(
-        now,
-        MAX_SHARED_STRIKES,
-      ),
-      ...takePartStatuses(this.relay.promptParts, now),
+      ...this.#observations.take(now),
       isStoreUnreachable: this.#fleetState.isStoreUnreachable,
       leaderTerm: this.#isLeader ? this.#leaderLease.term : 0,
       hosts: this.#isLeader && this.#isStoreUnreachableForAnyNode
@@ -436,20 +421,7 @@
     const now = this.#deps.timers.now();
     const { loads, ageMs: statusAgeMs } = status;
     this.relay.loads.recordPeerLoads(status.node, loads, now, statusAgeMs);
-    for (const suspicion of status.suspicions) {
-      const { key, kind, ageMs } = suspicion;
-      this.#suspicions.record({ key, kind, at: now - ageMs }, "peer");
-    }
-    for (const [key, ageMs] of status.cleared) {
-      this.#suspicions.clear(key, now - ageMs);
-    }
-    for (const strike of status.strikes) {
-      this.relay.suspectRequests.merge(strike, now);
-    }
-    // Ages in messages that were queued during a pause are too small.
-    if (this.#pauseDetector.isFresh) {
-      mergePartStatuses(this.relay.promptParts, status, now);
-    }
+    this.#observations.apply(status, now);
     this.#fleetState.receiveUpdate(status);
     if (this.#fleetState.isStoreUnreachable && !this.#isLeader) {
       for (const host of status.hosts) this.#applyHostStatus(host);
