Share only a node's own suspicions of upstreams, and take repeats as one

Cause: a node shared all suspicions and clearances that it knew, with their ages. An age leaves out the time that a message takes, so each pass made the observation younger; a clearance and the suspicion that it had cleared chased each other round the fleet, up to 613 times for one upstream. Class of fault: observations that are re-dated when they are passed on. Hubs pass on each node's own status, so nothing else needs to be shared again; what a peer repeats within 100 ms is one observation, also after it was cleared.

The test failed before: 6 suspicions of one upstream at a node of 34 instead of one. 5 nodes passed before and pass now.

--- a/features/steps/simulated_fleet.ts
+++ b/features/steps/simulated_fleet.ts
@@ -164,7 +164,8 @@
       loopLag: { worstSince: () => this.lagMs },
       isStoreUnreachable: () => this.isStoreUnreachable,
       demand: () => this.#demand(),
-      onGroupResponsive: (key) => this.suspicions.clear(key, this.timers.now()),
+      onGroupResponsive: (key) =>
+        this.suspicions.clear(key, this.timers.now(), "own"),
       loadWindowMs: 5_000,
     });
   }
--- a/src/core/gossip/observation_exchange.ts
+++ b/src/core/gossip/observation_exchange.ts
@@ -66,7 +66,7 @@
       suspicions.record({ key, kind, at: now - ageMs }, "peer");
     }
     for (const [key, ageMs] of status.cleared) {
-      suspicions.clear(key, now - ageMs);
+      suspicions.clear(key, now - ageMs, "peer");
     }
     for (const strike of status.strikes) suspectRequests.merge(strike, now);
     // Ages in messages that were queued during a pause are too small.
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -373,7 +373,7 @@
     const firstByteMs = now - attempt.startedAt;
     this.#stats.recordFirstByte(key, firstByteMs, attempt.expectedMs, now);
     if (this.#deps.suspicions.isSuspected(key)) {
-      this.#deps.suspicions.clear(key, now);
+      this.#deps.suspicions.clear(key, now, "own");
     }
   }
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -204,7 +204,7 @@
       isStoreUnreachable: () => this.#fleetState.isStoreUnreachable,
       demand: () => this.#fleetDemand(),
       onGroupResponsive: (key) => {
-        this.#suspicions.clear(key, timers.now());
+        this.#suspicions.clear(key, timers.now(), "own");
         this.#gossip.broadcast();
       },
       loopLag: this.#loopMonitor,
