Notice callers that disconnected before their requests are placed

A node whose event loop is behind reads a request and the close behind it in two turns of the loop. Node runs timers between them, so the zero timer that was to wait for closes ran before they were read; requests that were queued were placed from timers as well, without waiting at all. And a caller was only noticed as gone when its connection had closed on both sides, which takes until all that was written to it has been sent.

Requests are now placed after the loop has read its input once more, if it was behind, on arrival, from the queue and for retries (`Timers.afterInput`: two immediates, each of which runs after a turn has read its input; found with a server whose loop was blocked for a second: request, zero timer, close, second immediate). The end of the caller's side of the connection counts as its close; Node ends the other side then as well, so that such callers received no whole response before.

--- a/features/steps/gossip_steps.ts
+++ b/features/steps/gossip_steps.ts
@@ -23,6 +23,7 @@
   this.detector = new PauseDetector({
     now: () => this.clock.monotonic,
     after: () => ({ cancel() {} }),
+    afterInput: (callback) => callback(),
     subscribe: (_ms, callback) => {
       this.tick = callback;
       return { cancel() {} };
--- a/features/steps/relay_fixture.ts
+++ b/features/steps/relay_fixture.ts
@@ -1,5 +1,7 @@
 import { Buffer } from "node:buffer";
+import type { LoopLag } from "../../src/base/loop_monitor.ts";
 import { Random } from "../../src/base/random.ts";
+import type { Timers } from "../../src/base/timers.ts";
 import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
 import { CatalogHolder } from "../../src/core/catalog/catalog_holder.ts";
 import { SuspicionTracker } from "../../src/core/fleet/suspicion_tracker.ts";
@@ -83,9 +85,9 @@
   }
 }
 
-/** A relay with scripted upstreams, in virtual time. */
-export class RelayFixture {
-  readonly timers: VirtualTimers;
+/** A relay with scripted upstreams, by default in virtual time. */
+export class RelayFixture<T extends Timers = VirtualTimers> {
+  readonly timers: T;
   readonly upstreams: ScriptedUpstreams;
   readonly catalog: CatalogHolder;
   readonly relay: Relay;
@@ -100,11 +102,12 @@
   });
   /** How far the relay's event loop was behind. */
   lagMs = 0;
+  loopLag: LoopLag = { worstSince: () => this.lagMs };
   readonly #hosts = new HostRegistry();
   #nextId = 0;
 
   constructor(
-    timers = new VirtualTimers(),
+    timers: T = new VirtualTimers() as Timers as T,
     upstreams = new ScriptedUpstreams(timers),
   ) {
     this.timers = timers;
@@ -125,7 +128,7 @@
       observer: new RequestLog(this.timers, this.log, this.metrics),
       nodeId: "node-0",
       zone: "zone-0",
-      loopLag: { worstSince: () => this.lagMs },
+      loopLag: { worstSince: (since) => this.loopLag.worstSince(since) },
       retryBounds: () => ({ ratio: 0.2, windowMs: 10_000, slack: 136 }),
       maxConfirmationAgeMs: () => 4_250,
       fleetSize: () => 1,
--- a/src/base/system_timers.ts
+++ b/src/base/system_timers.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { performance } from "node:perf_hooks";
-import { clearTimeout, setTimeout } from "node:timers";
+import { clearTimeout, setImmediate, setTimeout } from "node:timers";
 import { PeriodicTimers } from "./periodic_timers.ts";
 import type { Timer, Timers } from "./timers.ts";
 
@@ -21,6 +21,13 @@
     return { cancel: () => clearTimeout(handle) };
   }
 
+  afterInput(callback: () => void): void {
+    // A turn of the event loop reads the rest of what came with a request, such as
+    // the close of its connection, one turn after the request. Each immediate runs
+    // when a turn has read its input.
+    setImmediate(() => setImmediate(callback));
+  }
+
   subscribe(periodMs: number, callback: () => void): Timer {
     return this.#periodic.add(periodMs, callback);
   }
--- a/src/base/timers.ts
+++ b/src/base/timers.ts
@@ -19,6 +19,11 @@
   now(): number;
   /** Calls `callback` once after `delayMs`. */
   after(delayMs: number, callback: () => void): Timer;
+  /**
+   * Calls `callback` once after everything has been read that had arrived by now.
+   * Timers that are due may run before that.
+   */
+  afterInput(callback: () => void): void;
   /**
    * Calls `callback` every `periodMs` until the timer is cancelled. The first
    * call comes within one period.
--- a/src/bench/virtual_network.ts
+++ b/src/bench/virtual_network.ts
@@ -47,6 +47,10 @@
     };
   }
 
+  afterInput(callback: () => void): void {
+    this.after(0, callback);
+  }
+
   subscribe(periodMs: number, callback: () => void): Timer {
     return repeat(this, periodMs, callback);
   }
--- a/src/bench/virtual_timers.ts
+++ b/src/bench/virtual_timers.ts
@@ -39,6 +39,10 @@
     };
   }
 
+  afterInput(callback: () => void): void {
+    this.after(0, callback);
+  }
+
   subscribe(periodMs: number, callback: () => void): Timer {
     return repeat(this, periodMs, callback);
   }
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -159,7 +159,7 @@
       deps.observer.onPartQuarantined(suspect)
     );
     deps.suspicions.onSuspicion((suspicion) => this.#onSuspicion(suspicion));
-    deps.hosts.onChange(() => this.#queue.dispatch(deps.timers.now()));
+    deps.hosts.onChange(() => this.#dispatch());
   }
 
   /** Starts the timers that detect stalls and drop outdated state. */
@@ -215,10 +215,7 @@
     );
     this.#runs.add(run);
     if (isProbe) this.#probes.add(run);
-    if (lateMs > 0) {
-      // Callers that disconnected meanwhile are noticed in this turn of the loop.
-      this.#deps.timers.after(0, () => run.start());
-    } else run.start();
+    run.start();
     return run;
   }
 
@@ -319,10 +316,12 @@
     return {
       timers,
       client: this.#deps.client,
-      placeOrEnqueue: (run) => {
-        this.#queue.placeOrEnqueue(run, timers.now());
-        this.#scheduleDispatch();
-      },
+      placeOrEnqueue: (run) =>
+        this.#afterCloses(() => {
+          if (run.isEnded) return;
+          this.#queue.placeOrEnqueue(run, timers.now());
+          this.#scheduleDispatch();
+        }),
       dequeue: (run) => this.#queue.remove(run),
       spendRetry: (service) => this.#retryBudget.spend(service, timers.now()),
       onAttemptStarted: (run, attempt) => this.#onAttemptStarted(run, attempt),
@@ -337,6 +336,21 @@
     };
   }
 
+  /**
+   * Calls back at once, or, if the event loop is behind, after it has noticed which
+   * callers have disconnected by now.
+   */
+  #afterCloses(callback: () => void): void {
+    const { timers } = this.#deps;
+    if (this.#lateMs(timers.now()) > 0) timers.afterInput(callback);
+    else callback();
+  }
+
+  #dispatch(): void {
+    if (this.#queue.size === 0) return;
+    this.#afterCloses(() => this.#queue.dispatch(this.#deps.timers.now()));
+  }
+
   /** Dispatches queued requests at intervals until the queue is empty. */
   #scheduleDispatch(): void {
     if (this.#isDispatchScheduled || this.#queue.size === 0) return;
@@ -344,7 +358,7 @@
     const { timers } = this.#deps;
     timers.after(DISPATCH_INTERVAL_MS, () => {
       this.#isDispatchScheduled = false;
-      this.#queue.dispatch(timers.now());
+      this.#dispatch();
       this.#scheduleDispatch();
     });
   }
@@ -472,7 +486,7 @@
 
   #onEnded(run: RelayRun): void {
     this.#runs.delete(run);
-    this.#queue.dispatch(this.#deps.timers.now());
+    this.#dispatch();
   }
 
   #expire(now: number): void {
--- a/src/platform/relay_server.ts
+++ b/src/platform/relay_server.ts
@@ -128,10 +128,20 @@
       const request = toRelayRequest(req, target, requestId, body);
       const run = this.#handle(request, response);
       if (run === undefined) return;
+      const onDisconnect = () => {
+        if (response.finished) return;
+        run.onCallerDisconnected();
+        response.abort();
+      };
+      // The response closes only once what was written to it is sent, while the
+      // caller's side of the connection ends as soon as the caller closes it.
+      const { socket } = req;
+      socket.once("end", onDisconnect);
       res.once("close", () => {
-        if (!response.finished) run.onCallerDisconnected();
+        socket.off("end", onDisconnect);
+        onDisconnect();
       });
-      if (res.destroyed) run.onCallerDisconnected();
+      if (res.destroyed || socket.readableEnded) onDisconnect();
     });
   }
 
--- a/src/standins/fleet/scripted_upstreams.ts
+++ b/src/standins/fleet/scripted_upstreams.ts
@@ -82,6 +82,8 @@
   #nextScript: UpstreamScript | undefined;
   /** Number of events in each stream. */
   eventsPerStream = 10;
+  /** Size of a comment after each event, in bytes; 0 for none. */
+  paddingBytes = 0;
 
   constructor(timers: Timers) {
     this.#timers = timers;
@@ -229,6 +231,9 @@
       }
       if (id > lastWholeEventId) return this.#interrupt(request, script, id);
       listener.onData(streamEvent(id));
+      if (this.paddingBytes > 0) {
+        listener.onData(Buffer.from(`: ${" ".repeat(this.paddingBytes)}\n\n`));
+      }
       if (id < this.eventsPerStream) {
         const isPause = "pauseMs" in script &&
           id === firstId - 1 + script.firstEvents;
