Pace statuses to a tenth of the host's link, and compress them

Cause: each urgent status made every hub forward all newer statuses to all nodes of its zone, up to 100 times a second. Class of fault: control traffic without a bound shares a link with requests. Statuses are now sent no faster than a tenth of the link carries (`link` in node.ini, from the platform's settings), with a wait of 400 ms at most, so that a hub isn't taken for stopped; and they are deflated once all live peers accept that, so that nodes of earlier versions are still understood. Urgent statuses go out at once while there is room.

Weighed: a longer fixed interval delays every urgent status; statuses by difference save more, but need acknowledgements. Still open for larger fleets.

--- a/features/gossip.feature
+++ b/features/gossip.feature
@@ -29,6 +29,22 @@
     When node 20 has an urgent status
     Then every other node has it 40 milliseconds later
 
+  Scenario: should leave links to requests when every node has urgent statuses
+    Given 34 gossiping nodes
+    When every node is busy and has an urgent status 20 times a second for 5 seconds
+    Then no node sends more than 25 percent of what its link carries
+    And every node always sees 33 other live nodes
+
+  Scenario Outline: should reject a compressed message that <fault>
+    When a node receives a compressed message that <fault>
+    Then the message is malformed
+
+    Examples:
+      | fault                             |
+      | is cut off                        |
+      | has other bytes                   |
+      | is too large when decompressed    |
+
   Scenario: should not forward messages that were queued while the hub was paused
     Given 34 gossiping nodes
     When the hub of a zone resumes after a pause of 5 seconds
--- a/features/steps/gossip_steps.ts
+++ b/features/steps/gossip_steps.ts
@@ -5,10 +5,15 @@
  * @module
  */
 import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { deflateRawSync } from "node:zlib";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
 import { PauseDetector } from "../../src/core/gossip/pause_detector.ts";
-import { decodeBatch } from "../../src/core/gossip/message_codec.ts";
+import {
+  decodeBatch,
+  encodeBatch,
+} from "../../src/core/gossip/message_codec.ts";
 import type { StatusMessage } from "../../src/core/gossip/messages.ts";
 import { PeerGossip } from "../../src/core/gossip/peer_gossip.ts";
 
@@ -65,7 +70,14 @@
   },
 );
 
+/** The slowest links of hosts carry 34 Mbit/s. */
+const LINK_BYTES_PER_SECOND = 4_250_000;
+/** Loads in the statuses of a busy node. */
+const BUSY_LOADS = 30;
+
 interface GossipWorld {
+  /** Bytes that each node sent, by address. */
+  sentBytes: Map<string, number>;
   timers: VirtualTimers;
   nodes: GossipNode[];
   /**
@@ -87,6 +99,7 @@
   readonly address: string;
   isFresh: boolean;
   version: number;
+  loads: StatusMessage["loads"];
 }
 
 type Receive = (payload: Uint8Array, from: string) => void;
@@ -98,6 +111,7 @@
     this.timers = new VirtualTimers();
     this.messageCount = 0;
     this.droppedLinks = new Set();
+    this.sentBytes = new Map();
     this.forwardedNodes = new Map();
     const receivers = new Map<string, Receive>();
     // Ids have three digits, so that they sort in numeric order. Node i is in
@@ -111,6 +125,8 @@
             send: (to, payload) => {
               if (this.droppedLinks.has(`${address}>${to}`)) return;
               this.messageCount += 1;
+              const sent = this.sentBytes.get(address) ?? 0;
+              this.sentBytes.set(address, sent + payload.byteLength);
               recordForwarded(this, address, payload);
               this.timers.after(2, () => receivers.get(to)?.(payload, address));
             },
@@ -126,7 +142,11 @@
           }),
           seeds: () => [],
           periodMs: 100,
-          createStatus: () => statusOf(address, `z${i % 3}`, node.version),
+          linkBytesPerSecond: LINK_BYTES_PER_SECOND,
+          createStatus: () => ({
+            ...statusOf(address, `z${i % 3}`, node.version),
+            loads: node.loads,
+          }),
           onStatus: () => {},
           onHubChange: () => {},
           isFresh: () => node.isFresh,
@@ -134,6 +154,7 @@
         address,
         isFresh: true,
         version: 1,
+        loads: [],
       };
       node.gossip.setRegisteredAddresses(addresses);
       return node;
@@ -174,6 +195,7 @@
     operatorRevision: 0,
     demand: {},
     peers: [],
+    acceptsCompressed: true,
   };
 }
 
@@ -241,6 +263,39 @@
   },
 );
 
+When(
+  "every node is busy and has an urgent status {int} times a second for {int} seconds",
+  { timeout: 30_000 },
+  async function (this: GossipWorld, perSecond: number, seconds: number) {
+    for (const [i, node] of this.nodes.entries()) {
+      node.loads = Array.from({ length: BUSY_LOADS }, (_, load) => ({
+        key: `g-${33_000 + load}@${33_000 + load}`,
+        inFlight: (i + load) % 18,
+        pendingPromptTokens: (i * load * 97) % 9_000,
+        silentMs: (i * load * 31) % 500,
+      }));
+    }
+    this.sentBytes.clear();
+    const timer = this.timers.subscribe(1_000 / perSecond, () => {
+      for (const { gossip } of this.nodes) gossip.broadcast();
+    });
+    await runGossip(this, seconds * 1_000);
+    timer.cancel();
+    for (const [node, bytes] of this.sentBytes) {
+      this.sentBytes.set(node, bytes / seconds);
+    }
+  },
+);
+
+Then(
+  "no node sends more than {int} percent of what its link carries",
+  function (this: GossipWorld, percent: number) {
+    const most = Math.max(...this.sentBytes.values());
+    const share = most / LINK_BYTES_PER_SECOND * 100;
+    assert.ok(share <= percent, `${share.toFixed(1)} percent`);
+  },
+);
+
 When(
   "the hub of a zone resumes after a pause of {int} seconds",
   function (this: GossipWorld, _seconds: number) {
@@ -307,3 +362,35 @@
     assert.deepEqual([...names], [hub.address]);
   },
 );
+
+const VALID_MESSAGE = encodeBatch({
+  isForwarded: false,
+  isUrgent: false,
+  statuses: [statusOf("n100:1", "z0", 1)],
+}, true);
+
+const BROKEN_MESSAGES: Readonly<Record<string, Uint8Array>> = {
+  "is cut off": VALID_MESSAGE.subarray(0, VALID_MESSAGE.byteLength / 2),
+  "has other bytes": Buffer.concat([Buffer.of(1), Buffer.alloc(40, 0xff)]),
+  "is too large when decompressed": Buffer.concat([
+    Buffer.of(1),
+    deflateRawSync(Buffer.alloc(2_000_000, " ")),
+  ]),
+};
+
+for (const [fault, message] of Object.entries(BROKEN_MESSAGES)) {
+  When(
+    `a node receives a compressed message that ${fault}`,
+    function (this: { message: Uint8Array }) {
+      this.message = message;
+    },
+  );
+}
+
+Then(
+  "the message is malformed",
+  function (this: { message: Uint8Array }) {
+    assert.notEqual(decodeBatch(VALID_MESSAGE), undefined);
+    assert.equal(decodeBatch(this.message), undefined);
+  },
+);
--- a/features/steps/observation_steps.ts
+++ b/features/steps/observation_steps.ts
@@ -100,6 +100,7 @@
     self: () => identity,
     seeds: () => [],
     periodMs: 100,
+    linkBytesPerSecond: 4_250_000,
     createStatus: (peers) => ({
       ...sampleStatus(),
       ...identity,
--- a/features/steps/sample_status.ts
+++ b/features/steps/sample_status.ts
@@ -44,5 +44,6 @@
     operatorRevision: 7,
     demand: { large: 1 },
     peers: ["10.0.0.2:7"],
+    acceptsCompressed: true,
   };
 }
--- a/src/core/gossip/message_codec.ts
+++ b/src/core/gossip/message_codec.ts
@@ -4,24 +4,38 @@
  * @module
  */
 import { Buffer } from "node:buffer";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type { LoadStatus, StatusBatch, StatusMessage } from "./messages.ts";
 import type { WireChange, WireStatus } from "./wire_status.ts";
 import { isWireBatch, MAX_CRASHED_UPSTREAMS } from "./wire_status.ts";
 
+/** First byte of a compressed payload; others begin with a brace. */
+const COMPRESSED_MARK = 1;
+/** A payload that is larger when it is decompressed is malformed. */
+const MAX_DECOMPRESSED_BYTES = 1_048_576;
+/** The fastest level; statuses repeat the keys of the same upstreams. */
+const COMPRESSION_LEVEL = 1;
+
 /**
- * Encodes a batch.
+ * Encodes a batch; compressed, for nodes that accept it.
  *
  * @example
  * ```ts
  * datagrams.send(peer, encodeBatch(batch));
  * ```
  */
-export function encodeBatch(batch: StatusBatch): Uint8Array {
-  return Buffer.from(JSON.stringify({
+export function encodeBatch(
+  batch: StatusBatch,
+  isCompressed = false,
+): Uint8Array {
+  const payload = Buffer.from(JSON.stringify({
     r: batch.isForwarded,
     q: batch.isUrgent,
     b: batch.statuses.map(toWire),
   }));
+  if (!isCompressed) return payload;
+  const compressed = deflateRawSync(payload, { level: COMPRESSION_LEVEL });
+  return Buffer.concat([Buffer.of(COMPRESSED_MARK), compressed]);
 }
 
 /**
@@ -36,7 +50,7 @@
 export function decodeBatch(payload: Uint8Array): StatusBatch | undefined {
   let parsed: unknown;
   try {
-    parsed = JSON.parse(Buffer.from(payload).toString("utf8"));
+    parsed = JSON.parse(decompress(payload).toString("utf8"));
   } catch {
     return undefined;
   }
@@ -45,6 +59,13 @@
   return { isForwarded: r, isUrgent: q, statuses: b.map(fromWire) };
 }
 
+function decompress(payload: Uint8Array): Buffer {
+  if (payload[0] !== COMPRESSED_MARK) return Buffer.from(payload);
+  return inflateRawSync(payload.subarray(1), {
+    maxOutputLength: MAX_DECOMPRESSED_BYTES,
+  });
+}
+
 function toWire(msg: StatusMessage): WireStatus {
   return {
     g: Math.round(msg.ageMs),
@@ -105,6 +126,7 @@
     y: msg.operatorRevision,
     w: msg.demand,
     p: [...msg.peers],
+    ac: msg.acceptsCompressed,
   };
 }
 
@@ -160,5 +182,6 @@
     operatorRevision: wire.y,
     demand: wire.w,
     peers: [...wire.p],
+    acceptsCompressed: wire.ac === true,
   };
 }
--- a/src/core/gossip/messages.ts
+++ b/src/core/gossip/messages.ts
@@ -110,6 +110,8 @@
   readonly demand: Readonly<Record<string, number>>;
   /** Internal addresses of other nodes, so that starting nodes find peers. */
   readonly peers: readonly string[];
+  /** Whether the node decodes compressed batches. */
+  readonly acceptsCompressed: boolean;
 }
 
 /** Statuses that are sent in one datagram. */
--- a/src/core/gossip/peer_gossip.ts
+++ b/src/core/gossip/peer_gossip.ts
@@ -11,6 +11,7 @@
 import type { StatusMessage } from "./messages.ts";
 import type { Peer } from "./peer_table.ts";
 import { PeerTable } from "./peer_table.ts";
+import { SendPacer } from "./send_pacer.ts";
 
 /**
  * Maximum number of nodes that a round sends to directly, chosen round-robin. A
@@ -58,6 +59,8 @@
   readonly seeds: () => readonly string[];
   /** Interval between rounds. */
   readonly periodMs: number;
+  /** Bytes per second that this node's link carries. */
+  readonly linkBytesPerSecond: number;
   /** Creates this node's status; `peers` are the addresses to advertise. */
   readonly createStatus: (
     peers: readonly string[],
@@ -86,6 +89,7 @@
   readonly #deps: PeerGossipDependencies;
   readonly #peers = new PeerTable();
   readonly #selector: HubSelector;
+  readonly #pacer: SendPacer;
   /** Internal addresses from the store and from peers' statuses. */
   #knownAddresses: readonly string[] = [];
   #timer: Timer | undefined;
@@ -108,6 +112,7 @@
   constructor(deps: PeerGossipDependencies) {
     this.#deps = deps;
     this.#selector = new HubSelector(deps.self);
+    this.#pacer = new SendPacer(deps.linkBytesPerSecond);
     deps.datagrams.onMessage((payload) => this.#receive(payload));
   }
 
@@ -127,12 +132,13 @@
 
   /**
    * Sends this node's status before the next round, to all nodes or through the
-   * hubs. Calls within {@linkcode COALESCE_MS} share one message.
+   * hubs. Calls within {@linkcode COALESCE_MS}, or until the link has room again,
+   * share one message.
    */
   broadcast(): void {
     if (this.#broadcastScheduled) return;
     this.#broadcastScheduled = true;
-    this.#deps.timers.after(COALESCE_MS, () => {
+    this.#afterPacing(() => {
       this.#broadcastScheduled = false;
       const hubs = this.#hubs();
       if (hubs === undefined) return this.#sendStatus(this.#targets(), true);
@@ -184,7 +190,10 @@
       this.#sendStatus(this.#nextTargets(this.#silentTargets(), FANOUT), false);
     }
     if (this.#roundCount % HUB_INTERVAL_ROUNDS !== 0) return;
-    if (this.#isHub(hubs)) return this.#forward(hubs, false);
+    if (this.#isHub(hubs)) {
+      const waitMs = this.#pacer.waitMs(this.#deps.timers.now());
+      return waitMs > 0 ? this.#scheduleForward() : this.#forward(hubs, false);
+    }
     const hub = hubs.get(this.#zone);
     if (hub !== undefined) this.#sendStatus([hub.internalAddress], false);
   }
@@ -272,6 +281,13 @@
     );
   }
 
+  /** Calls back after {@linkcode COALESCE_MS}, or once the link has room. */
+  #afterPacing(callback: () => void): void {
+    const { timers } = this.#deps;
+    const waitMs = this.#pacer.waitMs(timers.now());
+    timers.after(Math.max(COALESCE_MS, waitMs), callback);
+  }
+
   #sendBatches(
     statuses: readonly StatusMessage[],
     targets: readonly string[],
@@ -282,10 +298,8 @@
         isForwarded: true,
         isUrgent,
         statuses: statuses.slice(at, at + MAX_BATCH_STATUSES),
-      });
-      for (const target of targets) {
-        this.#deps.datagrams.send(target, payload);
-      }
+      }, this.#peersAcceptCompressed);
+      this.#send(targets, payload);
     }
   }
 
@@ -300,8 +314,18 @@
       isForwarded: false,
       isUrgent,
       statuses: [status],
-    });
+    }, this.#peersAcceptCompressed);
+    this.#send(targets, payload);
+  }
+
+  get #peersAcceptCompressed(): boolean {
+    return this.live().every(({ status }) => status.acceptsCompressed);
+  }
+
+  #send(targets: readonly string[], payload: Uint8Array): void {
     for (const target of targets) this.#deps.datagrams.send(target, payload);
+    const bytes = payload.byteLength * targets.length;
+    this.#pacer.recordSent(bytes, this.#deps.timers.now());
   }
 
   /** Addresses of all known nodes but this one; seeds while there is no peer. */
@@ -368,7 +392,7 @@
   #scheduleForward(): void {
     if (this.#forwardScheduled) return;
     this.#forwardScheduled = true;
-    this.#deps.timers.after(COALESCE_MS, () => {
+    this.#afterPacing(() => {
       this.#forwardScheduled = false;
       const hubs = this.#hubs();
       if (hubs !== undefined && this.#isHub(hubs)) this.#forward(hubs, false);
--- a/src/core/gossip/wire_status.ts
+++ b/src/core/gossip/wire_status.ts
@@ -108,6 +108,8 @@
   readonly w: Readonly<Record<string, number>>;
   /** peers */
   readonly p: readonly string[];
+  /** acceptsCompressed; absent from nodes of earlier versions */
+  readonly ac?: boolean;
 }
 
 /** A `StatusBatch` on the wire: the payload of one datagram. */
@@ -157,7 +159,7 @@
 
 function isWireStatus(value: unknown): boolean {
   if (typeof value !== "object" || value === null) return false;
-  const { n, i, a, c, z, s, l, d, u, k, h, e, p, w, cp, sp, ...rest } =
+  const { n, i, a, c, z, s, l, d, u, k, h, e, p, w, cp, sp, ac, ...rest } =
     value as WireStatus;
   const { g, v, t, x, j, y, o, f, m } = rest;
   return [n, i, a, c, z].every(isText) && NODE_STATES.has(s) &&
@@ -167,7 +169,7 @@
     isOptionalListOf(sp, isAged) && isListOf(h, isHost) &&
     isListOf(e, isChange) &&
     isListOf(p, isText) && typeof w === "object" && w !== null &&
-    Object.values(w).every(isNumber);
+    Object.values(w).every(isNumber) && (ac === undefined || isBoolean(ac));
 }
 
 function isLoad(value: unknown): boolean {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -34,6 +34,7 @@
 import { RequestLog } from "./request_log.ts";
 
 const GOSSIP_PERIOD_MS = 100;
+const BYTES_PER_MEGABIT = 125_000;
 /**
  * Number of nodes that poll the store for the catalog at short intervals; their
  * gossip confirms the catalog for the other nodes.
@@ -170,6 +171,7 @@
         this.#settings.node.seeds.map((seed) => this.#internalAddressOf(seed)),
       self: () => this.#hubCandidate(),
       periodMs: GOSSIP_PERIOD_MS,
+      linkBytesPerSecond: node.link * BYTES_PER_MEGABIT,
       createStatus: (peers) => this.#buildStatus(peers),
       onStatus: (status) => this.#applyPeerStatus(status),
       onHubChange: (hub) => deps.log.info("status_hub", { hub: hub ?? "none" }),
@@ -410,6 +412,7 @@
       ...this.#fleetState.createUpdate(),
       demand: this.relay.demand.engineMsPerSecond(now),
       peers,
+      acceptsCompressed: true,
     };
   }
 
--- a/src/settings/node_settings.ts
+++ b/src/settings/node_settings.ts
@@ -27,6 +27,8 @@
     directory_address: IpPort,
     internal_port: Port,
     metrics_port: Port,
+    /** Bandwidth of this host's link, in megabits per second. */
+    link: DecimalNumber.default(1_000),
     /**
      * Addresses of other nodes, which may be stale. Only the IP address is used; the
      * port is `internal_port`.
