--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -622,8 +622,8 @@
     mechanism: "A loop that is behind notices callers that left first",
     edits: [{
       file: "relay/relay.js",
-      find: "if (lateMs > 0)",
-      replace: "if (false)",
+      find: "timers.afterInput(callback);",
+      replace: "callback();",
     }],
   },
   {
@@ -673,8 +673,8 @@
     mechanism: "A response that begins clears its parts",
     edits: [{
       file: "retries/prompt_part_tracker.js",
-      find: "recordSound(part, at, now) {",
-      replace: "recordSound(part, at, now) { return;",
+      find: "recordSound(part, at, now, from) {",
+      replace: "recordSound(part, at, now, from) { return;",
     }],
   },
   {
@@ -737,4 +737,96 @@
       replace: "if (false)",
     }],
   },
+  {
+    promise: 5,
+    tag: "@gossip",
+    mechanism: "Only a node's own suspicions are shared",
+    edits: [{
+      file: "fleet/suspicion_tracker.js",
+      find: 'from === "own" && !isCleared',
+      replace: "!isCleared",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@gossip",
+    mechanism: "A suspicion that peers repeat is one observation",
+    edits: [{
+      file: "fleet/suspicion_tracker.js",
+      find: "if (known !== undefined && isRepeated(known, at, from))",
+      replace: "if (false)",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@gossip",
+    mechanism: "A crash keeps the earliest time that is known of it",
+    edits: [{
+      file: "retries/prompt_part_tracker.js",
+      find: "Math.min(at, this.#crashTimes.get(upstream) ?? Infinity)",
+      replace: "at",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@gossip",
+    mechanism: "A verdict that rests on a cleared crash is not adopted",
+    edits: [{
+      file: "retries/prompt_part_tracker.js",
+      find: "suspect.isQuarantined && !isContradicted",
+      replace: "suspect.isQuarantined",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@gossip",
+    mechanism: "Statuses are paced to a share of the link",
+    edits: [{
+      file: "gossip/send_pacer.js",
+      find: "return Math.max(0, this.#freeAt - now);",
+      replace: "return 0;",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@departed_callers",
+    mechanism: "Requests are placed after closes that came before",
+    edits: [{
+      file: "relay/relay.js",
+      find: "timers.afterInput(callback);",
+      replace: "callback();",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@relay",
+    mechanism: "Upstreams are not taken as stalled while the loop is behind",
+    edits: [{
+      file: "relay/relay.js",
+      find:
+        "if (this.#lateMs(timers.now()) > 0)\n                return;\n            this.#stallDetector",
+      replace:
+        "if (false)\n                return;\n            this.#stallDetector",
+    }],
+  },
+  {
+    promise: 3,
+    tag: "@host_limits",
+    mechanism: "A host gets no more requests than it takes",
+    edits: [{
+      file: "relay/host_notices.js",
+      find: "return starts.length < this.#quota(host.id, limit);",
+      replace: "return true;",
+    }],
+  },
+  {
+    promise: 3,
+    tag: "@host_limits",
+    mechanism: "The rate limits of hosts are divided among nodes",
+    edits: [{
+      file: "fleet/fleet_share.js",
+      find: "return Math.floor(whole / size) + (rank < whole % size ? 1 : 0);",
+      replace: "return whole;",
+    }],
+  },
 ];
