Don't apply limits of hosts from messages that waited during a pause

Found by reading the change; prompt parts had the check already. The scenario's row for stale messages fails without it (the host would get no requests).

--- a/features/host_limits.feature
+++ b/features/host_limits.feature
@@ -29,6 +29,15 @@
     When 60 requests per second arrive for 8 seconds
     Then each request that was not sent was rejected as not run within 100 milliseconds
 
+  Scenario Outline: should <apply> a peer's notice of a limit when messages are <fresh>
+    When a peer's notice that a host takes no request arrives in a <fresh> message
+    Then the host may <get> requests
+
+    Examples:
+      | apply      | fresh | get |
+      | apply      | fresh | not get |
+      | not apply  | stale | get |
+
   Scenario Outline: should read a limit of "<text>" as <limit>
     When a response names a limit of "<text>"
     Then the limit is <limit>
--- a/features/steps/host_limit_steps.ts
+++ b/features/steps/host_limit_steps.ts
@@ -6,17 +6,25 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import { SuspicionTracker } from "../../src/core/fleet/suspicion_tracker.ts";
+import { ObservationExchange } from "../../src/core/gossip/observation_exchange.ts";
+import { HostNotices } from "../../src/core/relay/host_notices.ts";
 import { guaranteesNotRun } from "../../src/core/relay/relay_request.ts";
+import { PromptPartTracker } from "../../src/core/retries/prompt_part_tracker.ts";
+import { SuspectRequestTracker } from "../../src/core/retries/suspect_request_tracker.ts";
 import { parseRateLimit } from "../../src/platform/rate_limit_header.ts";
 import type { StatedRateLimit } from "../../src/ports/relay_client.ts";
 import { ScriptedUpstreams } from "../../src/standins/fleet/scripted_upstreams.ts";
 import type { RecordedResponse } from "./relay_fixture.ts";
 import { RelayFixture } from "./relay_fixture.ts";
+import { sampleStatus } from "./sample_status.ts";
 
 const MODEL = "small";
 const STATUS_INTERVAL_MS = 200;
 const RESTART_INTERVAL_MS = 3_000;
 const WINDOW_MS = 4_000;
+const NOW_MS = 10_000;
+const HOST = { id: "h", born: 1 };
 
 interface SentRequest {
   readonly at: number;
@@ -32,6 +40,7 @@
   sent: SentRequest[];
   responses: { readonly at: number; readonly response: RecordedResponse }[];
   stated: StatedRateLimit;
+  notices: HostNotices;
 }
 
 Given(
@@ -136,6 +145,29 @@
   },
 );
 
+When(
+  /^a peer's notice that a host takes no request arrives in a (fresh|stale) message$/,
+  function (this: HostLimitWorld, freshness: string) {
+    this.notices = new HostNotices(() => ({ size: 1, rank: 0 }));
+    const exchange = new ObservationExchange({
+      suspicions: new SuspicionTracker(),
+      suspectRequests: new SuspectRequestTracker(),
+      promptParts: new PromptPartTracker(),
+      hostNotices: this.notices,
+      isFresh: () => freshness === "fresh",
+    });
+    const hostLimits = [{ ...HOST, perSecond: 0, ageMs: 5 }];
+    exchange.apply({ ...sampleStatus(), hostLimits }, NOW_MS);
+  },
+);
+
+Then(
+  /^the host may (get|not get) requests$/,
+  function (this: HostLimitWorld, may: string) {
+    assert.equal(this.notices.allows(HOST, NOW_MS), may === "get");
+  },
+);
+
 When(
   "a response names a limit of {string}",
   function (this: HostLimitWorld, text: string) {
--- a/src/core/gossip/observation_exchange.ts
+++ b/src/core/gossip/observation_exchange.ts
@@ -81,10 +81,11 @@
       suspicions.clear(key, now - ageMs, "peer");
     }
     for (const strike of status.strikes) suspectRequests.merge(strike, now);
+    // Ages in messages that were queued during a pause are too small.
+    if (!this.#deps.isFresh()) return;
+    mergePartStatuses(promptParts, status, now);
     for (const { ageMs, ...rest } of status.hostLimits) {
       hostNotices.record({ ...rest, at: now - ageMs }, "peer");
     }
-    // Ages in messages that were queued during a pause are too small.
-    if (this.#deps.isFresh()) mergePartStatuses(promptParts, status, now);
   }
 }
