Test that a node passes on no observation of peers, and keeps a crash's first time

Two of the new mutants survived the scenarios of observations.feature: with messages of up to 40 ms, the window for repeats hides that peers' suspicions are shared, and no crash was dated later after it had been cleared.

--- a/features/observations.feature
+++ b/features/observations.feature
@@ -34,3 +34,13 @@
     Given 5 nodes that share observations, with messages that take up to 40 milliseconds
     When upstreams crash at 3 moments on node 3 with a prompt part to which no response begins
     Then every node refuses the part
+
+  Scenario: should not pass on what a peer observed
+    Given 5 nodes that share observations, with messages that take up to 40 milliseconds
+    When node 3 learns from a peer that an upstream is suspected and that another one responded
+    Then the next status of node 3 has neither
+
+  Scenario: should not take up a cleared crash again when a peer dates it later
+    Given 5 nodes that share observations, with messages that take up to 40 milliseconds
+    When node 3 learns of a crash before a response to the same part, and again with a later time
+    Then node 3 suspects no part
--- a/features/steps/observation_steps.ts
+++ b/features/steps/observation_steps.ts
@@ -29,6 +29,7 @@
   readonly suspicions: SuspicionTracker;
   readonly promptParts: PromptPartTracker;
   readonly gossip: PeerGossip;
+  readonly observations: ObservationExchange;
   suspicionCount: number;
   quarantineCount: number;
 }
@@ -118,6 +119,7 @@
     suspicions,
     promptParts,
     gossip,
+    observations,
     suspicionCount: 0,
     quarantineCount: 0,
   };
@@ -262,3 +264,48 @@
     assert.ok(perNode <= max, `${perNode} messages a second`);
   },
 );
+
+When(
+  "node {int} learns from a peer that an upstream is suspected and that another one responded",
+  function (this: ObservationWorld, index: number) {
+    const { suspicions } = this.nodes[index];
+    const at = this.timers.now();
+    suspicions.record({ key: UPSTREAM, kind: "reset", at }, "peer");
+    suspicions.clear("g-2@1", at, "peer");
+  },
+);
+
+Then(
+  "the next status of node {int} has neither",
+  function (this: ObservationWorld, index: number) {
+    const { observations } = this.nodes[index];
+    const status = observations.take(this.timers.now());
+    assert.deepEqual([status.suspicions, status.cleared], [[], []]);
+  },
+);
+
+When(
+  "node {int} learns of a crash before a response to the same part, and again with a later time",
+  function (this: ObservationWorld, index: number) {
+    const { promptParts } = this.nodes[index];
+    const now = this.timers.now();
+    const learn = (at: number) =>
+      promptParts.merge({
+        part: PART,
+        model: MODEL,
+        companions: [],
+        crashes: [{ upstream: UPSTREAM, at }],
+        isQuarantined: true,
+      }, now);
+    learn(now - 20);
+    promptParts.recordBegun(MODEL, [PART], now - 10, now);
+    learn(now - 5);
+  },
+);
+
+Then(
+  "node {int} suspects no part",
+  function (this: ObservationWorld, index: number) {
+    assert.equal(this.nodes[index].promptParts.size, 0);
+  },
+);
