Word two comments in the field's terms

The pacer's and the observation steps' comments used a figure of speech. Comments only; formatter, checks and the 27 scenarios of @gossip pass.

--- a/features/steps/observation_steps.ts
+++ b/features/steps/observation_steps.ts
@@ -18,7 +18,7 @@
 const UPSTREAM = "g-1@1";
 const MODEL = "small";
 const PART = "shared";
-/** Pause between crashes that count as several moments. */
+/** Pause between crashes that happen at separate moments. */
 const CRASH_INTERVAL_MS = 400;
 
 /** Ticks of 10 ms between responses to prompts with the part. */
--- a/src/core/gossip/send_pacer.ts
+++ b/src/core/gossip/send_pacer.ts
@@ -7,7 +7,7 @@
 /** Largest share of the link that paced statuses may use. */
 const LINK_SHARE = 0.1;
 /**
- * Longest wait for the share. A hub that is silent for longer is taken for stopped,
+ * Longest wait for the share. A hub that is silent for longer is considered stopped,
  * and messages between all nodes then use the links more.
  */
 const MAX_WAIT_MS = 400;
