--- a/review/lib/stand_ins.mjs
+++ b/review/lib/stand_ins.mjs
@@ -203,7 +203,7 @@
   listen() {
     this.server = net.createServer((near) => {
       const far = net.connect(Number(this.port), this.ip);
-      const channel = { near, far, isSilent: false };
+      const channel = { near, far, isSilent: now() < (this.silentUntil ?? 0) };
       this.channels.add(channel);
       near.setNoDelay(true);
       far.setNoDelay(true);
@@ -220,6 +220,11 @@
     return new Promise((resolve) =>
       this.server.listen(0, this.ip, () => resolve(`${this.ip}:${this.server.address().port}`)));
   }
+  /** For some time nothing passes, on open channels and on new ones. */
+  turnAway(ms) {
+    this.silentUntil = now() + ms;
+    this.silenceOpen();
+  }
   /** From now on, nothing passes on the channels that are open. */
   silenceOpen() {
     for (const channel of this.channels) channel.isSilent = true;
@@ -419,6 +424,28 @@
     });
     this.record.say(`node ${this.id} starts, pid ${child.pid}`);
   }
+  /** Makes the process `x` times slower: it stands still for the rest of each tenth of a second. Returns how to end that. */
+  slowDown(x) {
+    this.record.say(`node ${this.id} runs ${x} times slower`);
+    const TURN_MS = 100;
+    const startedAt = now();
+    let turns = 0;
+    let timer;
+    const stop = () => {
+      this.child?.kill("SIGSTOP");
+      timer = setTimeout(() => {
+        this.child?.kill("SIGCONT");
+        turns += 1;
+        timer = setTimeout(stop, Math.max(1, startedAt + turns * TURN_MS - now()));
+      }, Math.max(1, startedAt + (turns + 1 - 1 / x) * TURN_MS - now()));
+    };
+    stop();
+    return () => {
+      clearTimeout(timer);
+      this.child?.kill("SIGCONT");
+      this.record.say(`node ${this.id} runs as before`);
+    };
+  }
   signal(name) {
     this.record.say(`${name} to node ${this.id}`);
     this.child?.kill(name);
@@ -496,7 +523,9 @@
   }
   async start({ nodeCount = 3, serverCount = 3, proxied = false, manifestOptions, server = {}, bounds = {} } = {}) {
     const storeAddress = await this.store.listen(`${this.subnet}.1`);
-    this.proxy = proxied ? new ChannelProxy(storeAddress) : undefined;
+    /** Number of nodes, the first ones, that reach the store through the proxy. */
+    const proxiedCount = proxied === true ? nodeCount : Number(proxied);
+    this.proxy = proxiedCount > 0 ? new ChannelProxy(storeAddress) : undefined;
     const address = this.proxy === undefined ? storeAddress : await this.proxy.listen();
     this.store.put("op/config", manifest(3, manifestOptions));
     for (let i = 0; i < serverCount; i++) {
@@ -513,7 +542,7 @@
     ips.forEach((ip, i) => {
       const node = new NodeProcess({
         record: this.record, folder: this.folder, id: `edge-valley-${"abc"[i % 3]}-${i + 1}`, ip,
-        zone: `valley-${"abc"[i % 3]}`, storeAddress: address, ports: this.ports, seeds, bounds: { ...BOUNDS, ...bounds },
+        zone: `valley-${"abc"[i % 3]}`, storeAddress: i < proxiedCount ? address : storeAddress, ports: this.ports, seeds, bounds: { ...BOUNDS, ...bounds },
       });
       node.start();
       this.nodes.push(node);
