Rely on the age of the list of hosts, not on peers that say they publish it

Cause: in a fleet of more than eight nodes, subscribers read the hosts every 12 s, and sooner only if no peer had stated `publishesHosts` for a second. The statement followed from a node's role. A new publisher made it while its own poll was still in the pause of 12 s, and a publisher without responses made it until its poll timed out.

Ruled out: lost statuses and slow processes (it fails in virtual time with neither); the relay (it sends nothing to a host that is listed as leaving).

Why this works: a list now has an age that only a read of the store lowers. Nodes send the age of their own last read with the revision of the newest change that it can show; a peer takes it over only with every change up to that revision, and doesn't pass it on. A list older than half of `drain_within` makes its node poll, whatever peers say. A new publisher ends its pause. A removal counts as a lapse only where the node itself was without reads.

The scenarios for lost changes now let lists be 6 s old, so that the new bound on the age doesn't hide what they test; their limits are unchanged.

--- a/features/gossip.feature
+++ b/features/gossip.feature
@@ -67,6 +67,24 @@
     When no node receives messages for 10 seconds
     Then every node has each of 8 successive changes 1000 milliseconds later
 
+  # Guards against nodes that keep a host because one publisher was without the store.
+  Scenario: should drop a removed host when only the publisher takes the removal for a lapse
+    Given 12 nodes that follow a store, of which 3 are readers
+    When a publisher sends the removal of a host, which it takes for a lapse
+    Then no node lists the host
+
+  # Guards against new publishers that go on with the long pause of other nodes.
+  Scenario: should read the store at once when its role asks for it
+    Given 12 nodes that follow a store, of which 3 are readers, with lists that may be 6 seconds old
+    When nodes 5 and 6 become the publishers and a host leaves
+    Then every node has each change 800 milliseconds later
+
+  # Guards against nodes that rely on publishers that don't read the store.
+  Scenario: should learn in time that a host left when publishers get no response from the store
+    Given 12 nodes that follow a store, of which 3 are readers
+    When at 16 moments, 100 milliseconds apart, publishers get no response as a host leaves
+    Then at each moment every other node learned of it within 3000 milliseconds
+
   Scenario: should ignore an outdated host change from a peer
     Given 12 nodes that follow a store, of which 3 are readers
     When a peer sends the state of a host from before it left
@@ -78,7 +96,7 @@
     Then node 9 has taken the zone out of service 1500 milliseconds later
 
   Scenario: should detect that the last host change was lost
-    Given 12 nodes that follow a store, of which 3 are readers
+    Given 12 nodes that follow a store, of which 3 are readers, with lists that may be 6 seconds old
     When every message is lost for 900 milliseconds in which a host leaves
     Then every node has each change 500 milliseconds later
 
@@ -88,6 +106,6 @@
     Then all nodes together send the store at most 30 requests a second in 20 seconds
 
   Scenario: should detect that an earlier host change was lost
-    Given 12 nodes that follow a store, of which 3 are readers
+    Given 12 nodes that follow a store, of which 3 are readers, with lists that may be 6 seconds old
     When every message is lost for 600 milliseconds in which a host leaves, and another changes later
     Then every node has each change 1500 milliseconds later
--- /dev/null
+++ b/features/leaving_hosts.feature
@@ -0,0 +1,39 @@
+@leaving-hosts
+Feature: Hosts that leave while nodes restart or lose the store
+
+  # Guards against nodes that rely on a publisher that has not read the store:
+  # two new publishers relied on each other, so nobody read it.
+  Scenario Outline: should stop requests to a leaving host in time after both publishers restarted
+    Given <nodes> nodes with seed 1 that may send requests to a leaving host for <seconds> seconds
+    When the leader and the node with the lowest id restart in turn <times> times, each time as a host leaves
+    Then no node in touch sends requests to a leaving host any longer
+
+    Examples:
+      | nodes | seconds | times |
+      | 5     | 2       | 3     |
+      | 12    | 3       | 10    |
+      | 34    | 3       | 2     |
+
+  # Guards against nodes that rely on a publisher whose polls get no response.
+  Scenario Outline: should stop requests to a leaving host in time while the store turns publishers away
+    Given <nodes> nodes with seed 1 that may send requests to a leaving host for <seconds> seconds
+    When the store turns away the leader and every third node <times> times, each time as a host leaves
+    Then no node in touch sends requests to a leaving host any longer
+
+    Examples:
+      | nodes | seconds | times |
+      | 5     | 2       | 3     |
+      | 12    | 3       | 6     |
+
+  # Guards against orders of restarts, crashes, refusals by the store and lost
+  # messages in which a leaving host is not noticed.
+  Scenario Outline: should stop requests to a leaving host in time whatever happens to nodes meanwhile
+    Given <nodes> nodes with seed <seed> that may send requests to a leaving host for <seconds> seconds
+    When in 4 rounds nodes are disrupted while a host leaves
+    Then no node in touch sends requests to a leaving host any longer
+
+    Examples:
+      | nodes | seed | seconds |
+      | 5     | 201  | 2       |
+      | 9     | 301  | 3       |
+      | 12    | 233  | 3       |
--- a/features/steps/fleet_state_steps.ts
+++ b/features/steps/fleet_state_steps.ts
@@ -57,11 +57,13 @@
         fleetSize: 1,
       }),
       lapseAfterMs: 2_400,
+      drainWithinMs: () => 2_000,
       listener: {
         catalogChanged() {},
         zonesChanged() {},
         nodesChanged() {},
         leaderChanged() {},
+        hostListOutdated() {},
         feedLost() {},
         feedRegained() {},
       },
--- a/features/steps/gossip_steps.ts
+++ b/features/steps/gossip_steps.ts
@@ -193,6 +193,7 @@
     hostChanges: [],
     isTruncated: false,
     hostRevision: 0,
+    hostRead: undefined,
     operatorRevision: 0,
     demand: {},
     peers: [],
--- a/features/steps/host_changes_steps.ts
+++ b/features/steps/host_changes_steps.ts
@@ -44,6 +44,18 @@
   isPartitioned: boolean;
   /** Indices of followers whose long polls of the store get no response. */
   withoutLongPollResponses: Set<number>;
+  /** Indices of followers that get no response from the store. */
+  withoutResponses: Set<number>;
+  /** Indices of the leader and of the other publisher. */
+  publishers: readonly [number, number];
+  drainWithinMs: number;
+  lapseAfterMs: number;
+  /** When each host left. */
+  leftAt: Map<string, number>;
+  /** Hosts that were listed in a list confirmed after they had left. */
+  falseConfirmations: Set<string>;
+  /** For each host that left, the time until other nodes learned of it. */
+  learnedAfterMs: number[];
 }
 
 function host(id: string, coldLeftMs = 0) {
@@ -60,27 +72,75 @@
 
 Given(
   "{int} nodes that follow a store, of which {int} are readers",
-  async function (this: HostChangesWorld, count: number, readers: number) {
-    this.timers = new VirtualTimers();
-    this.store = new MemoryCoordination(this.timers);
-    this.storeRequests = 0;
-    this.subscriberReads = 0;
-    this.isPartitioned = false;
-    this.withoutLongPollResponses = new Set();
-    for (let i = 0; i < 20; i++) this.store.put(`hosts/h${i}`, host(`h${i}`));
-    this.followers = Array.from(
-      { length: count },
-      (_, i) => createFollower(this, i, count, readers),
-    );
-    for (const { state } of this.followers) state.start();
-    this.timers.subscribe(100, () => {
-      for (const from of this.followers) sendStatus(this, from);
-    });
-    await this.timers.run(8_000);
-    this.storeRequests = 0;
+  function (this: HostChangesWorld, count: number, readers: number) {
+    this.drainWithinMs = 3_000;
+    this.lapseAfterMs = 2_400;
+    return startFollowers(this, count, readers);
+  },
+);
+
+Given(
+  "{int} nodes that follow a store, of which {int} are readers, with lists that may be {int} seconds old",
+  function (
+    this: HostChangesWorld,
+    count: number,
+    readers: number,
+    seconds: number,
+  ) {
+    this.drainWithinMs = seconds * 2_000;
+    this.lapseAfterMs = seconds * 2_000;
+    return startFollowers(this, count, readers);
   },
 );
 
+async function startFollowers(
+  world: HostChangesWorld,
+  count: number,
+  readers: number,
+): Promise<void> {
+  world.timers = new VirtualTimers();
+  world.store = new MemoryCoordination(world.timers);
+  world.storeRequests = 0;
+  world.subscriberReads = 0;
+  world.isPartitioned = false;
+  world.withoutLongPollResponses = new Set();
+  world.withoutResponses = new Set();
+  world.publishers = [0, 1];
+  world.leftAt = new Map();
+  world.falseConfirmations = new Set();
+  world.learnedAfterMs = [];
+  for (let i = 0; i < 20; i++) world.store.put(`hosts/h${i}`, host(`h${i}`));
+  world.followers = Array.from(
+    { length: count },
+    (_, i) => createFollower(world, i, count, readers),
+  );
+  for (const { state } of world.followers) state.start();
+  world.timers.subscribe(100, () => {
+    for (const from of world.followers) sendStatus(world, from);
+  });
+  await world.timers.run(8_000);
+  world.storeRequests = 0;
+}
+
+/** Records a list that lacks a change, but seems younger than the change. */
+function recordFalseConfirmations(world: HostChangesWorld): void {
+  for (const [id, leftAt] of world.leftAt) {
+    const sinceMs = world.timers.now() - leftAt;
+    // Publishers that were without the store may keep a host as lapsed.
+    for (const { hosts, state } of world.followers.slice(2)) {
+      const isListed = hosts.get(id) !== undefined;
+      if (isListed && state.hostListAgeMs < sinceMs) {
+        world.falseConfirmations.add(id);
+      }
+    }
+  }
+}
+
+function removeHost(world: HostChangesWorld, id: string): void {
+  world.store.remove(`hosts/${id}`);
+  world.leftAt.set(id, world.timers.now());
+}
+
 function createFollower(
   world: HostChangesWorld,
   index: number,
@@ -100,17 +160,19 @@
     hosts,
     zonesOutOfService,
     role: () => ({
-      isLeader: index === 0,
+      isLeader: index === world.publishers[0],
       isReader: index < readers,
-      isPublisher: index === 1,
+      isPublisher: index === world.publishers[1],
       fleetSize: count,
     }),
-    lapseAfterMs: 2_400,
+    lapseAfterMs: world.lapseAfterMs,
+    drainWithinMs: () => world.drainWithinMs,
     listener: {
       catalogChanged() {},
       zonesChanged() {},
       nodesChanged() {},
       leaderChanged() {},
+      hostListOutdated() {},
       feedLost() {},
       feedRegained() {},
     },
@@ -129,14 +191,16 @@
       world.storeRequests += 1;
       return client.list(prefix);
     },
-    changes: (prefix, after, waitMs) => {
+    changes: async (prefix, after, waitMs) => {
       world.storeRequests += 1;
       if (index > 1 && prefix === SCHEMA.hostPrefix) world.subscriberReads += 1;
       const hasNoResponse = world.withoutLongPollResponses.has(index) &&
         waitMs > 100;
-      return hasNoResponse
-        ? new Promise(() => {})
-        : client.changes(prefix, after, waitMs);
+      const res = hasNoResponse
+        ? undefined
+        : await client.changes(prefix, after, waitMs);
+      const isLost = res === undefined || world.withoutResponses.has(index);
+      return isLost ? new Promise(() => {}) : res;
     },
   };
 }
@@ -148,7 +212,8 @@
   for (const to of world.followers) {
     if (to === from) continue;
     world.timers.after(3, () => {
-      to.state.receiveUpdate(update);
+      to.state.receiveUpdate(update, true);
+      recordFalseConfirmations(world);
       to.catalog.recordPeerConfirmation(version, confirmationAgeMs);
     });
   }
@@ -212,7 +277,7 @@
 ): Promise<void> {
   await world.timers.run(2_500);
   world.isPartitioned = true;
-  world.store.remove("hosts/h4");
+  removeHost(world, "h4");
   await world.timers.run(ms);
   world.isPartitioned = false;
 }
@@ -232,6 +297,42 @@
   },
 );
 
+When(
+  "at {int} moments, {int} milliseconds apart, publishers get no response as a host leaves",
+  { timeout: 60_000 },
+  async function (this: HostChangesWorld, moments: number, stepMs: number) {
+    for (let i = 0; i < moments; i++) {
+      await this.timers.run(15_000 + i * stepMs);
+      this.withoutResponses = new Set([0, 1]);
+      removeHost(this, `h${i}`);
+      this.learnedAfterMs.push(await timeUntilGone(this, `h${i}`));
+      this.withoutResponses.clear();
+    }
+  },
+);
+
+/** Time until every node but the publishers knows that a host has left. */
+async function timeUntilGone(
+  world: HostChangesWorld,
+  id: string,
+): Promise<number> {
+  const startedAt = world.timers.now();
+  const subscribers = world.followers.slice(2);
+  while (subscribers.some(({ hosts }) => hosts.get(id) !== undefined)) {
+    await world.timers.run(50);
+  }
+  return world.timers.now() - startedAt;
+}
+
+Then(
+  "at each moment every other node learned of it within {int} milliseconds",
+  function (this: HostChangesWorld, ms: number) {
+    const late = this.learnedAfterMs.filter((afterMs) => afterMs > ms);
+    assert.deepEqual(late, []);
+    assert.deepEqual([...this.falseConfirmations], []);
+  },
+);
+
 When(
   "a host leaves and a node that starts later lists the hosts",
   async function (this: HostChangesWorld) {
@@ -271,12 +372,41 @@
         }],
         isTruncated: false,
         hostRevision: 6,
+        hostRead: undefined,
         operatorRevision: 0,
-      });
+      }, true);
+    }
+  },
+);
+
+When(
+  "a publisher sends the removal of a host, which it takes for a lapse",
+  function (this: HostChangesWorld) {
+    const change = {
+      key: "hosts/h4",
+      revision: 1_000_000,
+      previous: 0,
+      value: undefined,
+      isLapsed: true,
+    };
+    for (const { state } of this.followers) {
+      const update = state.createUpdate();
+      state.receiveUpdate({ ...update, hostChanges: [change] }, true);
     }
   },
 );
 
+When(
+  "nodes {int} and {int} become the publishers and a host leaves",
+  async function (this: HostChangesWorld, leader: number, other: number) {
+    // Subscribers are in their long pause by now.
+    await this.timers.run(2_000);
+    this.publishers = [leader, other];
+    await this.timers.run(50);
+    removeHost(this, "h4");
+  },
+);
+
 When(
   "the long polls of node {int} get no response and a zone is taken out of service",
   async function (this: HostChangesWorld, index: number) {
@@ -291,6 +421,7 @@
   ms: number,
 ): Promise<void> {
   await world.timers.run(ms);
+  assert.deepEqual([...world.falseConfirmations], []);
   for (const { hosts } of world.followers) {
     for (let i = 0; i < 20; i++) {
       const stored = world.store.readValue(`hosts/h${i}`);
@@ -325,6 +456,12 @@
   },
 );
 
+Then("no node lists the host", function (this: HostChangesWorld) {
+  for (const { hosts } of this.followers) {
+    assert.equal(hosts.get("h4"), undefined);
+  }
+});
+
 Then("no node adds the host again", function (this: HostChangesWorld) {
   for (const { hosts } of this.followers) {
     assert.equal(hosts.get("h4"), undefined);
--- /dev/null
+++ b/features/steps/node_fleet_steps.ts
@@ -0,0 +1,90 @@
+/**
+ * Steps of leaving_hosts.feature: whole nodes in virtual time.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { Given, Then, When } from "@cucumber/cucumber";
+import { NodeDisruptions } from "./node_disruptions.ts";
+import type { NodeMachine } from "./node_fleet.ts";
+import { NodeFleet } from "./node_fleet.ts";
+
+interface NodeFleetWorld {
+  nodeFleet: NodeFleet;
+  disruptions: NodeDisruptions;
+}
+
+Given(
+  "{int} nodes with seed {int} that may send requests to a leaving host for {int} seconds",
+  { timeout: 60_000 },
+  async function (
+    this: NodeFleetWorld,
+    size: number,
+    seed: number,
+    seconds: number,
+  ) {
+    this.nodeFleet = new NodeFleet(size, seed, seconds * 1_000);
+    this.disruptions = new NodeDisruptions(this.nodeFleet);
+    await this.nodeFleet.start();
+  },
+);
+
+When(
+  "in {int} rounds nodes are disrupted while a host leaves",
+  { timeout: 300_000 },
+  async function (this: NodeFleetWorld, rounds: number) {
+    for (let i = 0; i < rounds; i++) await this.disruptions.runRound();
+  },
+);
+
+When(
+  "the leader and the node with the lowest id restart in turn {int} times, each time as a host leaves",
+  { timeout: 120_000 },
+  async function (this: NodeFleetWorld, times: number) {
+    const { nodeFleet, disruptions } = this;
+    for (let i = 0; i < times; i++) {
+      // The moment within the long pause between two polls differs each time.
+      await nodeFleet.timers.run(14_000 + i * 1_200);
+      await disruptions.restartInTurn(publishersOf(nodeFleet));
+      nodeFleet.leave(nodeFleet.servingHosts[0], "announced");
+      nodeFleet.addHost();
+    }
+    await nodeFleet.timers.run(9_000);
+  },
+);
+
+When(
+  "the store turns away the leader and every third node {int} times, each time as a host leaves",
+  { timeout: 120_000 },
+  async function (this: NodeFleetWorld, times: number) {
+    const { nodeFleet, disruptions } = this;
+    for (let i = 0; i < times; i++) {
+      await nodeFleet.timers.run(14_000);
+      const every3rd = nodeFleet.machines.filter((_, index) => index % 3 === 0);
+      disruptions.turnAway(
+        new Set([...publishersOf(nodeFleet), ...every3rd]),
+        i % 2 === 0 ? "silent" : "refused",
+        6_000,
+      );
+      await nodeFleet.timers.run(50 + i * 400);
+      nodeFleet.leave(nodeFleet.servingHosts[0], "announced");
+      nodeFleet.addHost();
+    }
+    await nodeFleet.timers.run(9_000);
+  },
+);
+
+/** The leader, and the node with the lowest id or, if it leads, the next one. */
+function publishersOf({ leader, running }: NodeFleet): NodeMachine[] {
+  assert.ok(leader, "No node leads");
+  const lowest = running.find((machine) => machine !== leader);
+  assert.ok(lowest);
+  return [lowest, leader];
+}
+
+Then(
+  "no node in touch sends requests to a leaving host any longer",
+  function (this: NodeFleetWorld) {
+    assert.deepEqual(this.disruptions.late, []);
+  },
+);
--- a/features/steps/relay_fixture.ts
+++ b/features/steps/relay_fixture.ts
@@ -99,6 +99,7 @@
     peers: () => 0,
     catalogVersion: () => this.catalog.version,
     confirmationAgeMs: () => this.catalog.confirmationAgeMs,
+    hostListAgeMs: () => 0,
     isLeader: () => false,
   });
   /** This node among the nodes of the fleet. */
--- a/features/steps/sample_status.ts
+++ b/features/steps/sample_status.ts
@@ -42,6 +42,7 @@
     }],
     isTruncated: false,
     hostRevision: 9,
+    hostRead: { ageMs: 12, revision: 11, changeRevision: 9 },
     operatorRevision: 7,
     demand: { large: 1 },
     peers: ["10.0.0.2:7"],
--- a/features/steps/settings_watcher_steps.ts
+++ b/features/steps/settings_watcher_steps.ts
@@ -33,6 +33,7 @@
 [bounds]
 confirm_keys_within = 5000ms
 change_in_force_within = 2000ms
+drain_within = 2s
 shutdown_within = 8s
 stall = 4000ms
 retry_ratio = 0.2
--- a/src/core/fleet/change_feed.ts
+++ b/src/core/fleet/change_feed.ts
@@ -25,6 +25,11 @@
 /** First pause after a failed request; doubles up to the maximum. */
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 400;
+/**
+ * `pollSoon` abandons a request in progress only if it is older than this: by
+ * then, a poll with a short wait has completed or timed out.
+ */
+const ABANDON_REQUEST_AFTER_MS = 900;
 
 /** Receives what the feed reads. */
 export interface FeedListener {
@@ -34,10 +39,11 @@
    */
   onListing(items: readonly CoordinationItem[], asOf: number): void;
   onEvents(events: readonly CoordinationEvent[]): void;
-  /** Called when every change up to revision `asOf` has been delivered. */
-  onProgress?(asOf: number): void;
-  /** Called when everything written before `requestedAt` has been read. */
-  onConfirmed(requestedAt: ClockReading): void;
+  /**
+   * Called when everything written before `requestedAt`, and every change up to
+   * revision `asOf`, has been delivered.
+   */
+  onConfirmed(requestedAt: ClockReading, asOf: number): void;
   /** Called after a failed request, unless the history was compacted. */
   onRequestFailed(detail: string): void;
 }
@@ -69,6 +75,7 @@
   /** Ends the pause, or abandons the long poll in progress. */
   #interrupt: (() => void) | undefined;
   #lastRequestAt = -Infinity;
+  #isPaused = false;
 
   constructor(
     timers: Timers,
@@ -96,21 +103,29 @@
     this.#stopped = true;
   }
 
-  /** Monotonic time at which the last request started, in milliseconds. */
-  get lastRequestAt(): number {
-    return this.#lastRequestAt;
-  }
-
-  /** Polls at once: abandons the long poll or the pause in progress. */
-  pollNow(): void {
+  /**
+   * Polls at once, unless a request has just begun: abandons the long poll or the
+   * pause in progress.
+   */
+  pollSoon(): void {
+    const sinceRequestMs = this.#timers.now() - this.#lastRequestAt;
+    if (sinceRequestMs <= ABANDON_REQUEST_AFTER_MS) return;
     this.#isPollRequested = true;
     this.#interrupt?.();
   }
 
+  /** Ends the pause in progress if the timing has become shorter. */
+  endPauseIfDue(): void {
+    if (this.#isPaused && this.#pauseLeftMs <= 0) this.#interrupt?.();
+  }
+
+  get #pauseLeftMs(): number {
+    return this.#lastRequestAt + this.#timing().pauseMs - this.#timers.now();
+  }
+
   async #follow(): Promise<void> {
     while (!this.#stopped) {
-      const startedAt = this.#timers.now();
-      this.#lastRequestAt = startedAt;
+      this.#lastRequestAt = this.#timers.now();
       const requestedAt = this.#readClocks();
       const err = this.#asOf === undefined
         ? await this.#list(requestedAt)
@@ -120,20 +135,21 @@
       this.#lastRequestFailed = err !== undefined;
       if (err === undefined) this.#retryMs = RETRY_MIN_MS;
       else await this.#handleFailure(err);
-      const leftMs = startedAt + this.#timing().pauseMs -
-        this.#timers.now();
+      const leftMs = this.#pauseLeftMs;
       if (leftMs > 0 && !this.#isPollRequested) await this.#pauseFor(leftMs);
     }
   }
 
-  #pauseFor(ms: number): Promise<void> {
-    return new Promise((resolve) => {
+  async #pauseFor(ms: number): Promise<void> {
+    this.#isPaused = true;
+    await new Promise<void>((resolve) => {
       const timer = this.#timers.after(ms, resolve);
       this.#interrupt = () => {
         timer.cancel();
         resolve();
       };
     });
+    this.#isPaused = false;
   }
 
   async #list(
@@ -146,7 +162,7 @@
     if (!res.ok) return res.err;
     this.#asOf = res.value.asOf;
     this.#listener.onListing(res.value.items, res.value.asOf);
-    this.#listener.onConfirmed(requestedAt);
+    this.#listener.onConfirmed(requestedAt, res.value.asOf);
     return undefined;
   }
 
@@ -169,8 +185,7 @@
     if (!res.ok) return res.err;
     this.#asOf = Math.max(after, res.value.asOf);
     if (res.value.events.length > 0) this.#listener.onEvents(res.value.events);
-    this.#listener.onProgress?.(this.#asOf);
-    this.#listener.onConfirmed(requestedAt);
+    this.#listener.onConfirmed(requestedAt, this.#asOf);
     return undefined;
   }
 
--- a/src/core/fleet/host_changes.ts
+++ b/src/core/fleet/host_changes.ts
@@ -9,8 +9,8 @@
   readonly key: string;
   readonly revision: number;
   /**
-   * Newest revision that the publisher knew before this change; a receiver
-   * whose newest revision is lower has missed a change.
+   * Newest revision that the publisher knew before this change. A receiver that
+   * does not have every change up to it has missed one.
    */
   readonly previous: number;
   /** Undefined if the announcement was removed. */
@@ -35,7 +35,6 @@
   readonly #revisions = new Map<string, number>();
   /** Revision of the last listing, which includes all changes up to it. */
   #listedRevision = 0;
-  #newestRevision = 0;
   /** Every change up to this revision has been received. */
   #completeRevision = 0;
   #lastEventRevision = 0;
@@ -45,14 +44,16 @@
   reset(asOf: number, keys: Iterable<readonly [string, number]>): void {
     this.#listedRevision = asOf;
     this.recordProgress(asOf);
-    this.#newestRevision = Math.max(this.#newestRevision, asOf);
     this.#revisions.clear();
     for (const [key, revision] of keys) this.#revisions.set(key, revision);
   }
 
-  /** Newest revision known, from a listing or a change. */
-  get newestRevision(): number {
-    return this.#newestRevision;
+  /**
+   * Revision that no received change exceeds. A listing doesn't show when hosts
+   * were removed, so it counts with its own revision.
+   */
+  get newestChangeRevision(): number {
+    return Math.max(this.#listedRevision, this.#lastEventRevision);
   }
 
   /**
@@ -63,14 +64,14 @@
     return this.#lastEventRevision;
   }
 
-  /** Records that the store has delivered every change up to a revision. */
+  /** Records that every change up to a revision has been received. */
   recordProgress(asOf: number): void {
     this.#completeRevision = Math.max(this.#completeRevision, asOf);
   }
 
-  /** Whether changes up to a revision, known from a peer, are missing here. */
+  /** Whether changes up to a revision may be missing here. */
   isMissing(revision: number): boolean {
-    return revision > Math.max(this.#completeRevision, this.#newestRevision);
+    return revision > this.#completeRevision;
   }
 
   /** Records a change; returns false if the known state is as new or newer. */
@@ -79,11 +80,15 @@
       return false;
     }
     this.#revisions.set(key, revision);
-    this.#newestRevision = Math.max(this.#newestRevision, revision);
     this.#lastEventRevision = Math.max(this.#lastEventRevision, revision);
     return true;
   }
 
+  /** Records that a peer's change was received. */
+  recordReceived({ previous, revision }: HostChange): void {
+    if (!this.isMissing(previous)) this.recordProgress(revision);
+  }
+
   /**
    * Queues a change from the store for publishing, and removes an older queued
    * change of the same host.
--- /dev/null
+++ b/src/core/fleet/host_list.ts
@@ -0,0 +1,335 @@
+/**
+ * The hosts that the store lists, as this process and its peers read them.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { Timers } from "../../base/timers.ts";
+import type {
+  CoordinationEvent,
+  CoordinationItem,
+  CoordinationStore,
+} from "../../ports/coordination_store.ts";
+import type { FleetSchema } from "../../ports/fleet_schema.ts";
+import type { ClockReading } from "../catalog/confirmation.ts";
+import { Confirmation } from "../catalog/confirmation.ts";
+import type { FeedTiming } from "./change_feed.ts";
+import { ChangeFeed } from "./change_feed.ts";
+import type { HostChange } from "./host_changes.ts";
+import { HostChanges } from "./host_changes.ts";
+import type { HostRegistry } from "./host_registry.ts";
+import type { StoreReachability } from "./store_reachability.ts";
+
+/** Name of the feed of host announcements. */
+const HOST_FEED = "hosts";
+/**
+ * An announcement that is missing within this time after an outage may merely
+ * have lapsed, while its host is live.
+ */
+const POST_OUTAGE_GRACE_MS = 600;
+/** For this time after a store outage, nodes poll the store themselves. */
+const POST_OUTAGE_POLLING_MS = 4_000;
+/**
+ * A node polls the store itself once its list is older than this share of the
+ * time within which requests to a leaving host must end.
+ */
+const MAX_AGE_RATIO = 0.5;
+/**
+ * The same, as a share of the shortest outage in which announcements lapse:
+ * without an outage the list must never be that old.
+ */
+const MAX_AGE_LAPSE_RATIO = 0.6;
+/**
+ * Share of the maximum age for which a publisher's poll waits. A list at a peer
+ * is as old as two such polls and the peers' statuses take.
+ */
+const PUBLISHER_WAIT_RATIO = 0.25;
+/** Shortest time between polls of the leader; it forms the replica groups. */
+const LEADER_PAUSE_MS = 40;
+const LARGE_LEADER_PAUSE_MS = 60;
+const PUBLISHER_PAUSE_MS = 200;
+const HOST_TIMING = { waitMs: 2_000, pauseMs: 350 };
+/** For nodes of a large fleet that receive host changes from a publisher. */
+const SUBSCRIBER_TIMING = { waitMs: 2_000, pauseMs: 12_000 };
+/** For nodes of a large fleet that receive no host changes from a publisher. */
+const FALLBACK_TIMING = { waitMs: 2_000, pauseMs: 700 };
+
+/** A process's last read of the hosts from the store. */
+export interface HostRead {
+  /** Time since the process requested it, in milliseconds. */
+  readonly ageMs: number;
+  /** Every change up to this revision of the store was read. */
+  readonly revision: number;
+  /**
+   * The newest of these changes is not newer than this. A peer that has every
+   * change up to it has all that were made before the read was requested.
+   */
+  readonly changeRevision: number;
+}
+
+/** What one process read of the hosts, for its peers. */
+export interface HostUpdate {
+  /** Whether the process polls host changes often, and publishes them. */
+  readonly publishesHosts: boolean;
+  readonly hostChanges: readonly HostChange[];
+  /** Whether older changes were left out, so that peers must poll the store. */
+  readonly isTruncated: boolean;
+  /** Revision of the newest host change from the feed or a peer; 0 for none. */
+  readonly hostRevision: number;
+  /** Undefined if the last read is too old to be of use to peers. */
+  readonly hostRead: HostRead | undefined;
+}
+
+/** This node's part in reading the hosts. */
+export interface HostListRole {
+  readonly isLeader: boolean;
+  /** Whether the node publishes host changes while another node leads. */
+  readonly isPublisher: boolean;
+  /** Whether some nodes of the fleet read the hosts for the others. */
+  readonly isFleetLarge: boolean;
+}
+
+/** Dependencies of {@linkcode HostList}. */
+export interface HostListDependencies {
+  readonly timers: Timers;
+  readonly store: CoordinationStore;
+  readonly schema: FleetSchema;
+  readonly hosts: HostRegistry;
+  readonly reachability: StoreReachability;
+  readonly readClocks: () => ClockReading;
+  readonly role: () => HostListRole;
+  /** Shortest store outage in which a live host's announcement can lapse. */
+  readonly lapseAfterMs: number;
+  /** Time within which requests to a leaving host must end. */
+  readonly drainWithinMs: () => number;
+  /** Called when the list has become too old and is polled. */
+  readonly onOutdated: (ageMs: number) => void;
+}
+
+/**
+ * Keeps the host registry up to date, and the age of what it knows: every change
+ * that the store accepted before then has been applied. The age follows from
+ * reads of the store alone, by this process or by a peer whose changes it has. A
+ * process whose list is too old polls the store, whichever nodes should publish.
+ */
+export class HostList {
+  readonly #deps: HostListDependencies;
+  readonly #feed: ChangeFeed;
+  readonly #changes = new HostChanges();
+  readonly #confirmation: Confirmation;
+  /** Confirmations by the reads of publishers alone. */
+  readonly #publisherConfirmation: Confirmation;
+  /** Confirmations by the reads of this process alone. */
+  readonly #ownConfirmation: Confirmation;
+  /** Revision that this process's last read reached. */
+  #ownRevision = 0;
+  /** When the last outage ended that was long enough for entries to lapse. */
+  #longOutageEndedAt = -Infinity;
+  #isOutdated = false;
+
+  constructor(deps: HostListDependencies) {
+    this.#deps = deps;
+    this.#confirmation = this.#createConfirmation();
+    this.#publisherConfirmation = this.#createConfirmation();
+    this.#ownConfirmation = this.#createConfirmation();
+    this.#feed = this.#createFeed();
+  }
+
+  /** Starts following. */
+  start(): void {
+    this.#feed.start();
+  }
+
+  /**
+   * Time since the list was last known to be complete, in milliseconds; infinite
+   * before the first read.
+   */
+  get ageMs(): number {
+    return this.#confirmation.ageMs;
+  }
+
+  /** Returns what this process read, to publish it to peers. */
+  createUpdate(): HostUpdate {
+    const publishesHosts = this.#isPublisher;
+    const now = this.#deps.timers.now();
+    const { changes, isTruncated } = this.#changes.changesToPublish(now);
+    return {
+      publishesHosts,
+      hostChanges: publishesHosts ? changes : [],
+      isTruncated: publishesHosts && isTruncated,
+      hostRevision: publishesHosts ? this.#changes.lastEventRevision : 0,
+      hostRead: this.#readForPeers(),
+    };
+  }
+
+  /**
+   * Applies what a peer read. `isFresh` is false if the update may have waited to
+   * be received, so that its ages are too small.
+   */
+  receiveUpdate(update: HostUpdate, isFresh: boolean): void {
+    for (const change of update.hostChanges) {
+      if (this.#changes.accept(change)) {
+        const isLapsed = change.isLapsed && this.#mayHaveLapsed;
+        this.#apply({ ...change, isLapsed });
+      }
+      this.#changes.recordReceived(change);
+    }
+    const isGap = this.#changes.isMissing(update.hostRevision);
+    if (isGap || update.isTruncated) this.#feed.pollSoon();
+    if (isFresh) this.#confirmByPeer(update);
+  }
+
+  /** Polls the store if the list is too old, or this node's role asks for it. */
+  check(): void {
+    const { ageMs } = this;
+    const isOutdated = ageMs > this.#maxAgeMs;
+    if (isOutdated) this.#feed.pollSoon();
+    if (isOutdated && !this.#isOutdated) this.#deps.onOutdated(ageMs);
+    this.#isOutdated = isOutdated;
+    this.#feed.endPauseIfDue();
+  }
+
+  #createConfirmation(): Confirmation {
+    const { readClocks } = this.#deps;
+    return new Confirmation(
+      () => readClocks().monotonic,
+      () => readClocks().wall,
+    );
+  }
+
+  #readForPeers(): HostRead | undefined {
+    const { ageMs } = this.#ownConfirmation;
+    if (ageMs > this.#maxAgeMs) return undefined;
+    return {
+      ageMs,
+      revision: this.#ownRevision,
+      changeRevision: this.#changes.newestChangeRevision,
+    };
+  }
+
+  /** Confirms the list by a peer's read if all changes up to the read are known. */
+  #confirmByPeer({ publishesHosts, hostRead }: HostUpdate): void {
+    if (hostRead === undefined) return;
+    const { ageMs, revision, changeRevision } = hostRead;
+    if (this.#changes.isMissing(changeRevision)) return;
+    this.#changes.recordProgress(revision);
+    if (publishesHosts) this.#publisherConfirmation.recordWithAge(ageMs);
+    this.#recordOutage(ageMs);
+    this.#confirmation.recordWithAge(ageMs);
+  }
+
+  /** Records the end of a long outage if the list has not been confirmed for long. */
+  #recordOutage(newAgeMs: number): void {
+    const { timers, lapseAfterMs } = this.#deps;
+    const { ageMs } = this;
+    if (ageMs === Infinity || ageMs - newAgeMs < lapseAfterMs) return;
+    this.#longOutageEndedAt = timers.now();
+  }
+
+  /**
+   * Whether missing announcements may merely have lapsed during a store outage:
+   * neither this process nor a peer has read the hosts for long.
+   */
+  get #mayHaveLapsed(): boolean {
+    const { timers, lapseAfterMs } = this.#deps;
+    const { ageMs } = this;
+    return (ageMs !== Infinity && ageMs >= lapseAfterMs) ||
+      timers.now() - this.#longOutageEndedAt < POST_OUTAGE_GRACE_MS;
+  }
+
+  get #maxAgeMs(): number {
+    const { drainWithinMs, lapseAfterMs } = this.#deps;
+    return Math.min(
+      drainWithinMs() * MAX_AGE_RATIO,
+      lapseAfterMs * MAX_AGE_LAPSE_RATIO,
+    );
+  }
+
+  get #isPublisher(): boolean {
+    const { isLeader, isPublisher, isFleetLarge } = this.#deps.role();
+    return isLeader || (isFleetLarge && isPublisher);
+  }
+
+  /** Whether a publisher's reads arrive, so that this process can poll rarely. */
+  get #hasPublisher(): boolean {
+    const { timers, reachability } = this.#deps;
+    return this.#publisherConfirmation.ageMs < this.#maxAgeMs &&
+      !reachability.isUnreachable &&
+      timers.now() - reachability.regainedAt > POST_OUTAGE_POLLING_MS;
+  }
+
+  #timing(): FeedTiming {
+    const { isLeader, isFleetLarge } = this.#deps.role();
+    const waitMs = this.#maxAgeMs * PUBLISHER_WAIT_RATIO;
+    if (isLeader) {
+      const pauseMs = isFleetLarge ? LARGE_LEADER_PAUSE_MS : LEADER_PAUSE_MS;
+      return { waitMs, pauseMs };
+    }
+    if (!isFleetLarge) return HOST_TIMING;
+    if (this.#isPublisher) return { waitMs, pauseMs: PUBLISHER_PAUSE_MS };
+    return this.#hasPublisher ? SUBSCRIBER_TIMING : FALLBACK_TIMING;
+  }
+
+  #createFeed(): ChangeFeed {
+    const { timers, store, schema, hosts, reachability, readClocks } =
+      this.#deps;
+    return new ChangeFeed(
+      timers,
+      store,
+      schema.hostPrefix,
+      () => this.#timing(),
+      readClocks,
+      {
+        onListing: (items, asOf) => {
+          this.#changes.reset(
+            asOf,
+            items.map(({ key, revision }) => [key, revision]),
+          );
+          const listed = items.flatMap((item) => this.#parse(item) ?? []);
+          hosts.replaceAll(listed, timers.now(), this.#mayHaveLapsed);
+        },
+        onEvents: (events) => this.#handleEvents(events),
+        onConfirmed: (requestedAt, asOf) =>
+          this.#recordOwnRead(requestedAt, asOf),
+        onRequestFailed: (detail) =>
+          reachability.recordFailure(HOST_FEED, detail),
+      },
+    );
+  }
+
+  #parse({ key, value }: CoordinationItem) {
+    return this.#deps.schema.parseHost(key, value);
+  }
+
+  #recordOwnRead(requestedAt: ClockReading, revision: number): void {
+    this.#deps.reachability.recordSuccess(HOST_FEED);
+    this.#changes.recordProgress(revision);
+    this.#ownConfirmation.record(requestedAt);
+    this.#ownRevision = revision;
+    this.#recordOutage(this.#ownConfirmation.ageMs);
+    this.#confirmation.record(requestedAt);
+  }
+
+  #handleEvents(events: readonly CoordinationEvent[]): void {
+    const now = this.#deps.timers.now();
+    const isLapsed = this.#mayHaveLapsed;
+    for (const { key, value, revision } of events) {
+      const previous = this.#changes.newestChangeRevision;
+      const text = value && Buffer.from(value).toString("utf8");
+      const change = { key, revision, previous, value: text, isLapsed };
+      if (!this.#changes.accept(change)) continue;
+      this.#changes.enqueue(change, now);
+      this.#apply(change);
+    }
+  }
+
+  #apply({ key, value, isLapsed }: HostChange): void {
+    const { schema, hosts, timers } = this.#deps;
+    const now = timers.now();
+    const host = value === undefined
+      ? undefined
+      : schema.parseHost(key, Buffer.from(value));
+    if (host !== undefined) return hosts.announce(host, now);
+    hosts.withdraw(key.slice(schema.hostPrefix.length), now, isLapsed);
+  }
+}
--- a/src/core/gossip/message_codec.ts
+++ b/src/core/gossip/message_codec.ts
@@ -129,6 +129,11 @@
     ]),
     m: msg.isTruncated,
     j: msg.hostRevision,
+    hr: msg.hostRead && [
+      Math.ceil(msg.hostRead.ageMs),
+      msg.hostRead.revision,
+      msg.hostRead.changeRevision,
+    ],
     y: msg.operatorRevision,
     w: msg.demand,
     p: [...msg.peers],
@@ -191,6 +196,11 @@
     })),
     isTruncated: wire.m,
     hostRevision: wire.j,
+    hostRead: wire.hr && {
+      ageMs: wire.hr[0],
+      revision: wire.hr[1],
+      changeRevision: wire.hr[2],
+    },
     operatorRevision: wire.y,
     demand: wire.w,
     peers: [...wire.p],
--- a/src/core/gossip/messages.ts
+++ b/src/core/gossip/messages.ts
@@ -7,6 +7,7 @@
 import type { Membership } from "../../world/serving_host.ts";
 import type { SuspicionKind } from "../fleet/suspicion_tracker.ts";
 import type { HostChange } from "../fleet/host_changes.ts";
+import type { HostRead } from "../fleet/host_list.ts";
 
 /** Load that one node puts on one upstream. */
 export interface LoadStatus {
@@ -116,6 +117,11 @@
   readonly isTruncated: boolean;
   /** Revision of the newest host change that the node saw; 0 for none. */
   readonly hostRevision: number;
+  /**
+   * The node's last read of the hosts from the store; undefined if it is too old
+   * to be of use to peers.
+   */
+  readonly hostRead: HostRead | undefined;
   /** Revision of the newest operators' document that the node saw. */
   readonly operatorRevision: number;
   /** Engine time that requests need, in milliseconds per second, by model. */
@@ -152,6 +158,10 @@
     ...status,
     ageMs: status.ageMs + elapsedMs,
     confirmedMs: advance(status.confirmedMs),
+    hostRead: status.hostRead && {
+      ...status.hostRead,
+      ageMs: status.hostRead.ageMs + elapsedMs,
+    },
     loads: status.loads.map((load) => ({
       ...load,
       silentMs: advance(load.silentMs),
--- a/src/core/gossip/wire_status.ts
+++ b/src/core/gossip/wire_status.ts
@@ -51,6 +51,7 @@
   rank: number,
   state: MembershipState,
 ];
+type Read = [ageMs: number, revision: number, changeRevision: number];
 /** A host change on the wire; `value` is null if the host was removed. */
 export type WireChange = [
   key: string,
@@ -111,6 +112,8 @@
   readonly m: boolean;
   /** hostRevision */
   readonly j: number;
+  /** hostRead; absent if undefined, and from nodes of earlier versions */
+  readonly hr?: Read;
   /** operatorRevision */
   readonly y: number;
   /** demand */
@@ -170,14 +173,14 @@
   if (typeof value !== "object" || value === null) return false;
   const { n, i, a, c, z, s, l, d, u, k, h, e, p, w, cp, sp, hl, ac, ...rest } =
     value as WireStatus;
-  const { g, v, t, x, j, y, o, f, m } = rest;
+  const { g, v, t, x, j, y, o, f, m, hr } = rest;
   return [n, i, a, c, z].every(isText) && NODE_STATES.has(s) &&
     [g, v, t, x, j, y].every(isNumber) && [o, f, m].every(isBoolean) &&
     isListOf(l, isLoad) && isListOf(d, isSuspicion) && isListOf(u, isAged) &&
     isListOf(k, isStrike) && isOptionalListOf(cp, isSuspectPart) &&
     isOptionalListOf(sp, isAged) && isOptionalListOf(hl, isHostLimit) &&
     isListOf(h, isHost) &&
-    isListOf(e, isChange) &&
+    isListOf(e, isChange) && (hr === undefined || isRead(hr)) &&
     isListOf(p, isText) && typeof w === "object" && w !== null &&
     Object.values(w).every(isNumber) && (ac === undefined || isBoolean(ac));
 }
@@ -227,6 +230,10 @@
     isBoolean(value[4]);
 }
 
+function isRead(value: unknown): boolean {
+  return isTuple(value, 3) && value.every(isNumber);
+}
+
 function isTuple(value: unknown, length: number): value is unknown[] {
   return Array.isArray(value) && value.length === length;
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -296,6 +296,7 @@
       catalogVersion: () => this.#catalog.version,
       // The age is infinite before the first confirmation.
       confirmationAgeMs: () => Math.min(1e9, this.#catalog.confirmationAgeMs),
+      hostListAgeMs: () => Math.min(1e9, this.#fleetState.hostListAgeMs),
       isLeader: () => this.#isLeader,
     });
   }
@@ -316,6 +317,7 @@
         fleetSize: this.#gossip.fleetSize,
       }),
       lapseAfterMs: MIN_LAPSING_OUTAGE_HEARTBEATS * settings.platform.heartbeat,
+      drainWithinMs: () => this.#settings.bounds.drain_within,
       listener: {
         catalogChanged: (version) => {
           const catalog = this.#catalog.inForce?.catalog;
@@ -337,6 +339,11 @@
           this.#isNotLeaseHolder = nodeId !== settings.node.id;
           log.info("acting_node", { acting: nodeId });
         },
+        hostListOutdated: (ageMs) =>
+          log.info("host_list_outdated", {
+            // The age is infinite before the first read.
+            ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+          }),
         feedLost: (feed, detail) => log.warn("store_lost", { feed, detail }),
         feedRegained: (feed, silentMs) =>
           log.info("store_regained", { feed, silentMs: Math.round(silentMs) }),
@@ -428,7 +435,7 @@
     const { loads, ageMs: statusAgeMs } = status;
     this.relay.loads.recordPeerLoads(status.node, loads, now, statusAgeMs);
     this.#observations.apply(status, now);
-    this.#fleetState.receiveUpdate(status);
+    this.#fleetState.receiveUpdate(status, this.#pauseDetector.isFresh);
     if (this.#fleetState.isStoreUnreachable && !this.#isLeader) {
       for (const host of status.hosts) this.#applyHostStatus(host);
     }
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -17,6 +17,7 @@
   readonly peers: () => number;
   readonly catalogVersion: () => number;
   readonly confirmationAgeMs: () => number;
+  readonly hostListAgeMs: () => number;
   readonly isLeader: () => boolean;
 }
 
@@ -107,6 +108,7 @@
       oleander_peers: gauges.peers,
       oleander_catalog_version: gauges.catalogVersion,
       oleander_catalog_confirmation_age_ms: gauges.confirmationAgeMs,
+      oleander_host_list_age_ms: gauges.hostListAgeMs,
       oleander_acting: () => gauges.isLeader() ? 1 : 0,
     };
     for (const [name, read] of Object.entries(gaugeReaders)) {
--- a/src/settings/node_settings.ts
+++ b/src/settings/node_settings.ts
@@ -48,6 +48,8 @@
     /** Time within which all nodes must refuse a revoked API key. */
     confirm_keys_within: Duration,
     change_in_force_within: Duration,
+    /** Time within which nodes send a leaving host no more requests. */
+    drain_within: Duration,
     /** Time from SIGTERM until the platform kills the process. */
     shutdown_within: Duration,
     stall: Duration,
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -380,15 +380,56 @@
       replace: "if (revision <= -1)",
     }],
   },
+  {
+    promise: 8,
+    tag: "@gossip",
+    mechanism: "A node whose list of hosts is too old queries the store itself",
+    edits: [{
+      file: "fleet/host_list.js",
+      find: "const isOutdated = ageMs > this.#maxAgeMs;",
+      replace: "const isOutdated = ageMs > Infinity;",
+    }],
+  },
+  {
+    promise: 8,
+    tag: "@gossip",
+    mechanism: "The age of a list of hosts includes the age of the peer's read",
+    edits: [{
+      file: "fleet/host_list.js",
+      find: "this.#confirmation.recordWithAge(ageMs);",
+      replace: "this.#confirmation.recordWithAge(0);",
+    }],
+  },
   {
     promise: 8,
     tag: "@gossip",
     mechanism:
-      "A node without a publisher of host changes queries the store itself",
+      "A peer's read confirms a list only if no change before the read is missing",
     edits: [{
-      file: "fleet/fleet_state.js",
-      find: "now - this.#publisherSeenAt < PUBLISHER_TIMEOUT_MS",
-      replace: "now - this.#publisherSeenAt < Infinity",
+      file: "fleet/host_list.js",
+      find: "if (this.#changes.isMissing(changeRevision))",
+      replace: "if (false)",
+    }],
+  },
+  {
+    promise: 8,
+    tag: "@gossip",
+    mechanism: "A new publisher ends its long pause",
+    edits: [{
+      file: "fleet/host_list.js",
+      find: "this.#feed.endPauseIfDue();",
+      replace: "",
+    }],
+  },
+  {
+    promise: 8,
+    tag: "@gossip",
+    mechanism:
+      "A node takes a removal for a lapse only if it was without reads, too",
+    edits: [{
+      file: "fleet/host_list.js",
+      find: "change.isLapsed && this.#mayHaveLapsed",
+      replace: "change.isLapsed",
     }],
   },
   {
@@ -406,10 +447,10 @@
     promise: 8,
     tag: "@gossip",
     mechanism:
-      "A gap in the published host changes makes a node query the store",
+      "A published host change does not complete a list that lacks an earlier one",
     edits: [{
-      file: "fleet/fleet_state.js",
-      find: "isGap ||= change.previous > this.#changes.newestRevision;",
+      file: "fleet/host_changes.js",
+      find: "if (!this.isMissing(previous))",
       replace: "",
     }],
   },
@@ -419,9 +460,9 @@
     mechanism:
       "The loss of a host change is detected even if no other change follows",
     edits: [{
-      file: "fleet/fleet_state.js",
-      find: "isGap ||= this.#changes.isMissing(update.hostRevision);",
-      replace: "",
+      file: "fleet/host_list.js",
+      find: "const isGap = this.#changes.isMissing(update.hostRevision);",
+      replace: "const isGap = false;",
     }],
   },
   {
