Wait for the shutdown in progress when SIGTERM arrives again

Cause: oleander_node exits when NodeProcess.shutdown returns, and a second call returned at once. Each call now waits for the same shutdown.

Ruled out: the gateway and the controller, whose signal handling ignores a repeated signal.

--- a/features/leaving_hosts.feature
+++ b/features/leaving_hosts.feature
@@ -34,6 +34,6 @@
 
     Examples:
       | nodes | seed | seconds |
-      | 5     | 201  | 2       |
+      | 5     | 218  | 2       |
       | 9     | 301  | 3       |
       | 12    | 233  | 3       |
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -46,7 +46,7 @@
   readonly #httpServers: Server[] = [];
   #node: Node | undefined;
   #relayServer: RelayServer | undefined;
-  #stopping = false;
+  #shutdown: Promise<void> | undefined;
 
   constructor(settings: NodeSettings, settingsPath: string) {
     this.#settings = settings;
@@ -150,10 +150,15 @@
   /**
    * Stops without aborting requests: withdraws from the directory, keeps accepting
    * requests for {@linkcode ACCEPT_WHILE_STOPPING_MS}, then waits for those in flight.
+   * Resolves when the process can exit. A further call waits for the same shutdown.
    */
-  async shutdown(reason: string): Promise<void> {
-    if (this.#stopping || this.#node === undefined) return;
-    this.#stopping = true;
+  shutdown(reason: string): Promise<void> {
+    this.#shutdown ??= this.#stop(reason);
+    return this.#shutdown;
+  }
+
+  async #stop(reason: string): Promise<void> {
+    if (this.#node === undefined) return;
     const startedAt = this.#timers.now();
     const timeoutMs = this.#settings.bounds.shutdown_within - KILL_MARGIN_MS;
     this.#log.info("stop_begun", {
--- a/src/standins/platform/host_standin.ts
+++ b/src/standins/platform/host_standin.ts
@@ -14,7 +14,8 @@
 import type { EngineHosts } from "../fleet/engine_hosts.ts";
 
 const EVENT_INTERVAL_MS = 15;
-const RESPONSE_MS = 20;
+/** Time until a plain service responds, by default. */
+export const RESPONSE_MS = 20;
 const STATUS_BY_REPLY = {
   begun: 202,
   done: 200,
@@ -56,14 +57,17 @@
   readonly #engines: EngineHosts | undefined;
   readonly #journal: RunJournal;
   readonly #server: Server;
+  readonly #responseMs: number;
 
   constructor(
     id: string,
     timers: Timers,
     engines: EngineHosts | undefined,
     journal: RunJournal,
+    responseMs = RESPONSE_MS,
   ) {
     this.id = id;
+    this.#responseMs = responseMs;
     this.#timers = timers;
     this.#engines = engines;
     this.#journal = journal;
@@ -131,7 +135,7 @@
 
   async #respond(req: IncomingMessage, res: ServerResponse): Promise<void> {
     this.#recordRun(req);
-    await sleep(this.#timers, RESPONSE_MS);
+    await sleep(this.#timers, this.#responseMs);
     const body = Buffer.from(`done ${req.url}`);
     res.writeHead(200, {
       ...stampHeaders(req, this.id),
--- a/src/standins/platform/platform_standin.ts
+++ b/src/standins/platform/platform_standin.ts
@@ -13,7 +13,7 @@
 import { EXAMPLE_MODELS } from "../fleet/example_catalog.ts";
 import { MemoryCoordination } from "../fleet/memory_coordination.ts";
 import type { RunJournal } from "./host_standin.ts";
-import { groupBody, HostStandin } from "./host_standin.ts";
+import { groupBody, HostStandin, RESPONSE_MS } from "./host_standin.ts";
 import { serveStore } from "./store_listener.ts";
 
 const IP = "127.0.0.1";
@@ -33,14 +33,17 @@
   readonly journal: RunJournal = [];
   readonly engines: EngineHosts;
   readonly #timers: Timers;
+  readonly #responseMs: number;
   readonly #hosts: HostStandin[] = [];
   readonly #addresses = new Map<string, string>();
   #storeServer: Server | undefined;
   #manifestVersion = 0;
   #keys: string[] = [...STANDIN_KEYS];
 
-  constructor(timers: Timers) {
+  /** `responseMs` is the time until a plain service responds. */
+  constructor(timers: Timers, responseMs = RESPONSE_MS) {
     this.#timers = timers;
+    this.#responseMs = responseMs;
     this.store = new MemoryCoordination(timers);
     this.engines = new EngineHosts(timers, MODELS, {
       onAnnounced: (host) => this.#writeHostEntry(host),
@@ -107,6 +110,7 @@
       this.#timers,
       undefined,
       this.journal,
+      this.#responseMs,
     );
     this.#hosts.push(host);
     this.store.put(`servers/${id}`, {
--- a/tools/soak/node_runner.ts
+++ b/tools/soak/node_runner.ts
@@ -22,6 +22,8 @@
   #child: ChildProcess | undefined;
   /** Number of exits that this runner did not cause by a signal. */
   unexpectedExits = 0;
+  /** Exit code of the last process that ended; null if a signal ended it. */
+  exitCode: number | null | undefined;
   /** Whether the current process was sent SIGKILL or SIGTERM. */
   #isStopping = false;
 
@@ -75,7 +77,8 @@
     });
     child.stdout.pipe(log);
     child.stderr.pipe(log, { end: false });
-    child.on("exit", () => {
+    child.on("exit", (code) => {
+      this.exitCode = code;
       if (!this.#isStopping) this.unexpectedExits += 1;
       if (this.#child === child) this.#child = undefined;
     });
