Count crashes of a host that starts again under its id

Cause: strikes against a request were a set of upstream ids, so a second crash under the same id added nothing, and two hosts never gave the three strikes that refuse a request. A strike now names one run of an upstream, by its key and the start time that it announces.

Ruled out: a count of crashes without an identity, since several nodes report one crash; prompt parts, which count moments; groups, whose key has a new epoch after a crash.

Conclusion: fixed for hosts that announce a start time; a host without one counts once, as before.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -222,6 +222,20 @@
     Then at most 3 groups crash and it is refused as "crashes_upstreams"
     And no other request is refused as a suspect
 
+  # Guards against a request that goes on crashing the few hosts of a service,
+  # as a host that starts again under its id was not counted twice.
+  Scenario Outline: should refuse a request after three crashes of hosts that start again under their ids
+    Given a relay with <hosts> plain hosts that start again after a crash
+    And a request that crashes every host as it begins to run
+    When the call is sent 12 times, 3000 milliseconds apart
+    Then at most 3 hosts crash and it is refused as "crashes_upstreams"
+
+    Examples:
+      | hosts |
+      | 1     |
+      | 2     |
+      | 4     |
+
   Scenario: should not suspect a request when a single connection is reset
     Given a relay with 2 replica groups of "small"
     And the first group resets the connection within event 1
--- a/features/steps/relay_fixture.ts
+++ b/features/steps/relay_fixture.ts
@@ -175,6 +175,12 @@
     }
   }
 
+  /** Announces that a host of the plain service has started again under its id. */
+  restartCounterHost(id: string): void {
+    const born = (this.#hosts.get(id)?.born ?? 0) + 1;
+    this.#announce({ id, service: "counter", born });
+  }
+
   /** Sends a request to the relay, by default with a valid key. */
   sendRequest(
     path: string,
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -305,7 +305,30 @@
 );
 
 Given(
-  "a request that crashes every group as it begins to run",
+  "a relay with {int} plain hosts that start again after a crash",
+  function (this: RelayWorld, hosts: number) {
+    this.fixture = new RelayFixture();
+    this.fixture.addCounterHosts(hosts);
+    this.fixture.upstreams.onCrash = (id) =>
+      this.fixture.restartCounterHost(id);
+  },
+);
+
+When(
+  "the call is sent {int} times, {int} milliseconds apart",
+  async function (this: RelayWorld, times: number, gapMs: number) {
+    const { catalog, timers } = this.fixture;
+    for (let i = 0; i < times; i++) {
+      // Keys are trusted only if the catalog was confirmed recently.
+      catalog.recordConfirmation(1, catalog.readClocks());
+      this.response = this.fixture.sendRequest("/look/", "bindery-key", true);
+      await timers.run(gapMs);
+    }
+  },
+);
+
+Given(
+  /^a request that crashes every (?:group|host) as it begins to run$/,
   function (this: RelayWorld) {
     this.fixture.upstreams.poisonMarker = "poison";
   },
@@ -332,9 +355,9 @@
 );
 
 Then(
-  "at most {int} groups crash and it is refused as {string}",
-  function (this: RelayWorld, max: number, kind: string) {
-    assert.ok(this.fixture.upstreams.crashedHostIds.length <= max);
+  /^at most (\d+) (?:groups|hosts) crash and it is refused as "(\w+)"$/,
+  function (this: RelayWorld, max: string, kind: string) {
+    assert.ok(this.fixture.upstreams.crashedHostIds.length <= Number(max));
     assert.equal(this.response.refusal?.kind, kind);
   },
 );
--- a/src/core/gossip/messages.ts
+++ b/src/core/gossip/messages.ts
@@ -45,7 +45,7 @@
 export interface StrikeStatus {
   /** Fingerprint of the request. */
   readonly fingerprint: string;
-  /** Ids of the crashed upstreams. */
+  /** Ids of the runs of upstreams that crashed. */
   readonly crashed: readonly string[];
 }
 
--- a/src/core/relay/crash_detector.ts
+++ b/src/core/relay/crash_detector.ts
@@ -14,6 +14,13 @@
 /** A crash resets all connections of an upstream within this time. */
 const CRASH_WINDOW_MS = 80;
 
+/** One run of an upstream; a host may start again under its key. */
+export interface UpstreamRun {
+  readonly key: string;
+  /** When the host started, as it announces it. */
+  readonly born: number;
+}
+
 /** Resets of an upstream's connections, and whether they count as a crash. */
 export interface CrashVerdict {
   /** Key of the upstream. */
@@ -43,6 +50,7 @@
 /** Collects connection resets by upstream. */
 export class CrashDetector {
   readonly #deps: CrashDetectorDependencies;
+  /** Requests whose connections were reset, by id of the upstream's run. */
   readonly #resets = new Map<string, ResetRequest[]>();
 
   constructor(deps: CrashDetectorDependencies) {
@@ -54,22 +62,25 @@
    * began: a request that crashes an upstream does so as it begins to run. The
    * crash is retracted if other requests on the upstream survive.
    */
-  recordReset(key: string, request: ResetRequest): void {
+  recordReset(run: UpstreamRun, request: ResetRequest): void {
     const { timers, suspectRequests } = this.#deps;
-    suspectRequests.recordCrash(key, [request.fingerprint], timers.now());
-    const recorded = this.#resets.get(key);
+    const runId = formatRunId(run);
+    suspectRequests.recordCrash(runId, [request.fingerprint], timers.now());
+    const recorded = this.#resets.get(runId);
     if (recorded !== undefined) {
       recorded.push(request);
       return;
     }
-    this.#resets.set(key, [request]);
-    timers.after(CRASH_WINDOW_MS, () => this.#confirmOrRetract(key));
+    this.#resets.set(runId, [request]);
+    timers.after(CRASH_WINDOW_MS, () => this.#confirmOrRetract(run));
   }
 
-  #confirmOrRetract(key: string): void {
+  #confirmOrRetract(run: UpstreamRun): void {
     const { timers, suspectRequests, promptParts, onVerdict } = this.#deps;
-    const requests = this.#resets.get(key) ?? [];
-    this.#resets.delete(key);
+    const { key } = run;
+    const runId = formatRunId(run);
+    const requests = this.#resets.get(runId) ?? [];
+    this.#resets.delete(runId);
     const inFlight = this.#deps.inFlight(key);
     const isCrash = inFlight === 0;
     onVerdict({ upstream: key, isCrash, requests: requests.length, inFlight });
@@ -79,7 +90,12 @@
     // Requests still in flight show that the upstream did not crash: only single
     // connections were reset.
     for (const { fingerprint } of requests) {
-      suspectRequests.retractCrash(key, fingerprint);
+      suspectRequests.retractCrash(runId, fingerprint);
     }
   }
 }
+
+/** Identifies a run at all nodes, so that two reports of a crash are one. */
+function formatRunId({ key, born }: UpstreamRun): string {
+  return `${key}/${born}`;
+}
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -477,13 +477,16 @@
     outcome: AttemptOutcome,
     head: RelayHead | undefined,
   ): void {
-    const { key } = attempt.replica;
+    const { key, host } = attempt.replica;
     const now = this.#deps.timers.now();
     if (outcome === "answered") this.suspectRequests.clear(run.fingerprint);
     if (outcome === "reset" && hasJustBegun(attempt, now)) {
       const { fingerprint, model, request } = run;
       const parts = request.promptParts;
-      this.#crashDetector.recordReset(key, { fingerprint, model, parts });
+      this.#crashDetector.recordReset(
+        { key, born: host.born },
+        { fingerprint, model, parts },
+      );
     }
     if (outcome === "not_sent" || outcome === "wrong_host") {
       // A single failed connection does not suggest that the upstream is
--- a/src/core/retries/suspect_request_tracker.ts
+++ b/src/core/retries/suspect_request_tracker.ts
@@ -1,6 +1,6 @@
 /**
- * Requests that may crash upstreams, as they were in flight at a crash. Each
- * upstream that crashed with a request in flight is a strike against the request.
+ * Requests that may crash upstreams, as they were in flight at a crash. Each run
+ * of an upstream that crashed with a request in flight is a strike against it.
  *
  * @module
  */
@@ -19,7 +19,7 @@
 /** A request and the crashes at which it was in flight. */
 export interface Suspect {
   readonly fingerprint: string;
-  /** Ids of upstreams that crashed with the request in flight. */
+  /** Ids of the runs of upstreams that crashed with the request in flight. */
   readonly crashed: readonly string[];
 }
 
@@ -44,12 +44,12 @@
 
   /** Records requests in flight at a crash. Returns their updated records. */
   recordCrash(
-    upstreamId: string,
+    runId: string,
     fingerprints: readonly string[],
     now: number,
   ): Suspect[] {
     return fingerprints.map((fingerprint) => {
-      this.merge({ fingerprint, crashed: [upstreamId] }, now);
+      this.merge({ fingerprint, crashed: [runId] }, now);
       return this.#toSuspect(fingerprint);
     });
   }
@@ -78,9 +78,9 @@
   }
 
   /** Removes the strike for an event that turned out not to be a crash. */
-  retractCrash(upstreamId: string, fingerprint: string): void {
+  retractCrash(runId: string, fingerprint: string): void {
     const record = this.#records.get(fingerprint);
-    record?.crashed.delete(upstreamId);
+    record?.crashed.delete(runId);
     if (record?.crashed.size === 0) this.#records.delete(fingerprint);
   }
 
