Send peers only the age of a node's own confirmation of the catalog

Cause: a status carries the age of the sender's confirmation without the time for which the status waits to be read, and nodes sent the younger age that they had taken over. Two nodes without the store made each other's confirmation younger with each status. A status now carries the age of the sender's own confirmation by the store alone.

Ruled out: pauses of over 400 ms, which the pause detector sees; the wall clock, as virtual time fails alike. Confirming by stamps that a reader echoes would leave no wait unseen, but makes ages of up to 3.9 s in a large fleet, near the 4.25 s for which keys are trusted.

Conclusion: the unbounded growth is gone; waits below 400 ms on the way of one status remain unseen.

--- a/features/steps/host_changes_steps.ts
+++ b/features/steps/host_changes_steps.ts
@@ -208,13 +208,13 @@
 function sendStatus(world: HostChangesWorld, from: Follower): void {
   if (world.isPartitioned) return;
   const update = from.state.createUpdate();
-  const { version, confirmationAgeMs } = from.catalog;
+  const { version, ownConfirmationAgeMs } = from.catalog;
   for (const to of world.followers) {
     if (to === from) continue;
     world.timers.after(3, () => {
       to.state.receiveUpdate(update, true);
       recordFalseConfirmations(world);
-      to.catalog.recordPeerConfirmation(version, confirmationAgeMs);
+      to.catalog.recordPeerConfirmation(version, ownConfirmationAgeMs);
     });
   }
 }
--- a/features/steps/node_fleet.ts
+++ b/features/steps/node_fleet.ts
@@ -20,6 +20,8 @@
 import { RecordedLog } from "./simulated_fleet.ts";
 
 const CATALOG_KEY = "operator/catalog";
+/** API key of all requests. */
+const API_KEY = "bindery-key";
 const LINK_DELAY_MS = 1;
 /** Time from one start of a node to that of the next. */
 const START_INTERVAL_MS = 20;
@@ -190,7 +192,7 @@
       target: `/look/${id}`,
       headers: [],
       body: new Uint8Array(),
-      apiKey: "bindery-key",
+      apiKey: API_KEY,
       deadlineMs: 800,
       lastEventId: undefined,
       model: undefined,
@@ -333,6 +335,8 @@
   readonly leftAt = new Map<string, number>();
   /** Requests for changes that nodes sent to the store, by prefix. */
   readonly reads = new Map<string, number>();
+  /** Time for which a status waits to be read; its ages leave it out. */
+  statusDelayMs = LINK_DELAY_MS;
   #hostCount = 0;
 
   constructor(size: number, seed: number, drainMs: number) {
@@ -370,6 +374,15 @@
     return this.running.find(({ isLeader }) => isLeader);
   }
 
+  /** Writes a catalog in which the key of all requests is revoked. */
+  revokeKey(): void {
+    const catalog = exampleCatalog(2);
+    const customers = catalog.customers?.filter(({ keys }) =>
+      !keys.includes(API_KEY)
+    );
+    this.store.put(CATALOG_KEY, { ...catalog, customers });
+  }
+
   addHost(): void {
     const id = `h${this.#hostCount++}`;
     this.store.put(`hosts/${id}`, createHost(id, false));
@@ -395,7 +408,7 @@
   deliver(from: NodeMachine, to: string, payload: Uint8Array): void {
     const target = this.machines.find(({ id }) => to === `${id}:7`);
     this.timers.after(
-      LINK_DELAY_MS,
+      this.statusDelayMs,
       () => target?.receive(payload, `${from.id}:7`),
     );
   }
--- a/features/steps/node_fleet_steps.ts
+++ b/features/steps/node_fleet_steps.ts
@@ -12,6 +12,7 @@
 interface NodeFleetWorld {
   nodeFleet: NodeFleet;
   disruptions: NodeDisruptions;
+  revokedAt: number;
 }
 
 Given(
@@ -74,6 +75,33 @@
   },
 );
 
+When(
+  "a key is revoked while the store turns away the last {int} nodes and statuses wait {int} milliseconds to be read",
+  { timeout: 120_000 },
+  async function (this: NodeFleetWorld, turnedAway: number, delayMs: number) {
+    const { nodeFleet, disruptions } = this;
+    nodeFleet.statusDelayMs = delayMs;
+    await nodeFleet.timers.run(3_000);
+    const machines = new Set(nodeFleet.machines.slice(-turnedAway));
+    disruptions.turnAway(machines, "silent", 14_000);
+    await nodeFleet.timers.run(500);
+    nodeFleet.revokeKey();
+    this.revokedAt = nodeFleet.timers.now();
+    await nodeFleet.timers.run(14_000);
+  },
+);
+
+Then(
+  "no node sends a request with the key later than {int} seconds after that",
+  function (this: NodeFleetWorld, seconds: number) {
+    const { sent } = this.nodeFleet;
+    const late = sent.filter(({ at }) => at > this.revokedAt + seconds * 1_000);
+    assert.deepEqual(late.slice(0, 3), []);
+    const isServed = sent.some(({ at }) => at > this.revokedAt);
+    assert.ok(isServed, "No request was sent after the key was revoked");
+  },
+);
+
 /** The leader, and the node with the lowest id or, if it leads, the next one. */
 function publishersOf({ leader, running }: NodeFleet): NodeMachine[] {
   assert.ok(leader, "No node leads");
--- a/src/core/catalog/catalog_holder.ts
+++ b/src/core/catalog/catalog_holder.ts
@@ -24,10 +24,13 @@
 /** Holds the newest catalog; an older one never replaces it. */
 export class CatalogHolder {
   readonly #confirmation: Confirmation;
+  /** Confirmations by this process's own requests to the store. */
+  readonly #ownConfirmation: Confirmation;
   #inForce: CatalogInForce | undefined;
 
   constructor(monotonic: () => number, wall: () => number) {
     this.#confirmation = new Confirmation(monotonic, wall);
+    this.#ownConfirmation = new Confirmation(monotonic, wall);
   }
 
   /** The catalog in force; undefined before the first. */
@@ -58,11 +61,13 @@
   }
 
   /**
-   * Records that a version was the newest at `requestedAt`, a reading taken
+   * Records that the store had no newer version at `requestedAt`, a reading taken
    * before the confirmation was requested.
    */
   recordConfirmation(version: number, requestedAt: ClockReading): void {
-    if (version === this.version) this.#confirmation.record(requestedAt);
+    if (version !== this.version) return;
+    this.#ownConfirmation.record(requestedAt);
+    this.#confirmation.record(requestedAt);
   }
 
   /**
@@ -78,6 +83,15 @@
   get confirmationAgeMs(): number {
     return this.#confirmation.ageMs;
   }
+
+  /**
+   * The same for this process's own requests to the store. Peers receive this age
+   * alone: an age that were passed on again would omit each time the time for
+   * which a message waits to be read.
+   */
+  get ownConfirmationAgeMs(): number {
+    return this.#ownConfirmation.ageMs;
+  }
 }
 
 function keyIndex(
--- a/src/core/gossip/message_codec.ts
+++ b/src/core/gossip/message_codec.ts
@@ -76,7 +76,7 @@
     z: msg.zone,
     s: msg.state,
     v: msg.catalogVersion,
-    t: Math.round(msg.confirmedMs),
+    t: Math.ceil(msg.confirmedMs),
     l: msg.loads.map((load) => [
       load.key,
       load.inFlight,
--- a/src/core/gossip/messages.ts
+++ b/src/core/gossip/messages.ts
@@ -88,8 +88,8 @@
   readonly state: "starting" | "serving" | "leaving";
   readonly catalogVersion: number;
   /**
-   * Age of the catalog's confirmation, in milliseconds; -1 if it is too old or
-   * there is none.
+   * Age of the node's own confirmation of the catalog by the store, in
+   * milliseconds; -1 if it is too old or there is none.
    */
   readonly confirmedMs: number;
   readonly loads: readonly LoadStatus[];
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -396,14 +396,14 @@
   #buildStatus(peers: readonly string[]): StatusMessage {
     const now = this.#deps.timers.now();
     const { node } = this.#deps.settings;
-    const confirmationAgeMs = this.#catalog.confirmationAgeMs;
+    const { ownConfirmationAgeMs } = this.#catalog;
     return {
       ...this.#hubCandidate(),
       ageMs: 0,
       incarnation: this.#deps.incarnation,
       callerAddress: node.caller_address,
       catalogVersion: this.#catalog.version,
-      confirmedMs: confirmationAgeMs < 60_000 ? confirmationAgeMs : -1,
+      confirmedMs: ownConfirmationAgeMs < 60_000 ? ownConfirmationAgeMs : -1,
       loads: this.relay.loads.localLoads(now),
       ...this.#observations.take(now),
       isStoreUnreachable: this.#fleetState.isStoreUnreachable,
