Keep changes from peers that are newer than a listing of the hosts

What callers could see: requests to a host that had left, from a node that lists all hosts again after the store discarded its history.

Cause: a listing takes time, and replaced the whole list, with changes that a peer had sent after the store made it. The node's next poll mended that, up to 12 s later, while peers' reads confirmed the list.

Ruled out: the age of the list, which is right once changes newer than the listing stay.

Evidence: gossip.feature, a host that leaves while a listing is on its way: listed again before, not now. The other scenarios of @gossip and @relay pass.

Conclusion: fixed.

--- a/features/gossip.feature
+++ b/features/gossip.feature
@@ -73,6 +73,12 @@
     When a publisher sends the removal of a host, which it takes for a lapse
     Then no node lists the host
 
+  # Guards against a listing that takes back a newer change from a peer.
+  Scenario: should not list a host again by a listing that is older than its removal
+    Given 12 nodes that follow a store, of which 3 are readers
+    When node 5 lists the hosts again, and one leaves before the listing arrives
+    Then no node lists the host
+
   # Guards against new publishers that go on with the long pause of other nodes.
   Scenario: should read the store at once when its role asks for it
     Given 12 nodes that follow a store, of which 3 are readers, with lists that may be 6 seconds old
--- a/features/steps/host_changes_steps.ts
+++ b/features/steps/host_changes_steps.ts
@@ -6,6 +6,8 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { failure } from "../../src/base/outcome.ts";
+import { sleep } from "../../src/base/timers.ts";
 import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
 import { CatalogHolder } from "../../src/core/catalog/catalog_holder.ts";
 import { FleetState } from "../../src/core/fleet/fleet_state.ts";
@@ -46,6 +48,10 @@
   withoutLongPollResponses: Set<number>;
   /** Indices of followers that get no response from the store. */
   withoutResponses: Set<number>;
+  /** Indices of followers whose next poll finds the history compacted. */
+  withoutHistory: Set<number>;
+  /** Called when the store has made a listing, which then takes 700 ms. */
+  onListing: (() => void) | undefined;
   /** Indices of the leader and of the other publisher. */
   publishers: readonly [number, number];
   drainWithinMs: number;
@@ -105,6 +111,8 @@
   world.isPartitioned = false;
   world.withoutLongPollResponses = new Set();
   world.withoutResponses = new Set();
+  world.withoutHistory = new Set();
+  world.onListing = undefined;
   world.publishers = [0, 1];
   world.leftAt = new Map();
   world.falseConfirmations = new Set();
@@ -187,13 +195,20 @@
   const client = world.store.client();
   return {
     ...client,
-    list: (prefix) => {
+    list: async (prefix) => {
       world.storeRequests += 1;
-      return client.list(prefix);
+      const res = await client.list(prefix);
+      if (world.onListing === undefined) return res;
+      world.onListing();
+      await sleep(world.timers, 700);
+      return res;
     },
     changes: async (prefix, after, waitMs) => {
       world.storeRequests += 1;
       if (index > 1 && prefix === SCHEMA.hostPrefix) world.subscriberReads += 1;
+      if (prefix === SCHEMA.hostPrefix && world.withoutHistory.delete(index)) {
+        return failure({ kind: "compacted" });
+      }
       const hasNoResponse = world.withoutLongPollResponses.has(index) &&
         waitMs > 100;
       const res = hasNoResponse
@@ -396,6 +411,22 @@
   },
 );
 
+When(
+  "node {int} lists the hosts again, and one leaves before the listing arrives",
+  async function (this: HostChangesWorld, index: number) {
+    this.withoutHistory.add(index);
+    this.onListing = () => removeHost(this, "h4");
+    const update = this.followers[0].state.createUpdate();
+    this.followers[index].state.receiveUpdate(
+      { ...update, isTruncated: true },
+      true,
+    );
+    // The node lists after its long pause.
+    while (!this.leftAt.has("h4")) await this.timers.run(50);
+    await this.timers.run(1_000);
+  },
+);
+
 When(
   "nodes {int} and {int} become the publishers and a host leaves",
   async function (this: HostChangesWorld, leader: number, other: number) {
--- a/src/core/fleet/host_changes.ts
+++ b/src/core/fleet/host_changes.ts
@@ -40,12 +40,23 @@
   #lastEventRevision = 0;
   #recent: { readonly change: HostChange; readonly at: number }[] = [];
 
-  /** Replaces the known revisions by those of a complete listing. */
-  reset(asOf: number, keys: Iterable<readonly [string, number]>): void {
+  /**
+   * Replaces the known revisions by those of a complete listing, but for changes
+   * that are newer than the listing. Returns the keys of these changes.
+   */
+  reset(
+    asOf: number,
+    keys: Iterable<readonly [string, number]>,
+  ): ReadonlySet<string> {
+    const newer = [...this.#revisions].filter(([, revision]) =>
+      revision > asOf
+    );
     this.#listedRevision = asOf;
     this.recordProgress(asOf);
     this.#revisions.clear();
     for (const [key, revision] of keys) this.#revisions.set(key, revision);
+    for (const [key, revision] of newer) this.#revisions.set(key, revision);
+    return new Set(newer.map(([key]) => key));
   }
 
   /**
--- a/src/core/fleet/host_list.ts
+++ b/src/core/fleet/host_list.ts
@@ -271,8 +271,7 @@
   }
 
   #createFeed(): ChangeFeed {
-    const { timers, store, schema, hosts, reachability, readClocks } =
-      this.#deps;
+    const { timers, store, schema, reachability, readClocks } = this.#deps;
     return new ChangeFeed(
       timers,
       store,
@@ -280,14 +279,7 @@
       () => this.#timing(),
       readClocks,
       {
-        onListing: (items, asOf) => {
-          this.#changes.reset(
-            asOf,
-            items.map(({ key, revision }) => [key, revision]),
-          );
-          const listed = items.flatMap((item) => this.#parse(item) ?? []);
-          hosts.replaceAll(listed, timers.now(), this.#mayHaveLapsed);
-        },
+        onListing: (items, asOf) => this.#handleListing(items, asOf),
         onEvents: (events) => this.#handleEvents(events),
         onConfirmed: (requestedAt, asOf) =>
           this.#recordOwnRead(requestedAt, asOf),
@@ -297,8 +289,20 @@
     );
   }
 
-  #parse({ key, value }: CoordinationItem) {
-    return this.#deps.schema.parseHost(key, value);
+  #handleListing(items: readonly CoordinationItem[], asOf: number): void {
+    const { timers, schema, hosts } = this.#deps;
+    const newer = this.#changes.reset(
+      asOf,
+      items.map(({ key, revision }) => [key, revision]),
+    );
+    // A listing takes time, in which a peer may have sent newer changes.
+    const listed = items.filter(({ key }) => !newer.has(key))
+      .flatMap(({ key, value }) => schema.parseHost(key, value) ?? []);
+    const unchanged = new Set(
+      [...newer].map((key) => key.slice(schema.hostPrefix.length)),
+    );
+    const now = timers.now();
+    hosts.replaceAll(listed, now, this.#mayHaveLapsed, unchanged);
   }
 
   #recordOwnRead(requestedAt: ClockReading, revision: number): void {
--- a/src/core/fleet/host_registry.ts
+++ b/src/core/fleet/host_registry.ts
@@ -63,17 +63,19 @@
   }
 
   /**
-   * Replaces all hosts with a complete listing. After an outage, missing hosts
-   * stay for a grace period, as their announcements may only have lapsed.
+   * Replaces all hosts but the `unchanged` ones with a complete listing. After an
+   * outage, missing hosts stay for a grace period, as their announcements may only
+   * have lapsed.
    */
   replaceAll(
     hosts: readonly ServingHost[],
     now: number,
     afterOutage: boolean,
+    unchanged: ReadonlySet<string> = new Set(),
   ): void {
     const listed = new Set(hosts.map((host) => host.id));
     for (const [id, entry] of this.#entries) {
-      if (listed.has(id)) continue;
+      if (listed.has(id) || unchanged.has(id)) continue;
       if (afterOutage) entry.missingSince ??= now;
       else this.#drop(id, now);
     }
