--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -390,6 +390,40 @@
       replace: "const isOutdated = ageMs > Infinity;",
     }],
   },
+  {
+    promise: 8,
+    tag: "@gossip",
+    mechanism: "A listing does not replace changes that are newer",
+    edits: [{
+      file: "fleet/host_registry.js",
+      find: "listed.has(id) || unchanged.has(id)",
+      replace: "listed.has(id)",
+    }, {
+      file: "fleet/host_list.js",
+      find: "!newer.has(key)",
+      replace: "true",
+    }],
+  },
+  {
+    promise: 10,
+    tag: "@revoked-keys",
+    mechanism: "A node doesn't pass on the age of a peer's confirmation",
+    edits: [{
+      file: "catalog/catalog_holder.js",
+      find: "return this.#ownConfirmation.ageMs;",
+      replace: "return this.#confirmation.ageMs;",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@relay",
+    mechanism: "A host that starts again under its id can crash again",
+    edits: [{
+      file: "relay/crash_detector.js",
+      find: "`${key}/${born}`",
+      replace: "`${key}`",
+    }],
+  },
   {
     promise: 8,
     tag: "@gossip",
