Split the virtual fleet of nodes into one class a file

node_fleet.ts held three classes, and called entry hosts machines, a word that the code doesn't use.

--- a/features/steps/node_disruptions.ts
+++ b/features/steps/node_disruptions.ts
@@ -5,27 +5,23 @@
  * @module
  */
 import type { Random } from "../../src/base/random.ts";
-import type {
-  NodeFleet,
-  NodeMachine,
-  SentRequest,
-  StoreAccess,
-} from "./node_fleet.ts";
+import type { EntryHost, StoreAccess } from "./entry_host.ts";
+import type { NodeFleet, SentRequest } from "./node_fleet.ts";
 
-/** A machine is in touch again this long after its last disruption. */
+/** An entry host is in touch again this long after its last disruption. */
 const CONTACT_MS = 4_000;
-/** Share of the machines that the store turns away at once. */
+/** Share of the entry hosts that the store turns away at once. */
 const TURNED_AWAY_SHARE = 0.35;
 /** A host that leaves serves for this long after the store's acknowledgement. */
 const SERVES_MS = 9_000;
 
-/** A request to a host that had left, by a machine in touch. */
+/** A request to a host that had left, by an entry host in touch. */
 export interface LateRequest extends SentRequest {
   /** Time since the store acknowledged that the host leaves. */
   readonly afterMs: number;
 }
 
-/** Disrupts the machines of a fleet while hosts leave, in rounds. */
+/** Disrupts the entry hosts of a fleet while hosts leave, in rounds. */
 export class NodeDisruptions {
   readonly late: LateRequest[] = [];
   readonly #fleet: NodeFleet;
@@ -38,7 +34,7 @@
     fleet.timers.subscribe(50, () => this.#check());
   }
 
-  /** Machines are disrupted and a host leaves, in any order and at any moment. */
+  /** Entry hosts are disrupted and a host leaves, in any order and at any moment. */
   async runRound(): Promise<void> {
     const { timers } = this.#fleet;
     await timers.run(6_000 + this.#random.int(12_000));
@@ -55,94 +51,98 @@
     this.#fleet.addHost();
     await timers.run(SERVES_MS);
     await timers.runUntil(Math.max(timers.now(), startedAt + 14_000));
-    for (const machine of this.#fleet.machines) machine.start();
+    for (const entryHost of this.#fleet.entryHosts) entryHost.start();
   }
 
   /**
-   * Stops machines a second apart, and starts them again a second after the last
+   * Stops entry hosts a second apart, and starts them again a second after the last
    * has ended. Returns when all have ended.
    */
-  async restartInTurn(machines: readonly NodeMachine[]): Promise<void> {
+  async restartInTurn(entryHosts: readonly EntryHost[]): Promise<void> {
     const { timers } = this.#fleet;
-    for (const machine of machines) {
-      machine.terminate();
+    for (const entryHost of entryHosts) {
+      entryHost.terminate();
       await timers.run(1_000);
     }
-    while (machines.some(({ isRunning }) => isRunning)) await timers.run(20);
+    while (entryHosts.some(({ isRunning }) => isRunning)) await timers.run(20);
     timers.after(1_000, () => {
-      for (const machine of machines) machine.start();
+      for (const entryHost of entryHosts) entryHost.start();
     });
     await timers.run(250);
   }
 
-  /** For a time the store turns some machines away and serves the others. */
+  /** For a time the store turns some entry hosts away and serves the others. */
   turnAway(
-    machines: ReadonlySet<NodeMachine>,
+    entryHosts: ReadonlySet<EntryHost>,
     access: StoreAccess,
     forMs: number,
   ): void {
     const { timers } = this.#fleet;
-    for (const machine of machines) {
-      machine.storeAccess = access;
-      machine.disturbedAt = Infinity;
+    for (const entryHost of entryHosts) {
+      entryHost.storeAccess = access;
+      entryHost.disturbedAt = Infinity;
     }
     timers.after(forMs, () => {
-      for (const machine of machines) {
-        machine.storeAccess = "served";
-        machine.disturbedAt = timers.now();
+      for (const entryHost of entryHosts) {
+        entryHost.storeAccess = "served";
+        entryHost.disturbedAt = timers.now();
       }
     });
   }
 
   #planDisruption(): void {
     const kind = this.#random.int(5);
-    if (kind === 0) return this.#stopInTurn((machine) => machine.terminate());
-    if (kind === 1) return this.#stopInTurn((machine) => machine.kill());
+    if (kind === 0) {
+      return this.#stopInTurn((entryHost) => entryHost.terminate());
+    }
+    if (kind === 1) return this.#stopInTurn((entryHost) => entryHost.kill());
     if (kind === 2) return this.#turnAwaySome();
     if (kind === 3) return this.#loseStatuses();
     this.#loseResponses();
   }
 
-  /** Some machines receive no statuses; they stay in touch. */
+  /** Some entry hosts receive no statuses; they stay in touch. */
   #loseStatuses(): void {
-    const { timers, machines } = this.#fleet;
-    const affected = this.#shuffle(machines)
-      .slice(0, 1 + this.#random.int(machines.length));
-    for (const machine of affected) machine.receivesStatuses = false;
+    const { timers, entryHosts } = this.#fleet;
+    const affected = this.#shuffle(entryHosts)
+      .slice(0, 1 + this.#random.int(entryHosts.length));
+    for (const entryHost of affected) entryHost.receivesStatuses = false;
     timers.after(500 + this.#random.int(6_000), () => {
-      for (const machine of affected) machine.receivesStatuses = true;
+      for (const entryHost of affected) entryHost.receivesStatuses = true;
     });
   }
 
   /**
-   * The store's responses to requests in progress are lost; the machines stay in
+   * The store's responses to requests in progress are lost; the entry hosts stay in
    * touch, as new requests get responses.
    */
   #loseResponses(): void {
-    const { machines } = this.#fleet;
-    const count = 1 + this.#random.int(machines.length);
-    for (const machine of this.#readersFirst().slice(0, count)) {
-      machine.loseResponses();
+    const { entryHosts } = this.#fleet;
+    const count = 1 + this.#random.int(entryHosts.length);
+    for (const entryHost of this.#readersFirst().slice(0, count)) {
+      entryHost.loseResponses();
     }
   }
 
-  /** Machines stop in turn and start again; first those that read the store. */
-  #stopInTurn(stop: (machine: NodeMachine) => void): void {
+  /** Entry hosts stop in turn and start again; first those that read the store. */
+  #stopInTurn(stop: (entryHost: EntryHost) => void): void {
     const { timers } = this.#fleet;
     const count = 1 + this.#random.int(3);
     const gapMs = this.#random.int(1_500);
-    for (const [i, machine] of this.#readersFirst().slice(0, count).entries()) {
+    for (
+      const [i, entryHost] of this.#readersFirst().slice(0, count).entries()
+    ) {
       timers.after(i * gapMs, () => {
-        stop(machine);
+        stop(entryHost);
         const restartMs = 500 + this.#random.int(5_500);
-        timers.after(restartMs, () => machine.start());
+        timers.after(restartMs, () => entryHost.start());
       });
     }
   }
 
-  /** The store turns some machines away and serves the others. */
+  /** The store turns some entry hosts away and serves the others. */
   #turnAwaySome(): void {
-    const { length } = this.#fleet.machines;
+    const { length } = this.#fleet.entryHosts;
     const count = Math.max(1, Math.floor(length * TURNED_AWAY_SHARE));
     this.turnAway(
       new Set(this.#readersFirst().slice(0, count)),
@@ -151,11 +151,13 @@
     );
   }
 
-  /** Running machines: the leader and the lowest ids first, in random order. */
-  #readersFirst(): NodeMachine[] {
+  /** Running entry hosts: the leader and the lowest ids first, in random order. */
+  #readersFirst(): EntryHost[] {
     const { running, leader } = this.#fleet;
-    const readers = running.filter((machine, i) => i < 2 || machine === leader);
-    const others = running.filter((machine) => !readers.includes(machine));
+    const readers = running.filter((entryHost, i) =>
+      i < 2 || entryHost === leader
+    );
+    const others = running.filter((entryHost) => !readers.includes(entryHost));
     return [...this.#shuffle(readers), ...this.#shuffle(others)];
   }
 
@@ -167,12 +169,12 @@
   }
 
   #check(): void {
-    const { sent, leftAt, drainMs, machines, timers } = this.#fleet;
+    const { sent, leftAt, drainMs, entryHosts, timers } = this.#fleet;
     for (const request of sent.slice(this.#checkedCount)) {
       const left = leftAt.get(request.hostId);
       if (left === undefined || request.at - left <= drainMs) continue;
-      const machine = machines.find(({ id }) => id === request.nodeId);
-      const disturbedAt = machine?.disturbedAt ?? Infinity;
+      const entryHost = entryHosts.find(({ id }) => id === request.nodeId);
+      const disturbedAt = entryHost?.disturbedAt ?? Infinity;
       if (timers.now() - disturbedAt < CONTACT_MS) continue;
       this.late.push({ ...request, afterMs: request.at - left });
     }
--- a/features/steps/node_fleet_steps.ts
+++ b/features/steps/node_fleet_steps.ts
@@ -6,7 +6,7 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { NodeDisruptions } from "./node_disruptions.ts";
-import type { NodeMachine } from "./node_fleet.ts";
+import type { EntryHost } from "./entry_host.ts";
 import { NodeFleet } from "./node_fleet.ts";
 
 interface NodeFleetWorld {
@@ -61,7 +61,9 @@
     const { nodeFleet, disruptions } = this;
     for (let i = 0; i < times; i++) {
       await nodeFleet.timers.run(14_000);
-      const every3rd = nodeFleet.machines.filter((_, index) => index % 3 === 0);
+      const every3rd = nodeFleet.entryHosts.filter((_, index) =>
+        index % 3 === 0
+      );
       disruptions.turnAway(
         new Set([...publishersOf(nodeFleet), ...every3rd]),
         i % 2 === 0 ? "silent" : "refused",
@@ -82,8 +84,8 @@
     const { nodeFleet, disruptions } = this;
     nodeFleet.statusDelayMs = delayMs;
     await nodeFleet.timers.run(3_000);
-    const machines = new Set(nodeFleet.machines.slice(-turnedAway));
-    disruptions.turnAway(machines, "silent", 14_000);
+    const entryHosts = new Set(nodeFleet.entryHosts.slice(-turnedAway));
+    disruptions.turnAway(entryHosts, "silent", 14_000);
     await nodeFleet.timers.run(500);
     nodeFleet.revokeKey();
     this.revokedAt = nodeFleet.timers.now();
@@ -103,9 +105,9 @@
 );
 
 /** The leader, and the node with the lowest id or, if it leads, the next one. */
-function publishersOf({ leader, running }: NodeFleet): NodeMachine[] {
+function publishersOf({ leader, running }: NodeFleet): EntryHost[] {
   assert.ok(leader, "No node leads");
-  const lowest = running.find((machine) => machine !== leader);
+  const lowest = running.find((entryHost) => entryHost !== leader);
   assert.ok(lowest);
   return [lowest, leader];
 }
