--- a/features/steps/soak_steps.ts
+++ b/features/steps/soak_steps.ts
@@ -8,17 +8,15 @@
 import type { SoakObservations } from "../../tools/soak/promise_checker.ts";
 import { checkPromises } from "../../tools/soak/promise_checker.ts";
 
-const REQUEST_COUNT = 100;
-
 /** State that the steps of one scenario share. */
 interface SoakWorld {
   observations: SoakObservations;
 }
 
 Given(
-  "a soak of 100 requests, of which {int} succeed",
-  function (this: SoakWorld, succeeded: number) {
-    const results = Array.from({ length: REQUEST_COUNT }, (_, i) => ({
+  "a soak of {int} requests, of which {int} succeed",
+  function (this: SoakWorld, count: number, succeeded: number) {
+    const results = Array.from({ length: count }, (_, i) => ({
       requestId: `c0-${i}`,
       path: `/look/c0-${i}`,
       key: "key-0",
@@ -44,7 +42,7 @@
   /^the store was (healthy|silent)$/,
   function (this: SoakWorld, state: string) {
     const storeFaultPeriods = state === "silent"
-      ? [{ from: 0, until: REQUEST_COUNT }]
+      ? [{ from: 0, until: this.observations.results.length }]
       : [];
     this.observations = { ...this.observations, storeFaultPeriods };
   },
--- a/tools/soak/promise_checker.ts
+++ b/tools/soak/promise_checker.ts
@@ -113,6 +113,7 @@
  * keep all other promises.
  */
 function lowSuccessRatios(observations: SoakObservations): string[] {
+  if (observations.results.length === 0) return ["no request was sent"];
   return [
     ...belowMinRatio(
       "servable",
