Move the types of host updates into a module of their own

host_list.ts held what nodes send each other beside the class that reads the hosts; messages.ts imports only the former. Types alone were moved; the build, the linter and the import check pass.

--- a/src/core/fleet/host_list.ts
+++ b/src/core/fleet/host_list.ts
@@ -18,6 +18,7 @@
 import type { HostChange } from "./host_changes.ts";
 import { HostChanges } from "./host_changes.ts";
 import type { HostRegistry } from "./host_registry.ts";
+import type { HostRead, HostUpdate } from "./host_update.ts";
 import type { StoreReachability } from "./store_reachability.ts";
 
 /** Name of the feed of host announcements. */
@@ -54,32 +55,6 @@
 /** For nodes of a large fleet that receive no host changes from a publisher. */
 const FALLBACK_TIMING = { waitMs: 2_000, pauseMs: 700 };
 
-/** A process's last read of the hosts from the store. */
-export interface HostRead {
-  /** Time since the process requested it, in milliseconds. */
-  readonly ageMs: number;
-  /** Every change up to this revision of the store was read. */
-  readonly revision: number;
-  /**
-   * The newest of these changes is not newer than this. A peer that has every
-   * change up to it has all that were made before the read was requested.
-   */
-  readonly changeRevision: number;
-}
-
-/** What one process read of the hosts, for its peers. */
-export interface HostUpdate {
-  /** Whether the process polls host changes often, and publishes them. */
-  readonly publishesHosts: boolean;
-  readonly hostChanges: readonly HostChange[];
-  /** Whether older changes were left out, so that peers must poll the store. */
-  readonly isTruncated: boolean;
-  /** Revision of the newest host change from the feed or a peer; 0 for none. */
-  readonly hostRevision: number;
-  /** Undefined if the last read is too old to be of use to peers. */
-  readonly hostRead: HostRead | undefined;
-}
-
 /** This node's part in reading the hosts. */
 export interface HostListRole {
   readonly isLeader: boolean;
--- a/src/core/gossip/messages.ts
+++ b/src/core/gossip/messages.ts
@@ -7,7 +7,7 @@
 import type { Membership } from "../../world/serving_host.ts";
 import type { SuspicionKind } from "../fleet/suspicion_tracker.ts";
 import type { HostChange } from "../fleet/host_changes.ts";
-import type { HostRead } from "../fleet/host_list.ts";
+import type { HostRead } from "../fleet/host_update.ts";
 
 /** Load that one node puts on one upstream. */
 export interface LoadStatus {
