Log how a node learned that a host leaves

Without that a late request can't be traced: a list that claims to be younger than the departure is told from one that was too old and not polled.

host_left says so now, once for each host and node. No decision is changed.

--- a/features/leaving_hosts.feature
+++ b/features/leaving_hosts.feature
@@ -14,6 +14,12 @@
       | 12    | 3       | 10    |
       | 34    | 3       | 2     |
 
+  # Guards against late requests that no log explains.
+  Scenario: should log how each node learned that a host leaves
+    Given 34 nodes with seed 1 that may send requests to a leaving host for 3 seconds
+    When a host leaves
+    Then each node logs when and from whom it learned of it
+
   # Guards against nodes that rely on a publisher whose polls get no response.
   Scenario Outline: should stop requests to a leaving host in time while the store turns publishers away
     Given <nodes> nodes with seed 1 that may send requests to a leaving host for <seconds> seconds
--- a/features/steps/fleet_state_steps.ts
+++ b/features/steps/fleet_state_steps.ts
@@ -64,6 +64,7 @@
         nodesChanged() {},
         leaderChanged() {},
         hostListOutdated() {},
+        hostLeft() {},
         feedLost() {},
         feedRegained() {},
       },
--- a/features/steps/host_changes_steps.ts
+++ b/features/steps/host_changes_steps.ts
@@ -183,6 +183,7 @@
       nodesChanged() {},
       leaderChanged() {},
       hostListOutdated() {},
+      hostLeft() {},
       feedLost() {},
       feedRegained() {},
     },
@@ -229,7 +230,7 @@
   for (const to of world.followers) {
     if (to === from) continue;
     world.timers.after(3, () => {
-      to.state.receiveUpdate(update, true);
+      to.state.receiveUpdate(update, "peer", true);
       recordFalseConfirmations(world);
       to.catalog.recordPeerConfirmation(version, ownConfirmationAgeMs);
     });
@@ -378,20 +379,24 @@
     await this.timers.run(1_000);
     const value = JSON.stringify(host("h4"));
     for (const { state } of this.followers) {
-      state.receiveUpdate({
-        publishesHosts: true,
-        hostChanges: [{
-          key: "hosts/h4",
-          revision: 6,
-          previous: 5,
-          value,
-          isLapsed: false,
-        }],
-        isTruncated: false,
-        hostRevision: 6,
-        hostRead: undefined,
-        operatorRevision: 0,
-      }, true);
+      state.receiveUpdate(
+        {
+          publishesHosts: true,
+          hostChanges: [{
+            key: "hosts/h4",
+            revision: 6,
+            previous: 5,
+            value,
+            isLapsed: false,
+          }],
+          isTruncated: false,
+          hostRevision: 6,
+          hostRead: undefined,
+          operatorRevision: 0,
+        },
+        "peer",
+        true,
+      );
     }
   },
 );
@@ -408,7 +413,7 @@
     };
     for (const { state } of this.followers) {
       const update = state.createUpdate();
-      state.receiveUpdate({ ...update, hostChanges: [change] }, true);
+      state.receiveUpdate({ ...update, hostChanges: [change] }, "peer", true);
     }
   },
 );
@@ -422,6 +427,7 @@
     const update = this.followers[0].state.createUpdate();
     this.followers[index].state.receiveUpdate(
       { ...update, isTruncated: true },
+      "peer",
       true,
     );
     // The node lists after its long pause.
--- a/features/steps/node_fleet_steps.ts
+++ b/features/steps/node_fleet_steps.ts
@@ -104,6 +104,32 @@
   },
 );
 
+When(
+  "a host leaves",
+  { timeout: 60_000 },
+  async function (this: NodeFleetWorld) {
+    const { nodeFleet } = this;
+    await nodeFleet.timers.run(2_000);
+    nodeFleet.leave(nodeFleet.servingHosts[0], "announced");
+    await nodeFleet.timers.run(3_000);
+  },
+);
+
+Then(
+  "each node logs when and from whom it learned of it",
+  function (this: NodeFleetWorld) {
+    const [hostId] = this.nodeFleet.leftAt.keys();
+    for (const { id, log } of this.nodeFleet.entryHosts) {
+      const lines = log?.named("host_left") ?? [];
+      assert.equal(lines.length, 1, id);
+      const [{ host, how, from, listAgeMs }] = lines;
+      assert.deepEqual([host, how], [hostId, "draining"]);
+      assert.match(String(from), /^(poll|peer n\d+( via n\d+:7)?)$/);
+      assert.ok(Number(listAgeMs) < 3_000, `${id}: ${listAgeMs}`);
+    }
+  },
+);
+
 /** The leader, and the node with the lowest id or, if it leads, the next one. */
 function publishersOf({ leader, running }: NodeFleet): EntryHost[] {
   assert.ok(leader, "No node leads");
--- a/src/core/fleet/fleet_state.ts
+++ b/src/core/fleet/fleet_state.ts
@@ -13,7 +13,7 @@
 import { ChangeFeed } from "./change_feed.ts";
 import { HostList } from "./host_list.ts";
 import type { HostRegistry } from "./host_registry.ts";
-import type { HostUpdate } from "./host_update.ts";
+import type { HostDeparture, HostUpdate } from "./host_update.ts";
 import type { ReachabilityListener } from "./store_reachability.ts";
 import { StoreReachability } from "./store_reachability.ts";
 import { FLEET_PREFIX, isNodeKey } from "./node_registration.ts";
@@ -59,6 +59,8 @@
   leaderChanged(nodeId: string | undefined): void;
   /** Called when the list of hosts has become too old and is polled. */
   hostListOutdated(ageMs: number): void;
+  /** Called when this process learns that a host leaves or has left. */
+  hostLeft(departure: HostDeparture): void;
 }
 
 /** Dependencies of the fleet state. */
@@ -112,6 +114,7 @@
       lapseAfterMs: deps.lapseAfterMs,
       drainWithinMs: deps.drainWithinMs,
       onOutdated: (ageMs) => listener.hostListOutdated(ageMs),
+      onHostLeft: (departure) => listener.hostLeft(departure),
     });
     this.#operatorFeed = this.#createOperatorFeed();
     this.#fleetFeed = this.#createFleetFeed();
@@ -134,11 +137,11 @@
   }
 
   /**
-   * Applies what another process read from the store. `isFresh` is false if the
-   * update may have waited to be received, so that its ages are too small.
+   * Applies what another process, `from`, read from the store. `isFresh` is false
+   * if the update may have waited to be received, so that its ages are too small.
    */
-  receiveUpdate(update: StateUpdate, isFresh: boolean): void {
-    this.#hostList.receiveUpdate(update, isFresh);
+  receiveUpdate(update: StateUpdate, from: string, isFresh: boolean): void {
+    this.#hostList.receiveUpdate(update, from, isFresh);
     if (update.operatorRevision > this.#operatorRevision) {
       this.#operatorFeed.pollSoon();
     }
--- a/src/core/fleet/host_list.ts
+++ b/src/core/fleet/host_list.ts
@@ -18,7 +18,7 @@
 import type { HostChange } from "./host_changes.ts";
 import { HostChanges } from "./host_changes.ts";
 import type { HostRegistry } from "./host_registry.ts";
-import type { HostRead, HostUpdate } from "./host_update.ts";
+import type { HostDeparture, HostRead, HostUpdate } from "./host_update.ts";
 import type { StoreReachability } from "./store_reachability.ts";
 
 /** Name of the feed of host announcements. */
@@ -79,6 +79,8 @@
   readonly drainWithinMs: () => number;
   /** Called when the list has become too old and is polled. */
   readonly onOutdated: (ageMs: number) => void;
+  /** Called when this process learns that a host leaves or has left. */
+  readonly onHostLeft: (departure: HostDeparture) => void;
 }
 
 /**
@@ -138,14 +140,14 @@
   }
 
   /**
-   * Applies what a peer read. `isFresh` is false if the update may have waited to
-   * be received, so that its ages are too small.
+   * Applies what a peer, `from`, read. `isFresh` is false if the update may have
+   * waited to be received, so that its ages are too small.
    */
-  receiveUpdate(update: HostUpdate, isFresh: boolean): void {
+  receiveUpdate(update: HostUpdate, from: string, isFresh: boolean): void {
     for (const change of update.hostChanges) {
       if (this.#changes.accept(change)) {
         const isLapsed = change.isLapsed && this.#mayHaveLapsed;
-        this.#apply({ ...change, isLapsed });
+        this.#apply({ ...change, isLapsed }, `peer ${from}`);
       }
       this.#changes.recordReceived(change);
     }
@@ -277,7 +279,13 @@
       [...newer].map((key) => key.slice(schema.hostPrefix.length)),
     );
     const now = timers.now();
+    const serving = [...hosts.hosts()].filter(({ draining }) => !draining);
     hosts.replaceAll(listed, now, this.#mayHaveLapsed, unchanged);
+    const listedIds = new Set(listed.map(({ id }) => id));
+    for (const { id } of serving) {
+      if (unchanged.has(id)) continue;
+      this.#reportIfLeft(id, listedIds.has(id), "listing");
+    }
   }
 
   #recordOwnRead(requestedAt: ClockReading, revision: number): void {
@@ -298,17 +306,40 @@
       const change = { key, revision, previous, value: text, isLapsed };
       if (!this.#changes.accept(change)) continue;
       this.#changes.enqueue(change, now);
-      this.#apply(change);
+      this.#apply(change, "poll");
     }
   }
 
-  #apply({ key, value, isLapsed }: HostChange): void {
+  #apply(
+    { key, value, isLapsed }: HostChange,
+    from: HostDeparture["from"],
+  ): void {
     const { schema, hosts, timers } = this.#deps;
     const now = timers.now();
+    const id = key.slice(schema.hostPrefix.length);
+    const wasServing = hosts.get(id)?.draining === false;
     const host = value === undefined
       ? undefined
       : schema.parseHost(key, Buffer.from(value));
-    if (host !== undefined) return hosts.announce(host, now);
-    hosts.withdraw(key.slice(schema.hostPrefix.length), now, isLapsed);
+    if (host !== undefined) hosts.announce(host, now);
+    else hosts.withdraw(id, now, isLapsed);
+    if (wasServing) this.#reportIfLeft(id, host !== undefined, from);
+  }
+
+  /** Reports the departure of a host that has served until now. */
+  #reportIfLeft(
+    hostId: string,
+    isAnnounced: boolean,
+    from: HostDeparture["from"],
+  ): void {
+    const host = this.#deps.hosts.get(hostId);
+    if (isAnnounced && host?.draining === false) return;
+    const how = host === undefined
+      ? "removed"
+      : isAnnounced
+      ? "draining"
+      : "lapsed";
+    const listAgeMs = this.ageMs;
+    this.#deps.onHostLeft({ hostId, how, from, listAgeMs });
   }
 }
--- a/src/core/fleet/host_update.ts
+++ b/src/core/fleet/host_update.ts
@@ -18,6 +18,20 @@
   readonly changeRevision: number;
 }
 
+/** How a process learned that a host leaves or has left. */
+export interface HostDeparture {
+  readonly hostId: string;
+  /**
+   * Whether the host announces that it leaves, or its announcement is gone; after
+   * an outage this may merely have lapsed, and the host is kept for a while.
+   */
+  readonly how: "draining" | "removed" | "lapsed";
+  /** What showed it: a response of the store, or the peer that sent the change. */
+  readonly from: "poll" | "listing" | `peer ${string}`;
+  /** Age of the list of hosts before that, in milliseconds. */
+  readonly listAgeMs: number;
+}
+
 /** What one process read of the hosts, for its peers. */
 export interface HostUpdate {
   /** Whether the process polls host changes often, and publishes them. */
--- a/src/core/gossip/peer_gossip.ts
+++ b/src/core/gossip/peer_gossip.ts
@@ -65,8 +65,11 @@
   readonly createStatus: (
     peers: readonly string[],
   ) => StatusMessage;
-  /** Called with each newer status of another node. */
-  readonly onStatus: (status: StatusMessage) => void;
+  /**
+   * Called with each newer status of another node, and the address of the hub
+   * that forwarded it; undefined if the node itself sent it.
+   */
+  readonly onStatus: (status: StatusMessage, hub: string | undefined) => void;
   /**
    * Called when the hub of this zone changes; undefined while no hub is in use.
    */
@@ -113,7 +116,7 @@
     this.#deps = deps;
     this.#selector = new HubSelector(deps.self);
     this.#pacer = new SendPacer(deps.linkBytesPerSecond);
-    deps.datagrams.onMessage((payload) => this.#receive(payload));
+    deps.datagrams.onMessage((payload, from) => this.#receive(payload, from));
   }
 
   /** Starts sending statuses. */
@@ -358,7 +361,7 @@
     return chosen;
   }
 
-  #receive(payload: Uint8Array): void {
+  #receive(payload: Uint8Array, from: string): void {
     const batch = decodeBatch(payload);
     if (batch === undefined) return;
     const { isForwarded, isUrgent, statuses } = batch;
@@ -384,7 +387,7 @@
       }
       if (!this.#peers.update(status, now, !isForwarded)) continue;
       this.#addAdvertisedAddresses(status.peers);
-      this.#deps.onStatus(status);
+      this.#deps.onStatus(status, isForwarded ? from : undefined);
     }
     if (isUrgent) this.#scheduleForward();
   }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -174,7 +174,7 @@
       periodMs: GOSSIP_PERIOD_MS,
       linkBytesPerSecond: node.link * BYTES_PER_MEGABIT,
       createStatus: (peers) => this.#buildStatus(peers),
-      onStatus: (status) => this.#applyPeerStatus(status),
+      onStatus: (status, hub) => this.#applyPeerStatus(status, hub),
       onHubChange: (hub) => deps.log.info("status_hub", { hub: hub ?? "none" }),
       isFresh: () => this.#pauseDetector.isFresh,
     });
@@ -340,9 +340,13 @@
           log.info("acting_node", { acting: nodeId });
         },
         hostListOutdated: (ageMs) =>
-          log.info("host_list_outdated", {
-            // The age is infinite before the first read.
-            ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+          log.info("host_list_outdated", { ageMs: finiteOrUndefined(ageMs) }),
+        hostLeft: ({ hostId, how, from, listAgeMs }) =>
+          log.info("host_left", {
+            host: hostId,
+            how,
+            from,
+            listAgeMs: finiteOrUndefined(listAgeMs),
           }),
         feedLost: (feed, detail) => log.warn("store_lost", { feed, detail }),
         feedRegained: (feed, silentMs) =>
@@ -430,12 +434,13 @@
       this.#gossip.live().some((peer) => peer.status.isStoreUnreachable);
   }
 
-  #applyPeerStatus(status: StatusMessage): void {
+  #applyPeerStatus(status: StatusMessage, hub: string | undefined): void {
     const now = this.#deps.timers.now();
     const { loads, ageMs: statusAgeMs } = status;
     this.relay.loads.recordPeerLoads(status.node, loads, now, statusAgeMs);
     this.#observations.apply(status, now);
-    this.#fleetState.receiveUpdate(status, this.#pauseDetector.isFresh);
+    const from = hub === undefined ? status.node : `${status.node} via ${hub}`;
+    this.#fleetState.receiveUpdate(status, from, this.#pauseDetector.isFresh);
     if (this.#fleetState.isStoreUnreachable && !this.#isLeader) {
       for (const host of status.hosts) this.#applyHostStatus(host);
     }
@@ -471,3 +476,8 @@
     return demand;
   }
 }
+
+/** Rounds an age, which is infinite before the first read, for a log line. */
+function finiteOrUndefined(ageMs: number): number | undefined {
+  return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+}
