--- a/features/leaving_hosts.feature
+++ b/features/leaving_hosts.feature
@@ -31,6 +31,20 @@
       | 5     | 2       | 3     |
       | 12    | 3       | 6     |
 
+  # Guards against nodes of a fleet with hubs that learn of leaving hosts from
+  # publishers without the store.
+  Scenario Outline: should stop requests to leaving hosts in time while the store turns away a third of the nodes
+    Given 34 nodes with seed <seed> that may send requests to a leaving host for 3 seconds
+    When <times> times the store is <access> for the leader and 11 other nodes for 6 seconds, and hosts leave just before and after
+    Then no node in touch sends requests to a leaving host any longer
+
+    Examples:
+      | seed | access  | times |
+      | 1    | silent  | 4     |
+      | 2    | refused | 2     |
+      | 3    | busy    | 2     |
+      | 4    | reset   | 2     |
+
   # Guards against orders of restarts, crashes, refusals by the store and lost
   # messages in which a leaving host is not noticed.
   Scenario Outline: should stop requests to a leaving host in time whatever happens to nodes meanwhile
--- a/features/steps/entry_host.ts
+++ b/features/steps/entry_host.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { failure } from "../../src/base/outcome.ts";
 import { Random } from "../../src/base/random.ts";
 import { Node } from "../../src/node/node.ts";
 import type { CoordinationStore } from "../../src/ports/coordination_store.ts";
@@ -19,13 +20,15 @@
 /** Interval of the requests that each node receives. */
 const REQUEST_INTERVAL_MS = 70;
 
-const STORE_REFUSAL = {
-  ok: false,
-  err: { kind: "unavailable", detail: "status 503" },
-} as const;
-
 /** How the store treats the requests of one node. */
-export type StoreAccess = "served" | "silent" | "refused";
+export type StoreAccess = "served" | "silent" | "refused" | "busy" | "reset";
+
+/** Responses of a store that turns a node away. */
+const STORE_FAILURES = {
+  refused: failure({ kind: "unavailable", detail: "status 503" }),
+  busy: failure({ kind: "unavailable", detail: "status 429" }),
+  reset: failure({ kind: "ambiguous", detail: "ECONNRESET" }),
+} as const;
 
 /** One run of a node's process. */
 interface NodeRun {
@@ -213,7 +216,10 @@
   #store(timers: ProcessTimers): CoordinationStore {
     const client = this.#fleet.store.client();
     const through = async <T>(request: () => Promise<T>): Promise<T> => {
-      if (this.storeAccess === "refused") return STORE_REFUSAL as T;
+      const access = this.storeAccess;
+      if (access !== "served" && access !== "silent") {
+        return STORE_FAILURES[access] as T;
+      }
       const lossCount = this.#lossCount;
       const res = this.#isStoreSilent ? undefined : await request();
       // The response is lost, too, if the store has turned silent meanwhile.
--- a/features/steps/node_disruptions.ts
+++ b/features/steps/node_disruptions.ts
@@ -90,6 +90,14 @@
     });
   }
 
+  /** The leader, and other entry hosts chosen at random. */
+  leaderAndOthers(count: number): ReadonlySet<EntryHost> {
+    const { running, leader } = this.#fleet;
+    const others = running.filter((entryHost) => entryHost !== leader);
+    const chosen = this.#shuffle(others).slice(0, count);
+    return new Set(leader === undefined ? chosen : [leader, ...chosen]);
+  }
+
   #planDisruption(): void {
     const kind = this.#random.int(5);
     if (kind === 0) {
--- a/features/steps/node_fleet_steps.ts
+++ b/features/steps/node_fleet_steps.ts
@@ -6,7 +6,7 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import { NodeDisruptions } from "./node_disruptions.ts";
-import type { EntryHost } from "./entry_host.ts";
+import type { EntryHost, StoreAccess } from "./entry_host.ts";
 import { NodeFleet } from "./node_fleet.ts";
 
 interface NodeFleetWorld {
@@ -30,6 +30,15 @@
   },
 );
 
+Given(
+  "statuses wait {int} milliseconds to be read",
+  { timeout: 30_000 },
+  async function (this: NodeFleetWorld, delayMs: number) {
+    this.nodeFleet.statusDelayMs = delayMs;
+    await this.nodeFleet.timers.run(2 * delayMs);
+  },
+);
+
 When(
   "in {int} rounds nodes are disrupted while a host leaves",
   { timeout: 300_000 },
@@ -77,6 +86,38 @@
   },
 );
 
+When(
+  "{int} times the store is {word} for the leader and {int} other nodes for 6 seconds, and hosts leave just before and after",
+  { timeout: 300_000 },
+  async function (
+    this: NodeFleetWorld,
+    times: number,
+    access: StoreAccess,
+    others: number,
+  ) {
+    const { nodeFleet, disruptions } = this;
+    const { timers } = nodeFleet;
+    for (let i = 0; i < times; i++) {
+      await timers.run(6_000 + nodeFleet.random.int(1_000));
+      leaveAndReplace(nodeFleet, 1);
+      await timers.run(150);
+      const affected = disruptions.leaderAndOthers(others);
+      disruptions.turnAway(affected, access, 6_000);
+      await timers.run(50);
+      leaveAndReplace(nodeFleet, 2);
+      await timers.run(5_800);
+    }
+  },
+);
+
+/** Lets hosts leave and others take their places. */
+function leaveAndReplace(fleet: NodeFleet, count: number): void {
+  for (const id of fleet.servingHosts.slice(0, count)) {
+    fleet.leave(id, "announced");
+    fleet.addHost();
+  }
+}
+
 When(
   "a key is revoked while the store turns away the last {int} nodes and statuses wait {int} milliseconds to be read",
   { timeout: 120_000 },
