Date peers' reads of the store on the receiver's own clock

Cause: a status carries ages, which count the time at its sender and at hubs, but not the time on its way: in a socket until a busy loop reads it, in line at a link. Nodes took a list of hosts, and the confirmation of the catalog, for younger than they were by all of that, and polled the store as much later. Only pauses of over 400 ms of a receiver were noticed; a loop that is behind without such a pause, and hubs and links, were not.

Now a status has the time of its creation on the clock of its node, and the nodes that read for others send by how much their clock is ahead of each peer's statuses as they arrive, at least. A status was created before it arrived, so the receiver can turn the read's time into one on its own clock that is never too late, whatever the way took. A clock that may have stood still or jumped gets another identity, and nothing measured by it is used. Reads that can't be dated confirm nothing; the node polls the store.

Ruled out: counters that publishers return with each read (dates are older by a whole round trip through hubs, up to 1.4 s, near the 1.44 s for which lists are trusted); a lower limit on pauses (lines without a pause stay unseen).

Conclusion: fixed for reads of hosts and confirmations of the catalog. Ages of observations (limits, suspicions) still rely on the pause detector.

--- a/features/leaving_hosts.feature
+++ b/features/leaving_hosts.feature
@@ -45,6 +45,22 @@
       | 3    | busy    | 2     |
       | 4    | reset   | 2     |
 
+  # Guards against ages of reads that leave out the time that a status was on its way.
+  Scenario Outline: should stop requests to a leaving host in time while statuses wait to be read
+    Given <nodes> nodes with seed 1 that may send requests to a leaving host for <seconds> seconds
+    And statuses wait <delay> milliseconds to be read
+    When the store turns away the leader and every third node 4 times, each time as a host leaves
+    Then no node in touch sends requests to a leaving host any longer
+
+    Examples:
+      | nodes | seconds | delay |
+      | 5     | 2       | 400   |
+      | 5     | 2       | 1400  |
+      | 12    | 3       | 700   |
+      | 12    | 3       | 1500  |
+      | 12    | 3       | 2600  |
+      | 34    | 3       | 1500  |
+
   # Guards against orders of restarts, crashes, refusals by the store and lost
   # messages in which a leaving host is not noticed.
   Scenario Outline: should stop requests to a leaving host in time whatever happens to nodes meanwhile
--- a/features/revoked_keys.feature
+++ b/features/revoked_keys.feature
@@ -14,3 +14,5 @@
       | 8     | 3    | 80    |
       | 12    | 4    | 80    |
       | 12    | 4    | 200   |
+      | 12    | 4    | 900   |
+      | 12    | 4    | 1800  |
--- a/features/steps/gossip_steps.ts
+++ b/features/steps/gossip_steps.ts
@@ -172,6 +172,8 @@
   return {
     node: address,
     ageMs: 0,
+    createdAt: undefined,
+    clockLags: [],
     incarnation: "i",
     internalAddress: address,
     callerAddress: address,
--- a/features/steps/host_changes_steps.ts
+++ b/features/steps/host_changes_steps.ts
@@ -230,7 +230,7 @@
   for (const to of world.followers) {
     if (to === from) continue;
     world.timers.after(3, () => {
-      to.state.receiveUpdate(update, "peer", true);
+      to.state.receiveUpdate(update, "peer", 0);
       recordFalseConfirmations(world);
       to.catalog.recordPeerConfirmation(version, ownConfirmationAgeMs);
     });
@@ -395,7 +395,7 @@
           operatorRevision: 0,
         },
         "peer",
-        true,
+        0,
       );
     }
   },
@@ -413,7 +413,7 @@
     };
     for (const { state } of this.followers) {
       const update = state.createUpdate();
-      state.receiveUpdate({ ...update, hostChanges: [change] }, "peer", true);
+      state.receiveUpdate({ ...update, hostChanges: [change] }, "peer", 0);
     }
   },
 );
@@ -428,7 +428,7 @@
     this.followers[index].state.receiveUpdate(
       { ...update, isTruncated: true },
       "peer",
-      true,
+      0,
     );
     // The node lists after its long pause.
     while (!this.leftAt.has("h4")) await this.timers.run(50);
--- a/features/steps/sample_status.ts
+++ b/features/steps/sample_status.ts
@@ -5,6 +5,8 @@
   return {
     node: "n-1",
     ageMs: 5,
+    createdAt: { clock: 71, at: 4_000 },
+    clockLags: [[72, -20]],
     incarnation: "run-1",
     internalAddress: "10.0.0.1:7",
     callerAddress: "10.0.0.1:8",
--- a/features/steps/timer_steps.ts
+++ b/features/steps/timer_steps.ts
@@ -187,6 +187,8 @@
 
 /** Fields that nodes of earlier versions don't send. */
 const OPTIONAL_FIELDS: ReadonlySet<string> = new Set([
+  "ct",
+  "cl",
   "cp",
   "sp",
   "hl",
@@ -198,12 +200,15 @@
   "one without the fields of later versions is read as empty in these",
   function (this: TimerWorld) {
     const batch = this.parsed as { b: Record<string, unknown>[] };
-    const [{ cp: _cp, sp: _sp, hl: _hl, hr: _hr, ac: _ac, ...earlier }] =
-      batch.b;
+    const earlier = Object.fromEntries(
+      Object.entries(batch.b[0]).filter(([name]) => !OPTIONAL_FIELDS.has(name)),
+    );
     const text = JSON.stringify({ ...batch, b: [earlier] });
     const [status] = decodeBatch(Buffer.from(text))?.statuses ?? [];
     assert.deepEqual(status, {
       ...STATUS,
+      createdAt: undefined,
+      clockLags: [],
       suspectParts: [],
       soundParts: [],
       hostLimits: [],
--- a/src/core/fleet/fleet_state.ts
+++ b/src/core/fleet/fleet_state.ts
@@ -137,11 +137,15 @@
   }
 
   /**
-   * Applies what another process, `from`, read from the store. `isFresh` is false
-   * if the update may have waited to be received, so that its ages are too small.
+   * Applies what another process, `from`, read from the store. `unseenMs` is the
+   * time on its way that the ages in it leave out; undefined if not known.
    */
-  receiveUpdate(update: StateUpdate, from: string, isFresh: boolean): void {
-    this.#hostList.receiveUpdate(update, from, isFresh);
+  receiveUpdate(
+    update: StateUpdate,
+    from: string,
+    unseenMs: number | undefined,
+  ): void {
+    this.#hostList.receiveUpdate(update, from, unseenMs);
     if (update.operatorRevision > this.#operatorRevision) {
       this.#operatorFeed.pollSoon();
     }
--- a/src/core/fleet/host_list.ts
+++ b/src/core/fleet/host_list.ts
@@ -140,10 +140,14 @@
   }
 
   /**
-   * Applies what a peer, `from`, read. `isFresh` is false if the update may have
-   * waited to be received, so that its ages are too small.
+   * Applies what a peer, `from`, read. `unseenMs` is the time on its way that the
+   * ages in it leave out; undefined if that time is not known.
    */
-  receiveUpdate(update: HostUpdate, from: string, isFresh: boolean): void {
+  receiveUpdate(
+    update: HostUpdate,
+    from: string,
+    unseenMs: number | undefined,
+  ): void {
     for (const change of update.hostChanges) {
       if (this.#changes.accept(change)) {
         const isLapsed = change.isLapsed && this.#mayHaveLapsed;
@@ -153,7 +157,7 @@
     }
     const isGap = this.#changes.isMissing(update.hostRevision);
     if (isGap || update.isTruncated) this.#feed.pollSoon();
-    if (isFresh) this.#confirmByPeer(update);
+    if (unseenMs !== undefined) this.#confirmByPeer(update, unseenMs);
   }
 
   /** Polls the store if the list is too old, or this node's role asks for it. */
@@ -185,9 +189,13 @@
   }
 
   /** Confirms the list by a peer's read if all changes up to the read are known. */
-  #confirmByPeer({ publishesHosts, hostRead }: HostUpdate): void {
+  #confirmByPeer(
+    { publishesHosts, hostRead }: HostUpdate,
+    unseenMs: number,
+  ): void {
     if (hostRead === undefined) return;
-    const { ageMs, revision, changeRevision } = hostRead;
+    const { revision, changeRevision } = hostRead;
+    const ageMs = hostRead.ageMs + unseenMs;
     if (this.#changes.isMissing(changeRevision)) return;
     this.#changes.recordProgress(revision);
     if (publishesHosts) this.#publisherConfirmation.recordWithAge(ageMs);
--- a/src/core/gossip/message_codec.ts
+++ b/src/core/gossip/message_codec.ts
@@ -69,6 +69,9 @@
 function toWire(msg: StatusMessage): WireStatus {
   return {
     g: Math.round(msg.ageMs),
+    // Rounded so that a receiver takes the status for older, never for younger.
+    ct: msg.createdAt && [msg.createdAt.clock, Math.floor(msg.createdAt.at)],
+    cl: msg.clockLags.map(([clock, lagMs]) => [clock, Math.ceil(lagMs)]),
     n: msg.node,
     i: msg.incarnation,
     a: msg.internalAddress,
@@ -144,6 +147,8 @@
 function fromWire(wire: WireStatus): StatusMessage {
   return {
     ageMs: wire.g,
+    createdAt: wire.ct && { clock: wire.ct[0], at: wire.ct[1] },
+    clockLags: [...wire.cl ?? []],
     node: wire.n,
     incarnation: wire.i,
     internalAddress: wire.a,
--- a/src/core/gossip/messages.ts
+++ b/src/core/gossip/messages.ts
@@ -8,6 +8,7 @@
 import type { SuspicionKind } from "../fleet/suspicion_tracker.ts";
 import type { HostChange } from "../fleet/host_changes.ts";
 import type { HostRead } from "../fleet/host_update.ts";
+import type { ClockTime } from "./node_clock.ts";
 
 /** Load that one node puts on one upstream. */
 export interface LoadStatus {
@@ -78,8 +79,21 @@
 /** State of a node when it created the status. */
 export interface StatusMessage {
   readonly node: string;
-  /** Time since the node created the status, in milliseconds. */
+  /**
+   * Time since the node created the status, in milliseconds, without the time on
+   * its way and the time for which it waited to be read.
+   */
   readonly ageMs: number;
+  /**
+   * When the node created the status, on its own clock; undefined from nodes of
+   * earlier versions.
+   */
+  readonly createdAt: ClockTime | undefined;
+  /**
+   * By how much the node's clock was ahead of peers' statuses on arrival, by the
+   * peer's clock; see `PeerClocks`. Empty from nodes whose reads others don't use.
+   */
+  readonly clockLags: readonly (readonly [clock: number, lagMs: number])[];
   /** Identity of one run of the node. */
   readonly incarnation: string;
   readonly internalAddress: string;
--- a/src/core/gossip/wire_status.ts
+++ b/src/core/gossip/wire_status.ts
@@ -51,6 +51,8 @@
   rank: number,
   state: MembershipState,
 ];
+type ClockTime = [clock: number, at: number];
+type ClockLag = [clock: number, lagMs: number];
 type Read = [ageMs: number, revision: number, changeRevision: number];
 /** A host change on the wire; `value` is null if the host was removed. */
 export type WireChange = [
@@ -68,6 +70,10 @@
 export interface WireStatus {
   /** ageMs */
   readonly g: number;
+  /** createdAt; absent from nodes of earlier versions */
+  readonly ct?: ClockTime;
+  /** clockLags; absent from nodes of earlier versions */
+  readonly cl?: readonly ClockLag[];
   /** node */
   readonly n: string;
   /** incarnation */
@@ -173,7 +179,7 @@
   if (typeof value !== "object" || value === null) return false;
   const { n, i, a, c, z, s, l, d, u, k, h, e, p, w, cp, sp, hl, ac, ...rest } =
     value as WireStatus;
-  const { g, v, t, x, j, y, o, f, m, hr } = rest;
+  const { g, v, t, x, j, y, o, f, m, hr, ct, cl } = rest;
   return [n, i, a, c, z].every(isText) && NODE_STATES.has(s) &&
     [g, v, t, x, j, y].every(isNumber) && [o, f, m].every(isBoolean) &&
     isListOf(l, isLoad) && isListOf(d, isSuspicion) && isListOf(u, isAged) &&
@@ -181,6 +187,8 @@
     isOptionalListOf(sp, isAged) && isOptionalListOf(hl, isHostLimit) &&
     isListOf(h, isHost) &&
     isListOf(e, isChange) && (hr === undefined || isRead(hr)) &&
+    (ct === undefined || isNumberPair(ct)) &&
+    isOptionalListOf(cl, isNumberPair) &&
     isListOf(p, isText) && typeof w === "object" && w !== null &&
     Object.values(w).every(isNumber) && (ac === undefined || isBoolean(ac));
 }
@@ -230,6 +238,10 @@
     isBoolean(value[4]);
 }
 
+function isNumberPair(value: unknown): boolean {
+  return isTuple(value, 2) && value.every(isNumber);
+}
+
 function isRead(value: unknown): boolean {
   return isTuple(value, 3) && value.every(isNumber);
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -16,7 +16,9 @@
 import type { HubCandidate } from "../core/gossip/hub_election.ts";
 import type { HostStatus, StatusMessage } from "../core/gossip/messages.ts";
 import { ObservationExchange } from "../core/gossip/observation_exchange.ts";
+import { NodeClock } from "../core/gossip/node_clock.ts";
 import { PauseDetector } from "../core/gossip/pause_detector.ts";
+import { PeerClocks } from "../core/gossip/peer_clocks.ts";
 import { PeerGossip } from "../core/gossip/peer_gossip.ts";
 import { GroupOrchestrator } from "../core/orchestrator/group_orchestrator.ts";
 import { Relay } from "../core/relay/relay.ts";
@@ -91,6 +93,8 @@
   /** Availability zones that operators have taken out of service. */
   readonly #zonesOutOfService = new Set<string>();
   readonly #pauseDetector: PauseDetector;
+  readonly #clock: NodeClock;
+  readonly #peerClocks = new PeerClocks();
   readonly #loopMonitor: LoopMonitor;
   readonly #replicaView: ReplicaView;
   readonly #observations: ObservationExchange;
@@ -116,6 +120,10 @@
     const { node, bounds } = settings;
     this.#internalAddress = `${node.ip}:${node.internal_port}`;
     this.#catalog = new CatalogHolder(() => timers.now(), deps.wallClock);
+    this.#clock = new NodeClock(
+      () => this.#catalog.readClocks(),
+      deps.random,
+    );
     this.#pauseDetector = new PauseDetector(
       timers,
       () => this.#catalog.readClocks(),
@@ -404,6 +412,10 @@
     return {
       ...this.#hubCandidate(),
       ageMs: 0,
+      createdAt: this.#clock.read(),
+      clockLags: this.#readsForPeers
+        ? this.#peerClocks.lagsToSend(this.#clock.read(), this.#deps.random)
+        : [],
       incarnation: this.#deps.incarnation,
       callerAddress: node.caller_address,
       catalogVersion: this.#catalog.version,
@@ -428,6 +440,11 @@
     };
   }
 
+  /** Whether peers rely on what this node reads from the store. */
+  get #readsForPeers(): boolean {
+    return this.#isLeader || this.#gossip.rank < CATALOG_READERS;
+  }
+
   /** Whether this node or a live peer can't reach the store. */
   get #isStoreUnreachableForAnyNode(): boolean {
     return this.#fleetState.isStoreUnreachable ||
@@ -440,16 +457,30 @@
     this.relay.loads.recordPeerLoads(status.node, loads, now, statusAgeMs);
     this.#observations.apply(status, now);
     const from = hub === undefined ? status.node : `${status.node} via ${hub}`;
-    this.#fleetState.receiveUpdate(status, from, this.#pauseDetector.isFresh);
+    const unseenMs = this.#unseenMs(status);
+    this.#fleetState.receiveUpdate(status, from, unseenMs);
     if (this.#fleetState.isStoreUnreachable && !this.#isLeader) {
       for (const host of status.hosts) this.#applyHostStatus(host);
     }
-    if (status.confirmedMs >= 0 && this.#pauseDetector.isFresh) {
+    if (status.confirmedMs >= 0 && unseenMs !== undefined) {
       const { catalogVersion, confirmedMs } = status;
-      this.#catalog.recordPeerConfirmation(catalogVersion, confirmedMs);
+      const ageMs = confirmedMs + unseenMs;
+      this.#catalog.recordPeerConfirmation(catalogVersion, ageMs);
     }
   }
 
+  /**
+   * Time that a status spent on its way and its ages leave out, in milliseconds;
+   * undefined if it can't be dated.
+   */
+  #unseenMs(status: StatusMessage): number | undefined {
+    const now = this.#clock.read();
+    this.#peerClocks.record(status, now);
+    const elapsedMs = this.#peerClocks.elapsedSince(status, now);
+    if (elapsedMs === undefined) return undefined;
+    return Math.max(0, elapsedMs - status.ageMs);
+  }
+
   /** Applies a host's state as published by the leader while the store is unreachable. */
   #applyHostStatus(status: HostStatus): void {
     const host = this.#hosts.get(status.id);
