Ask again whether a host may receive a request once a connection is open

Cause: a host is chosen before its connection is open. Opening one takes up to 600 ms, by when the node may have learned that the host leaves, that its group closed or that its zone is out of service; the request was sent all the same. That is a fifth to a third of the time within which requests to a leaving host must end.

The client now asks as a connection is free, before it sends a byte, and ends the attempt as withheld; the request is placed again, without a charge to the retry budget, as no host received it, and without a suspicion of the host.

Ruled out: cancelling attempts when a host leaves, since the relay can't tell which of them were sent.

Related path: the product's own gateways (core/gateway) choose before they connect, too; not changed here.

Conclusion: the way from the choice to the host no longer counts.

--- a/features/leaving_hosts.feature
+++ b/features/leaving_hosts.feature
@@ -20,6 +20,19 @@
     When a host leaves
     Then each node logs when and from whom it learned of it
 
+  # Guards against requests on connections that open after the host has left.
+  Scenario Outline: should send a leaving host no request once the node knows, however long connections take
+    Given <nodes> nodes with seed 1 that may send requests to a leaving host for 2 seconds
+    And connections take <connect> milliseconds to open
+    When a host leaves
+    Then no node sends it a request after it learned of it
+    And all requests are answered
+
+    Examples:
+      | nodes | connect |
+      | 5     | 100     |
+      | 5     | 300     |
+
   # Guards against nodes that rely on a publisher whose polls get no response.
   Scenario Outline: should stop requests to a leaving host in time while the store turns publishers away
     Given <nodes> nodes with seed 1 that may send requests to a leaving host for <seconds> seconds
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -80,6 +80,18 @@
     When a request with a header that can't be sent is forwarded to it
     Then the attempt ends as "malformed"
 
+  # Guards against requests on connections that open after the host has left.
+  Scenario Outline: should not send a request to a host that left before a connection was free
+    Given a host that responds "complete, with a length"
+    When the host leaves while <connection>
+    Then the attempt ends as "withheld"
+    And the host received nothing
+
+    Examples:
+      | connection                                                   |
+      | a connection for a request to it is opened                   |
+      | a connection to it is idle, and a request is forwarded to it |
+
   Scenario: should send the host the remaining time, its own id and the tenant
     Given a host that responds "complete, with a length"
     When a request is forwarded to it
--- a/features/steps/entry_host.ts
+++ b/features/steps/entry_host.ts
@@ -7,7 +7,10 @@
 import { Random } from "../../src/base/random.ts";
 import { Node } from "../../src/node/node.ts";
 import type { CoordinationStore } from "../../src/ports/coordination_store.ts";
-import type { RelayClient } from "../../src/ports/relay_client.ts";
+import type {
+  RelayClient,
+  RelayListener,
+} from "../../src/ports/relay_client.ts";
 import type { NodeSettings } from "../../src/settings/node_settings.ts";
 import type { NodeFleet } from "./node_fleet.ts";
 import { API_KEY, LINK_DELAY_MS, SCHEMA } from "./node_fleet.ts";
@@ -87,7 +90,7 @@
     if (this.#run !== undefined) return;
     this.#disturb();
     const timers = new ProcessTimers(this.#fleet.timers);
-    const log = new RecordedLog();
+    const log = new RecordedLog(() => timers.now());
     const node = this.#createNode(timers, log);
     this.#run = { node, timers, log };
     node.start();
@@ -244,23 +247,43 @@
   /** Hosts answer each request at once. */
   #client(timers: ProcessTimers): RelayClient {
     return {
-      send: (host, _attempt, listener) => {
-        const at = timers.now();
-        this.#fleet.sent.push({ nodeId: this.id, hostId: host.id, at });
-        timers.after(2 * LINK_DELAY_MS, () => {
-          listener.onHead({
-            status: 200,
-            headers: [],
-            notRun: false,
-            wrongHost: false,
-            faultyMemberId: undefined,
-            isStream: false,
-            rateLimit: { kind: "unlimited" },
-          });
-          listener.onEnd({ kind: "ended" });
+      send: (host, attempt, listener) => {
+        let isCancelled = false;
+        timers.after(this.#fleet.connectMs, () => {
+          if (isCancelled) return;
+          if (attempt.mayStart()) {
+            return this.#answer(timers, host.id, listener);
+          }
+          listener.onEnd({ kind: "withheld", detail: "left" });
         });
-        return { cancel() {}, discard() {}, pause() {}, resume() {} };
+        return {
+          cancel: () => isCancelled = true,
+          discard() {},
+          pause() {},
+          resume() {},
+        };
       },
     };
   }
+
+  #answer(
+    timers: ProcessTimers,
+    hostId: string,
+    listener: RelayListener,
+  ): void {
+    const at = timers.now();
+    this.#fleet.sent.push({ nodeId: this.id, hostId, at });
+    timers.after(2 * LINK_DELAY_MS, () => {
+      listener.onHead({
+        status: 200,
+        headers: [],
+        notRun: false,
+        wrongHost: false,
+        faultyMemberId: undefined,
+        isStream: false,
+        rateLimit: { kind: "unlimited" },
+      });
+      listener.onEnd({ kind: "ended" });
+    });
+  }
 }
--- a/features/steps/http_relay_client_steps.ts
+++ b/features/steps/http_relay_client_steps.ts
@@ -147,6 +147,7 @@
   world: RelayClientWorld,
   requestId: string,
   headers: readonly string[] = [],
+  mayStart = () => true,
 ): Promise<Attempt> {
   return new Promise((resolve) => {
     const attempt: Attempt = {
@@ -173,6 +174,7 @@
         lastEventId: undefined,
         priority: 1,
         idempotent: true,
+        mayStart,
       },
       {
         onHead: (head) => attempt.head = head,
@@ -205,6 +207,30 @@
   },
 );
 
+When(
+  "the host leaves while a connection for a request to it is opened",
+  async function (this: RelayClientWorld) {
+    let isServing = true;
+    const attempt = forward(this, "a1", [], () => isServing);
+    isServing = false;
+    this.attempts = [await attempt];
+  },
+);
+
+When(
+  "the host leaves while a connection to it is idle, and a request is forwarded to it",
+  async function (this: RelayClientWorld) {
+    await forward(this, "a1");
+    this.received = "";
+    this.attempts = [await forward(this, "a1", [], () => false)];
+  },
+);
+
+Then("the host received nothing", async function (this: RelayClientWorld) {
+  await sleep(timers, 30);
+  assert.equal(this.received, "");
+});
+
 When("a request is forwarded to it", async function (this: RelayClientWorld) {
   this.attempts = [await forward(this, "a1")];
 });
--- a/features/steps/node_fleet.ts
+++ b/features/steps/node_fleet.ts
@@ -56,6 +56,8 @@
   readonly reads = new Map<string, number>();
   /** Time for which a status waits to be read; its ages leave it out. */
   statusDelayMs = LINK_DELAY_MS;
+  /** Time for which nodes open a connection before they send a request. */
+  connectMs = 0;
   #hostCount = 0;
 
   constructor(size: number, seed: number, drainMs: number) {
--- a/features/steps/node_fleet_steps.ts
+++ b/features/steps/node_fleet_steps.ts
@@ -39,6 +39,13 @@
   },
 );
 
+Given(
+  "connections take {int} milliseconds to open",
+  function (this: NodeFleetWorld, connectMs: number) {
+    this.nodeFleet.connectMs = connectMs;
+  },
+);
+
 When(
   "in {int} rounds nodes are disrupted while a host leaves",
   { timeout: 300_000 },
@@ -110,6 +117,31 @@
   },
 );
 
+Then(
+  "no node sends it a request after it learned of it",
+  function (this: NodeFleetWorld) {
+    const { nodeFleet } = this;
+    const [hostId] = nodeFleet.leftAt.keys();
+    for (const { id, log } of nodeFleet.entryHosts) {
+      const learned = log?.events.find(({ event }) => event === "host_left");
+      assert.ok(learned, `${id} did not learn that ${hostId} left`);
+      const late = nodeFleet.sent.filter(({ nodeId, ...sent }) =>
+        nodeId === id && sent.hostId === hostId && sent.at > learned.at
+      );
+      assert.deepEqual(late, []);
+    }
+  },
+);
+
+Then("all requests are answered", function (this: NodeFleetWorld) {
+  const ends = this.nodeFleet.entryHosts.flatMap(({ log }) =>
+    log?.named("request_ended") ?? []
+  );
+  const unanswered = ends.filter(({ outcome }) => outcome !== "answered");
+  assert.ok(ends.length > 0);
+  assert.deepEqual(unanswered, []);
+});
+
 /** Lets hosts leave and others take their places. */
 function leaveAndReplace(fleet: NodeFleet, count: number): void {
   for (const id of fleet.servingHosts.slice(0, count)) {
--- a/features/steps/simulated_fleet.ts
+++ b/features/steps/simulated_fleet.ts
@@ -31,10 +31,15 @@
 
 /** Records log events. */
 export class RecordedLog implements EventLog {
-  readonly events: { event: string; fields: EventFields }[] = [];
+  readonly events: { event: string; fields: EventFields; at: number }[] = [];
+  readonly #now: () => number;
+
+  constructor(now: () => number = () => 0) {
+    this.#now = now;
+  }
 
   info(event: string, fields: EventFields): void {
-    this.events.push({ event, fields });
+    this.events.push({ event, fields, at: this.#now() });
   }
 
   warn(event: string, fields: EventFields): void {
--- a/src/core/fleet/replica_view.ts
+++ b/src/core/fleet/replica_view.ts
@@ -48,6 +48,15 @@
     return replicas;
   }
 
+  /** Whether a replica can receive requests, as it was when it was chosen. */
+  isAnnounced({ key, service, model, host }: Replica): boolean {
+    const replicas = this.announced(service, model);
+    return replicas.some((replica) =>
+      replica.key === key && replica.host.id === host.id &&
+      replica.host.born === host.born
+    );
+  }
+
   #derive(service: string, model: string | undefined): readonly Replica[] {
     const engine = this.#catalog.inForce?.services.get(service)?.engine;
     if (engine === undefined) return this.#plainHosts(service);
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -345,6 +345,7 @@
       onContinued: (run, attempt) => this.#onContinued(run, attempt),
       crashesUpstreams: (run) => this.#crashesUpstreams(run),
       isHostAnnounced: (replica) => this.#isHostAnnounced(replica),
+      mayReceive: (replica) => this.#deps.view.isAnnounced(replica),
       onEvent: (run, event) => this.#deps.observer.onEvent(run, event),
       onEnded: (run) => this.#onEnded(run),
     };
@@ -461,7 +462,7 @@
       load.lastEventAt = attempt.lastProgressAt;
     }
     if (run.model !== undefined) this.#stallDetector.unwatch(run, attempt);
-    if (outcome !== "cancelled") {
+    if (outcome !== "cancelled" && outcome !== "withheld") {
       this.#stats.recordOutcome(key, outcome !== "answered", now);
     }
     this.#recordSuspicions(run, attempt, outcome, head);
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -52,6 +52,13 @@
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** What a failed attempt may have done at the upstream. */
+type AttemptEffect =
+  | "may_have_run"
+  | "not_run"
+  /** The upstream did not receive it, so the retry is not one to upstreams. */
+  | "withheld";
+
 /** How a request ended. */
 export type RunOutcome =
   | "answered"
@@ -100,6 +107,8 @@
   crashesUpstreams(run: RelayRun): boolean;
   /** Whether the upstream's host is still announced. */
   isHostAnnounced(replica: Replica): boolean;
+  /** Whether requests may still be sent to the upstream. */
+  mayReceive(replica: Replica): boolean;
   onEvent(run: RelayRun, event: RunEvent): void;
   onEnded(run: RelayRun, outcome: RunOutcome): void;
 }
@@ -276,6 +285,7 @@
         lastEventId: this.#writer.lastEventId,
         priority: Math.min(9, Math.max(0, this.priority)),
         idempotent: this.contract.repeatable,
+        mayStart: () => this.#deps.mayReceive(replica),
       },
       this.#createListener(attempt),
     );
@@ -312,7 +322,7 @@
     if (isLast) return;
     this.#endAttempt(attempt, "stalled", detail);
     this.#mayHaveRun = true;
-    this.#retry(attempt, true, detail);
+    this.#retry(attempt, "may_have_run", detail);
   }
 
   /** Cancels the request, as its caller has disconnected. */
@@ -434,14 +444,18 @@
   #onRefused(attempt: RunningAttempt, head: RelayHead): void {
     const outcome = head.wrongHost ? "wrong_host" : "refused";
     this.#endAttempt(attempt, outcome, `status ${head.status}`);
-    this.#retry(attempt, false, `refused with ${head.status}`);
+    this.#retry(attempt, "not_run", `refused with ${head.status}`);
   }
 
   #onEnd(attempt: RunningAttempt, end: RelayEnd): void {
     const { head } = attempt;
     if (end.kind === "not_sent") {
       this.#endAttempt(attempt, "not_sent", end.detail);
-      return this.#retry(attempt, false, end.detail);
+      return this.#retry(attempt, "not_run", end.detail);
+    }
+    if (end.kind === "withheld") {
+      this.#endAttempt(attempt, "withheld", end.detail);
+      return this.#retry(attempt, "withheld", end.detail);
     }
     this.#mayHaveRun = true;
     if (end.kind !== "ended") {
@@ -469,19 +483,23 @@
   #onFailedStatus(attempt: RunningAttempt, head: RelayHead): void {
     const detail = `status ${head.status}`;
     this.#endAttempt(attempt, "failed_status", detail);
-    if (this.#isRetriable(head)) return this.#retry(attempt, true, detail);
+    if (this.#isRetriable(head)) {
+      return this.#retry(attempt, "may_have_run", detail);
+    }
     if (this.#writer.started) return this.#onError(attempt, detail);
     this.#forwardFailure();
   }
 
   /** Retries a repeatable request and fails any other. */
   #onError(attempt: RunningAttempt, detail: string): void {
-    if (this.contract.repeatable) return this.#retry(attempt, true, detail);
+    if (this.contract.repeatable) {
+      return this.#retry(attempt, "may_have_run", detail);
+    }
     this.#refuseOrFail("upstream_failed", detail);
   }
 
   /** Makes a retry after a failed attempt, or ends the request if none is allowed. */
-  #retry(attempt: RunningAttempt, mayHaveRun: boolean, detail: string): void {
+  #retry(attempt: RunningAttempt, effect: AttemptEffect, detail: string): void {
     const now = this.#deps.timers.now();
     this.#excludedKeys.add(attempt.replica.key);
     this.#writer.discardPartial();
@@ -489,11 +507,12 @@
       return this.#refuseOrFail("upstream_failed", detail);
     }
     this.contract.recordAttempt(
-      mayHaveRun && this.#deps.isHostAnnounced(attempt.replica),
+      effect === "may_have_run" &&
+        this.#deps.isHostAnnounced(attempt.replica),
     );
     if (this.#deps.crashesUpstreams(this)) return this.#refuseAsCrashing();
     const mayRetry = this.contract.mayRetry(now) &&
-      this.#deps.spendRetry(this.service.name);
+      (effect === "withheld" || this.#deps.spendRetry(this.service.name));
     if (!mayRetry) {
       if (this.#failedResponse !== undefined) return this.#forwardFailure();
       return this.#refuseOrFail("overloaded", detail, 200);
--- a/src/core/relay/running_attempt.ts
+++ b/src/core/relay/running_attempt.ts
@@ -16,6 +16,8 @@
   | "wrong_host"
   /** No byte of the request was sent. */
   | "not_sent"
+  /** The upstream left, or its group closed, while a connection was opened. */
+  | "withheld"
   /** The upstream responded with a status other than 2xx. */
   | "failed_status"
   /** The connection was reset or closed. */
--- a/src/platform/http_relay_client.ts
+++ b/src/platform/http_relay_client.ts
@@ -69,6 +69,7 @@
       attempt.requestId,
       listener,
       () => waiting.remove(origin),
+      attempt.mayStart,
     );
     agent.dispatch({
       origin,
--- a/src/platform/relay_exchange.ts
+++ b/src/platform/relay_exchange.ts
@@ -50,6 +50,8 @@
   readonly #listener: RelayListener;
   /** Called once, when the request has a connection or fails without one. */
   readonly #onConnected: () => void;
+  readonly #mayStart: () => boolean;
+  #isWithheld = false;
   #isWaiting = true;
   #controller: Dispatcher.DispatchController | undefined;
   /** Whether the listener gets no more calls. */
@@ -70,12 +72,14 @@
     requestId: string,
     listener: RelayListener,
     onConnected: () => void,
+    mayStart: () => boolean,
   ) {
     this.#deps = deps;
     this.#hostId = hostId;
     this.#requestId = requestId;
     this.#listener = listener;
     this.#onConnected = onConnected;
+    this.#mayStart = mayStart;
   }
 
   cancel(): void {
@@ -106,7 +110,12 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
     this.#stopWaiting();
-    if (this.#ended) controller.abort(new Error("Cancelled"));
+    if (this.#ended) {
+      controller.abort(new Error("Cancelled"));
+    } else if (!this.#mayStart()) {
+      this.#isWithheld = true;
+      controller.abort(new Error("The host no longer receives requests"));
+    }
   }
 
   onResponseStart(
@@ -163,6 +172,7 @@
     this.#discardTimer?.cancel();
     const code = (err as { code?: string }).code ?? "";
     const detail = `${code} ${err.message}`.trim();
+    if (this.#isWithheld) return this.#end({ kind: "withheld", detail });
     const isParseError = err.name === "HTTPParserError" &&
       !err.message.includes("Invalid EOF");
     const isMalformed = this.#protocolError !== undefined || isParseError ||
--- a/src/ports/relay_client.ts
+++ b/src/ports/relay_client.ts
@@ -28,6 +28,11 @@
    * connection that was idle for long, since the host may have closed it.
    */
   readonly idempotent: boolean;
+  /**
+   * Called when a connection is open, before anything is sent: whether the host
+   * may still receive the request. If not, the attempt ends as withheld.
+   */
+  readonly mayStart: () => boolean;
 }
 
 /** Whether a host names a rate limit in a response. */
@@ -62,6 +67,8 @@
   | { readonly kind: "ended" }
   /** No byte of the request was sent. */
   | { readonly kind: "not_sent"; readonly detail: string }
+  /** No byte was sent, as `mayStart` returned false. */
+  | { readonly kind: "withheld"; readonly detail: string }
   /** The connection was reset or closed. */
   | { readonly kind: "reset"; readonly detail: string }
   /** The host violated the protocol. */
