Open new connections to the store once a call has timed out

What callers could see: late requests to a leaving host, from a node whose connections to the store had all gone silent while new ones work.

Cause: a call that times out closes its own connection.

After a timeout the calls that follow use new connections; calls in progress keep theirs until they end.

Ruled out: keep-alive probes (Node.js sets no short interval, and they don't show a peer that acknowledges but no longer responds).

Conclusion: one timeout, however many connections were open.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -115,6 +115,12 @@
     Then it describes a usable host
     And the example manifest is parsed into a catalog with its routes, engines and keys
 
+  # Guards against calls that time out one after the other on silent connections.
+  Scenario: should reach the store after one timeout when all open connections have gone silent
+    Given a store over HTTP
+    When 5 connections to it are open and all of them go silent
+    Then the first call is lost, and the next one succeeds
+
   Scenario: should use the store over HTTP, and report a lost response as ambiguous
     Given a store over HTTP
     When keys are written under a condition, listed, watched and leased
--- a/features/steps/platform_store_steps.ts
+++ b/features/steps/platform_store_steps.ts
@@ -6,7 +6,7 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import { createServer as createHttpServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { SystemTimers } from "../../src/base/system_timers.ts";
 import { sleep } from "../../src/base/timers.ts";
@@ -25,6 +25,8 @@
   state: MemoryCoordination;
   store: PlatformStore;
   results: unknown[];
+  /** Connections that the store has accepted. */
+  sockets: Set<Socket>;
 }
 
 After(function (this: PlatformStoreWorld) {
@@ -124,11 +126,34 @@
   },
 );
 
+When(
+  "{int} connections to it are open and all of them go silent",
+  async function (this: PlatformStoreWorld, count: number) {
+    const calls = Array.from({ length: count }, () => this.store.list("a/"));
+    const listings = await Promise.all(calls);
+    assert.ok(listings.every((listing) => listing.ok));
+    assert.equal(this.sockets.size, count);
+    for (const socket of this.sockets) socket.pause();
+  },
+);
+
+Then(
+  "the first call is lost, and the next one succeeds",
+  async function (this: PlatformStoreWorld) {
+    const first = await this.store.list("a/");
+    assert.deepEqual(first.ok || first.err.kind, "ambiguous");
+    const next = await this.store.list("a/");
+    assert.ok(next.ok);
+  },
+);
+
 Given("a store over HTTP", async function (this: PlatformStoreWorld) {
   this.closers = [];
+  this.sockets = new Set();
   this.results = [];
   this.state = new MemoryCoordination(timers);
   const server = createHttpServer(serveStore(this.state));
+  server.on("connection", (socket) => this.sockets.add(socket));
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
   const { port } = server.address() as AddressInfo;
   this.store = new PlatformStore(timers, `${HOST}:${port}`);
--- a/src/platform/json_requests.ts
+++ b/src/platform/json_requests.ts
@@ -14,7 +14,9 @@
   /** The request was not sent. */
   | { readonly kind: "not_sent"; readonly detail: string }
   /** The request may have been sent and carried out. */
-  | { readonly kind: "lost"; readonly detail: string };
+  | { readonly kind: "lost"; readonly detail: string }
+  /** The same; no response came in time. */
+  | { readonly kind: "timed_out"; readonly detail: string };
 
 /** Error codes of connections that could not be opened. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
@@ -49,7 +51,7 @@
   const res = await withTimeout(timers, pending, timeoutMs);
   if (res !== TIMED_OUT) return res;
   abort.abort();
-  return { kind: "lost", detail: "timeout" };
+  return { kind: "timed_out", detail: "timeout" };
 }
 
 async function sendJson(
--- a/src/platform/platform_store.ts
+++ b/src/platform/platform_store.ts
@@ -60,14 +60,7 @@
 export class PlatformStore implements CoordinationStore {
   readonly #timers: Timers;
   readonly #baseUrl: string;
-  readonly #agent = new Agent({
-    connections: 16,
-    pipelining: 1,
-    maxHeaderSize: MAX_HEAD_BYTES,
-    maxResponseSize: MAX_STORE_BODY_BYTES,
-    connectTimeout: CONNECT_TIMEOUT_MS,
-    keepAliveTimeout: 10_000,
-  });
+  #agent = createAgent();
 
   constructor(timers: Timers, address: string) {
     this.#timers = timers;
@@ -171,7 +164,7 @@
     return ended.ok ? success(true) : ended;
   }
 
-  #call(
+  async #call(
     method: "GET" | "POST" | "DELETE",
     path: string,
     body?: unknown,
@@ -179,10 +172,42 @@
   ): Promise<JsonRequestResult> {
     const timeoutMs = waitMs + CALL_TIMEOUT_MS;
     const url = this.#baseUrl + path;
-    return requestJson(this.#timers, this.#agent, method, url, timeoutMs, body);
+    const agent = this.#agent;
+    const res = await requestJson(
+      this.#timers,
+      agent,
+      method,
+      url,
+      timeoutMs,
+      body,
+    );
+    if (res.kind === "timed_out") this.#replace(agent);
+    return res;
+  }
+
+  /**
+   * Opens new connections for the calls that follow: if one connection has gone
+   * silent, others that were opened before may have, too.
+   */
+  #replace(agent: Agent): void {
+    if (agent !== this.#agent) return;
+    this.#agent = createAgent();
+    // Calls in progress keep their connections until they end.
+    agent.close();
   }
 }
 
+function createAgent(): Agent {
+  return new Agent({
+    connections: 16,
+    pipelining: 1,
+    maxHeaderSize: MAX_HEAD_BYTES,
+    maxResponseSize: MAX_STORE_BODY_BYTES,
+    connectTimeout: CONNECT_TIMEOUT_MS,
+    keepAliveTimeout: 10_000,
+  });
+}
+
 /**
  * Parses a response with the expected status. Without an expected status, any
  * below 300 is accepted.
@@ -195,7 +220,7 @@
   if (res.kind === "not_sent") {
     return failure({ kind: "unavailable", detail: res.detail });
   }
-  if (res.kind === "lost") {
+  if (res.kind !== "answer") {
     return failure({ kind: "ambiguous", detail: res.detail });
   }
   const isExpected = status === undefined
