Poll hosts at once when the list is too old, also if a long poll has just begun

What callers could see: requests to a leaving host for longer than allowed, from a node whose long poll of the store began on a silent connection just before its list of hosts got too old.

Cause: pollSoon ignores a request that is younger than 900 ms, of whatever kind. With a list that may be 1,000 ms old and checks every 250 ms that makes 2,150 ms; 2,000 are allowed. The list then also counted as unread for as long as entries take to lapse, and kept the host 1,800 ms longer.

A list that is too old now abandons any long poll; only a short poll in progress is waited for. A node without a publisher waits less in its own polls, so that its list doesn't get too old while the store has nothing to say, which would abandon each of them.

Ruled out: shorter timeouts of all polls, since the store may be slow.

Conclusion: a poll in progress adds nothing to the worst case.

--- a/features/gossip.feature
+++ b/features/gossip.feature
@@ -91,6 +91,13 @@
     When at 16 moments, 100 milliseconds apart, publishers get no response as a host leaves
     Then at each moment every other node learned of it within 3000 milliseconds
 
+  # Guards against a list that gets too old while a poll that has just begun gets
+  # no response.
+  Scenario: should learn in time that a host left when its own poll has just begun and gets no response
+    Given 12 nodes that follow a store, of which 3 are readers, with lists that may be 1 seconds old
+    When at 6 moments before the polls of subscribers, 180 milliseconds apart, messages and long polls begin to get lost as a host leaves
+    Then at each moment every other node learned of it within 2000 milliseconds
+
   Scenario: should ignore an outdated host change from a peer
     Given 12 nodes that follow a store, of which 3 are readers
     When a peer sends the state of a host from before it left
--- a/features/steps/host_changes_steps.ts
+++ b/features/steps/host_changes_steps.ts
@@ -17,6 +17,9 @@
 import { MemoryCoordination } from "../../src/standins/fleet/memory_coordination.ts";
 import type { ServingHost } from "../../src/world/serving_host.ts";
 
+/** Time between polls of a node that receives host changes from publishers. */
+const SUBSCRIBER_PAUSE_MS = 12_000;
+
 const SCHEMA: FleetSchema = {
   hostPrefix: "hosts/",
   operatorPrefix: "operator/",
@@ -42,6 +45,8 @@
   storeRequests: number;
   /** Requests for host changes by nodes that receive these from publishers. */
   subscriberReads: number;
+  /** When one of these nodes last requested host changes. */
+  subscriberPolledAt: number;
   /** Whether all messages between nodes are lost. */
   isPartitioned: boolean;
   /** Indices of followers whose long polls of the store get no response. */
@@ -110,6 +115,7 @@
   world.store = new MemoryCoordination(world.timers);
   world.storeRequests = 0;
   world.subscriberReads = 0;
+  world.subscriberPolledAt = 0;
   world.isPartitioned = false;
   world.withoutLongPollResponses = new Set();
   world.withoutResponses = new Set();
@@ -208,16 +214,16 @@
     },
     changes: async (prefix, after, waitMs) => {
       world.storeRequests += 1;
-      if (index > 1 && prefix === SCHEMA.hostPrefix) world.subscriberReads += 1;
+      if (index > 1 && prefix === SCHEMA.hostPrefix) {
+        world.subscriberReads += 1;
+        world.subscriberPolledAt = world.timers.now();
+      }
       if (prefix === SCHEMA.hostPrefix && world.withoutHistory.delete(index)) {
         return failure({ kind: "compacted" });
       }
-      const hasNoResponse = world.withoutLongPollResponses.has(index) &&
-        waitMs > 100;
-      const res = hasNoResponse
-        ? undefined
-        : await client.changes(prefix, after, waitMs);
-      const isLost = res === undefined || world.withoutResponses.has(index);
+      const res = await client.changes(prefix, after, waitMs);
+      const isLost = world.withoutResponses.has(index) ||
+        (world.withoutLongPollResponses.has(index) && waitMs > 100);
       return isLost ? new Promise(() => {}) : res;
     },
   };
@@ -329,6 +335,28 @@
   },
 );
 
+When(
+  "at {int} moments before the polls of subscribers, {int} milliseconds apart, messages and long polls begin to get lost as a host leaves",
+  { timeout: 120_000 },
+  async function (this: HostChangesWorld, moments: number, stepMs: number) {
+    const all = new Set(this.followers.keys());
+    for (let i = 1; i <= moments; i++) {
+      // Nodes poll rarely again.
+      await this.timers.run(14_000);
+      const polledAt = this.subscriberPolledAt;
+      while (this.subscriberPolledAt === polledAt) await this.timers.run(10);
+      const nextPollAt = this.subscriberPolledAt + SUBSCRIBER_PAUSE_MS;
+      await this.timers.runUntil(nextPollAt - i * stepMs);
+      this.isPartitioned = true;
+      this.withoutLongPollResponses = all;
+      removeHost(this, `h${i}`);
+      this.learnedAfterMs.push(await timeUntilGone(this, `h${i}`));
+      this.withoutLongPollResponses = new Set();
+      this.isPartitioned = false;
+    }
+  },
+);
+
 /** Time until every node but the publishers knows that a host has left. */
 async function timeUntilGone(
   world: HostChangesWorld,
@@ -337,6 +365,7 @@
   const startedAt = world.timers.now();
   const subscribers = world.followers.slice(2);
   while (subscribers.some(({ hosts }) => hosts.get(id) !== undefined)) {
+    if (world.timers.now() - startedAt > 10_000) break;
     await world.timers.run(50);
   }
   return world.timers.now() - startedAt;
--- a/src/core/fleet/change_feed.ts
+++ b/src/core/fleet/change_feed.ts
@@ -18,7 +18,7 @@
 /** A request times out this long after the store should have responded. */
 const REQUEST_TIMEOUT_MARGIN_MS = 800;
 /**
- * Wait of the first request after a failure, and of one after `pollNow`; short,
+ * Wait of the first request after a failure, and of one that was asked for; short,
  * so that the response shows soon whether the store is reachable.
  */
 const SHORT_WAIT_MS = 20;
@@ -26,8 +26,8 @@
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 400;
 /**
- * `pollSoon` abandons a request in progress only if it is older than this: by
- * then, a poll with a short wait has completed or timed out.
+ * A request that is older than this is abandoned: by then, a poll with a short
+ * wait has completed or timed out.
  */
 const ABANDON_REQUEST_AFTER_MS = 900;
 
@@ -72,6 +72,8 @@
   #lastRequestFailed = false;
   #stopped = false;
   #isPollRequested = false;
+  /** Whether the last request waits for changes only shortly. */
+  #isShortPoll = false;
   /** Ends the pause, or abandons the long poll in progress. */
   #interrupt: (() => void) | undefined;
   #lastRequestAt = -Infinity;
@@ -108,8 +110,23 @@
    * pause in progress.
    */
   pollSoon(): void {
+    if (!this.#isRequestRecent) this.#requestPoll();
+  }
+
+  /**
+   * Polls at once, also if a long poll has just begun: its connection may have gone
+   * silent.
+   */
+  pollNow(): void {
+    if (!this.#isShortPoll || !this.#isRequestRecent) this.#requestPoll();
+  }
+
+  get #isRequestRecent(): boolean {
     const sinceRequestMs = this.#timers.now() - this.#lastRequestAt;
-    if (sinceRequestMs <= ABANDON_REQUEST_AFTER_MS) return;
+    return sinceRequestMs <= ABANDON_REQUEST_AFTER_MS;
+  }
+
+  #requestPoll(): void {
     this.#isPollRequested = true;
     this.#interrupt?.();
   }
@@ -170,8 +187,8 @@
     after: number,
     requestedAt: ClockReading,
   ): Promise<CoordinationError | "interrupted" | undefined> {
-    const isShort = this.#lastRequestFailed || this.#isPollRequested;
-    const waitMs = isShort ? SHORT_WAIT_MS : this.#timing().waitMs;
+    this.#isShortPoll = this.#lastRequestFailed || this.#isPollRequested;
+    const waitMs = this.#isShortPoll ? SHORT_WAIT_MS : this.#timing().waitMs;
     this.#isPollRequested = false;
     const interrupted = new Promise<"interrupted">((resolve) => {
       this.#interrupt = () => resolve("interrupted");
--- a/src/core/fleet/host_list.ts
+++ b/src/core/fleet/host_list.ts
@@ -45,15 +45,22 @@
  * is as old as two such polls and the peers' statuses take.
  */
 const PUBLISHER_WAIT_RATIO = 0.25;
+/**
+ * The same for the polls of a node that receives no publisher's reads: with the
+ * pause between them, a list that such polls alone confirm doesn't get too old.
+ */
+const FALLBACK_WAIT_RATIO = 0.4;
+/** Wait of the polls of other nodes, whose lists publishers' reads confirm. */
+const SUBSCRIBER_WAIT_MS = 2_000;
 /** Shortest time between polls of the leader; it forms the replica groups. */
 const LEADER_PAUSE_MS = 40;
 const LARGE_LEADER_PAUSE_MS = 60;
 const PUBLISHER_PAUSE_MS = 200;
-const HOST_TIMING = { waitMs: 2_000, pauseMs: 350 };
+const PAUSE_MS = 350;
 /** For nodes of a large fleet that receive host changes from a publisher. */
-const SUBSCRIBER_TIMING = { waitMs: 2_000, pauseMs: 12_000 };
+const SUBSCRIBER_PAUSE_MS = 12_000;
 /** For nodes of a large fleet that receive no host changes from a publisher. */
-const FALLBACK_TIMING = { waitMs: 2_000, pauseMs: 700 };
+const FALLBACK_PAUSE_MS = 700;
 
 /** This node's part in reading the hosts. */
 export interface HostListRole {
@@ -164,7 +171,7 @@
   check(): void {
     const { ageMs } = this;
     const isOutdated = ageMs > this.#maxAgeMs;
-    if (isOutdated) this.#feed.pollSoon();
+    if (isOutdated) this.#feed.pollNow();
     if (isOutdated && !this.#isOutdated) this.#deps.onOutdated(ageMs);
     this.#isOutdated = isOutdated;
     this.#feed.endPauseIfDue();
@@ -244,15 +251,21 @@
   }
 
   #timing(): FeedTiming {
+    return { waitMs: this.#waitMs, pauseMs: this.#pauseMs };
+  }
+
+  get #waitMs(): number {
+    if (this.#isPublisher) return this.#maxAgeMs * PUBLISHER_WAIT_RATIO;
+    if (this.#hasPublisher) return SUBSCRIBER_WAIT_MS;
+    return this.#maxAgeMs * FALLBACK_WAIT_RATIO;
+  }
+
+  get #pauseMs(): number {
     const { isLeader, isFleetLarge } = this.#deps.role();
-    const waitMs = this.#maxAgeMs * PUBLISHER_WAIT_RATIO;
-    if (isLeader) {
-      const pauseMs = isFleetLarge ? LARGE_LEADER_PAUSE_MS : LEADER_PAUSE_MS;
-      return { waitMs, pauseMs };
-    }
-    if (!isFleetLarge) return HOST_TIMING;
-    if (this.#isPublisher) return { waitMs, pauseMs: PUBLISHER_PAUSE_MS };
-    return this.#hasPublisher ? SUBSCRIBER_TIMING : FALLBACK_TIMING;
+    if (isLeader) return isFleetLarge ? LARGE_LEADER_PAUSE_MS : LEADER_PAUSE_MS;
+    if (!isFleetLarge) return PAUSE_MS;
+    if (this.#isPublisher) return PUBLISHER_PAUSE_MS;
+    return this.#hasPublisher ? SUBSCRIBER_PAUSE_MS : FALLBACK_PAUSE_MS;
   }
 
   #createFeed(): ChangeFeed {
