--- a/src/standins/platform/platform_standin.ts
+++ b/src/standins/platform/platform_standin.ts
@@ -65,7 +65,7 @@
         await this.#startEngine(`i-${d}-${h}`, d);
       }
     }
-    for (const id of ["counter-1", "counter-2"]) await this.#startCounter(id);
+    for (const id of ["counter-1", "counter-2"]) await this.startCounter(id);
     this.writeManifest();
     return `${IP}:${port}`;
   }
@@ -104,7 +104,8 @@
     this.engines.add(id, `domain-${domain}`, `zone-${domain % 3}`);
   }
 
-  async #startCounter(id: string): Promise<void> {
+  /** Starts a host of the plain service, and announces it. */
+  async startCounter(id: string): Promise<void> {
     const host = new HostStandin(
       id,
       this.#timers,
@@ -113,13 +114,23 @@
       this.#responseMs,
     );
     this.#hosts.push(host);
+    this.#addresses.set(id, await host.listen(IP));
+    this.#writeCounterEntry(id, "ready");
+  }
+
+  /** Announces that a host of the plain service leaves; it goes on serving. */
+  drainCounter(id: string): void {
+    this.#writeCounterEntry(id, "draining");
+  }
+
+  #writeCounterEntry(id: string, state: "ready" | "draining"): void {
     this.store.put(`servers/${id}`, {
       service: "counter",
-      address: await host.listen(IP),
+      address: this.#addresses.get(id),
       zone: "zone-0",
       version: "v1",
       slots: 6,
-      state: "ready",
+      state,
       cold_left_ms: 0,
       seq: 1,
       born: 1,
