--- a/features/leaving_hosts.feature
+++ b/features/leaving_hosts.feature
@@ -21,6 +21,7 @@
     Then each node logs when and from whom it learned of it
 
   # Guards against requests on connections that open after the host has left.
+  @late-connections
   Scenario Outline: should send a leaving host no request once the node knows, however long connections take
     Given <nodes> nodes with seed 1 that may send requests to a leaving host for 2 seconds
     And connections take <connect> milliseconds to open
@@ -59,6 +60,7 @@
       | 4    | reset   | 2     |
 
   # Guards against ages of reads that leave out the time that a status was on its way.
+  @dated-reads
   Scenario Outline: should stop requests to a leaving host in time while statuses wait to be read
     Given <nodes> nodes with seed 1 that may send requests to a leaving host for <seconds> seconds
     And statuses wait <delay> milliseconds to be read
--- a/src/core/gossip/peer_clocks.ts
+++ b/src/core/gossip/peer_clocks.ts
@@ -41,16 +41,17 @@
  * smallest lag gives the closest date.
  */
 export class PeerClocks {
-  /** Lags of the statuses of peers on arrival here, by the peer's clock. */
+  /**
+   * Lags of the statuses of peers on arrival here, by the peer's clock. If the
+   * clock of this process stood still, later lags are smaller and replace them.
+   */
   readonly #measured = new Map<number, LagWindow>();
   /** Lags of the statuses of this process on arrival at peers, by the peer's clock. */
   readonly #reported = new Map<number, ReportedLag>();
-  #ownClock: number | undefined;
 
   /** Records a status of a peer that arrives `now`. */
   record({ createdAt, clockLags }: DatedStatus, now: ClockTime): void {
     if (createdAt === undefined) return;
-    this.#forgetIfJumped(now);
     this.#measure(createdAt, now.at);
     const own = clockLags.find(([clock]) => clock === now.clock);
     const known = this.#reported.get(createdAt.clock);
@@ -87,7 +88,6 @@
    * random part of them.
    */
   lagsToSend(now: ClockTime, random: Random): StatusMessage["clockLags"] {
-    this.#forgetIfJumped(now);
     this.#expire(now.at);
     const lags = [...this.#measured].map(([clock, { current, previous }]) =>
       [clock, Math.min(current, previous)] as const
@@ -117,14 +117,6 @@
     window.current = Math.min(window.current, lagMs);
   }
 
-  /** Drops what was measured by a clock of this process that has jumped. */
-  #forgetIfJumped({ clock }: ClockTime): void {
-    if (this.#ownClock === clock) return;
-    this.#ownClock = clock;
-    this.#measured.clear();
-    this.#reported.clear();
-  }
-
   /** Drops clocks from which nothing arrived for two windows. */
   #expire(now: number): void {
     for (const [clock, { startedAt }] of this.#measured) {
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -390,6 +390,58 @@
       replace: "const isOutdated = ageMs > Infinity;",
     }],
   },
+  {
+    promise: 8,
+    tag: "@dated-reads",
+    mechanism: "The age of a peer's read includes the way of its status",
+    edits: [{
+      file: "fleet/host_list.js",
+      find: "hostRead.ageMs + unseenMs",
+      replace: "hostRead.ageMs",
+    }],
+  },
+  {
+    promise: 8,
+    tag: "@peer-clocks",
+    mechanism: "A clock that may have stood still gets another identity",
+    edits: [{
+      file: "gossip/node_clock.js",
+      find: "> MAX_DIVERGENCE_MS",
+      replace: "> Infinity",
+    }],
+  },
+  {
+    promise: 8,
+    tag: "@peer-clocks",
+    mechanism: "A lag measured by an earlier clock of this process is not used",
+    edits: [{
+      file: "gossip/peer_clocks.js",
+      find: "lag.clock !== now.clock",
+      replace: "false",
+    }],
+  },
+  {
+    promise: 8,
+    tag: "@late-connections",
+    mechanism:
+      "A request is withheld if its host has left as a connection opens",
+    edits: [{
+      file: "relay/relay_run.js",
+      find: "this.#deps.mayReceive(replica)",
+      replace: "true",
+    }],
+  },
+  {
+    promise: 8,
+    tag: "@gossip",
+    mechanism:
+      "A list that is too old abandons a long poll that has just begun",
+    edits: [{
+      file: "fleet/change_feed.js",
+      find: "!this.#isShortPoll || !this.#isRequestRecent",
+      replace: "!this.#isRequestRecent",
+    }],
+  },
   {
     promise: 8,
     tag: "@gossip",
