Wait less in polls of hosts only while no publisher's reads arrive

Suspected cause: a node polls without relying on a publisher for 4 s after any of its calls failed, and then waited 576 ms instead of 2,000 ms in each poll, though the publisher's reads arrived and kept its list young. The short wait is needed only if they don't. Its scenarios hold: @gossip and @late-connections, 34 passed.

--- a/src/core/fleet/host_list.ts
+++ b/src/core/fleet/host_list.ts
@@ -242,10 +242,15 @@
     return isLeader || (isFleetLarge && isPublisher);
   }
 
-  /** Whether a publisher's reads arrive, so that this process can poll rarely. */
+  /** Whether recent reads of a publisher arrive. */
+  get #receivesReads(): boolean {
+    return this.#publisherConfirmation.ageMs < this.#maxAgeMs;
+  }
+
+  /** Whether this process can poll rarely, as a publisher reads for it. */
   get #hasPublisher(): boolean {
     const { timers, reachability } = this.#deps;
-    return this.#publisherConfirmation.ageMs < this.#maxAgeMs &&
+    return this.#receivesReads &&
       !reachability.isUnreachable &&
       timers.now() - reachability.regainedAt > POST_OUTAGE_POLLING_MS;
   }
@@ -256,7 +261,7 @@
 
   get #waitMs(): number {
     if (this.#isPublisher) return this.#maxAgeMs * PUBLISHER_WAIT_RATIO;
-    if (this.#hasPublisher) return SUBSCRIBER_WAIT_MS;
+    if (this.#receivesReads) return SUBSCRIBER_WAIT_MS;
     return this.#maxAgeMs * FALLBACK_WAIT_RATIO;
   }
 
