Let a new publisher publish the host changes that it read before

What callers could see: requests to hosts that had left, from nodes that the store turned away while both publishers were turned away, too.

Cause: a node publishes what it read for 500 ms, and only while it is a publisher. What the new leader had read before was published by nobody, and the gap kept the others from using its reads.

A node that becomes a publisher now publishes what it read in the last 3 s.

Ruled out: publishing by every node without a publisher's reads; tried, it did not help, as nodes read the change while the publishers' last reads still seemed young.

Conclusion: fixed for the time after a new leader is elected; until then such nodes still know nothing. If the store turns away all three candidates, none is.

--- a/features/leaving_hosts.feature
+++ b/features/leaving_hosts.feature
@@ -59,6 +59,19 @@
       | 3    | busy    | 2     |
       | 4    | reset   | 2     |
 
+  # Guards against nodes without the store that learn nothing while the publishers are
+  # without it, too, although other nodes read it.
+  @without-publishers
+  Scenario Outline: should tell nodes that the store turns away what other nodes read, also without publishers
+    Given <nodes> nodes with seed <seed> that may send requests to a leaving host for 3 seconds
+    When the store is silent for the publishers and every third node for 6 seconds and a host leaves
+    Then every node learns of it within 3 seconds
+
+    Examples:
+      | nodes | seed |
+      | 12    | 1    |
+      | 34    | 2    |
+
   # Guards against ages of reads that leave out the time that a status was on its way.
   @dated-reads
   Scenario Outline: should stop requests to a leaving host in time while statuses wait to be read
--- a/features/steps/node_fleet_steps.ts
+++ b/features/steps/node_fleet_steps.ts
@@ -142,6 +142,37 @@
   assert.deepEqual(unanswered, []);
 });
 
+When(
+  "the store is silent for the publishers and every third node for 6 seconds and a host leaves",
+  { timeout: 60_000 },
+  async function (this: NodeFleetWorld) {
+    const { nodeFleet, disruptions } = this;
+    await nodeFleet.timers.run(4_000);
+    const every3rd = nodeFleet.entryHosts.filter((_, index) => index % 3 === 0);
+    const affected = new Set([...publishersOf(nodeFleet), ...every3rd]);
+    disruptions.turnAway(affected, "silent", 6_000);
+    await nodeFleet.timers.run(50);
+    leaveAndReplace(nodeFleet, 1);
+    await nodeFleet.timers.run(9_000);
+  },
+);
+
+Then(
+  "every node learns of it within {int} seconds",
+  function (this: NodeFleetWorld, seconds: number) {
+    const { leftAt, entryHosts } = this.nodeFleet;
+    const [[hostId, at]] = leftAt;
+    const learnedAfterMs = entryHosts.map(({ id, log }) => {
+      const learned = log?.events.find(({ event, fields }) =>
+        event === "host_left" && fields.host === hostId
+      );
+      return { id, ms: learned === undefined ? Infinity : learned.at - at };
+    });
+    const late = learnedAfterMs.filter(({ ms }) => ms > seconds * 1_000);
+    assert.deepEqual(late, []);
+  },
+);
+
 /** Lets hosts leave and others take their places. */
 function leaveAndReplace(fleet: NodeFleet, count: number): void {
   for (const id of fleet.servingHosts.slice(0, count)) {
--- a/src/core/fleet/host_changes.ts
+++ b/src/core/fleet/host_changes.ts
@@ -26,6 +26,8 @@
 const MAX_PUBLISHED_CHANGES = 40;
 /** Changes are published repeatedly for this time, as messages may be lost. */
 const PUBLISH_MS = 500;
+/** Changes are kept for this time, for a process that becomes a publisher. */
+const KEEP_MS = 3_000;
 
 /**
  * Accepts host changes that are newer than the known state, from the store and
@@ -123,13 +125,17 @@
     readonly changes: readonly HostChange[];
     readonly isTruncated: boolean;
   } {
-    this.#recent = this.#recent.filter(({ at }) => now - at <= PUBLISH_MS);
-    const changes = this.#recent.slice(-MAX_PUBLISHED_CHANGES).map((
+    this.#recent = this.#recent.filter(({ at }) => now - at <= KEEP_MS);
+    const due = this.#recent.filter(({ at }) => now - at <= PUBLISH_MS);
+    const changes = due.slice(-MAX_PUBLISHED_CHANGES).map((
       { change },
     ) => change);
-    return {
-      changes,
-      isTruncated: this.#recent.length > MAX_PUBLISHED_CHANGES,
-    };
+    return { changes, isTruncated: due.length > MAX_PUBLISHED_CHANGES };
+  }
+
+  /** Publishes the changes of the last {@linkcode KEEP_MS} once more. */
+  publishAgain(now: number): void {
+    this.#recent = this.#recent.filter(({ at }) => now - at <= KEEP_MS)
+      .map(({ change }) => ({ change, at: now }));
   }
 }
--- a/src/core/fleet/host_list.ts
+++ b/src/core/fleet/host_list.ts
@@ -110,6 +110,7 @@
   /** When the last outage ended that was long enough for entries to lapse. */
   #longOutageEndedAt = -Infinity;
   #isOutdated = false;
+  #wasPublisher = false;
 
   constructor(deps: HostListDependencies) {
     this.#deps = deps;
@@ -175,6 +176,12 @@
     if (isOutdated && !this.#isOutdated) this.#deps.onOutdated(ageMs);
     this.#isOutdated = isOutdated;
     this.#feed.endPauseIfDue();
+    // Nobody may have published what this process read before its role changed.
+    const isPublisher = this.#isPublisher;
+    if (isPublisher && !this.#wasPublisher) {
+      this.#changes.publishAgain(this.#deps.timers.now());
+    }
+    this.#wasPublisher = isPublisher;
   }
 
   #createConfirmation(): Confirmation {
