Forget the clocks of peers that are gone on every node

Only nodes that read the store for others dropped what they had measured of the clocks of peers that ended; on the others an entry stayed for each restart of a peer. A peer that was silent for long kept a lag of before. Both found by reading the diff.

--- a/features/steps/peer_clock_steps.ts
+++ b/features/steps/peer_clock_steps.ts
@@ -102,7 +102,7 @@
     const createdAt = this.clock.read();
     return {
       createdAt,
-      clockLags: this.peerClocks.lagsToSend(createdAt, this.#random),
+      clockLags: this.peerClocks.lagsToSend(this.#random),
     };
   }
 
--- a/src/core/gossip/peer_clocks.ts
+++ b/src/core/gossip/peer_clocks.ts
@@ -87,8 +87,7 @@
    * Returns measured lags by the peers' clocks, for a status; if there are many, a
    * random part of them.
    */
-  lagsToSend(now: ClockTime, random: Random): StatusMessage["clockLags"] {
-    this.#expire(now.at);
+  lagsToSend(random: Random): StatusMessage["clockLags"] {
     const lags = [...this.#measured].map(([clock, { current, previous }]) =>
       [clock, Math.min(current, previous)] as const
     );
@@ -102,6 +101,7 @@
     const lagMs = now - createdAt.at;
     const window = this.#measured.get(createdAt.clock);
     if (window === undefined) {
+      this.#expire(now);
       this.#measured.set(createdAt.clock, {
         startedAt: now,
         current: lagMs,
@@ -109,8 +109,10 @@
       });
       return;
     }
-    if (now - window.startedAt > WINDOW_MS) {
-      window.previous = window.current;
+    const sinceStartMs = now - window.startedAt;
+    if (sinceStartMs > WINDOW_MS) {
+      const isOld = sinceStartMs > 2 * WINDOW_MS;
+      window.previous = isOld ? Infinity : window.current;
       window.current = Infinity;
       window.startedAt = now;
     }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -414,7 +414,7 @@
       ageMs: 0,
       createdAt: this.#clock.read(),
       clockLags: this.#readsForPeers
-        ? this.#peerClocks.lagsToSend(this.#clock.read(), this.#deps.random)
+        ? this.#peerClocks.lagsToSend(this.#deps.random)
         : [],
       incarnation: this.#deps.incarnation,
       callerAddress: node.caller_address,
