Publish no more changes again than peers receive without a poll

Suspected cause: at a change of the leader more than 40 changes were published again, which tells every peer that some were left out, so that it polls. The newest 40 are published now, and none counts as left out: nodes that lack others notice the gap.

Evidence: both scenarios of nodes without publishers pass.

--- a/src/core/fleet/host_changes.ts
+++ b/src/core/fleet/host_changes.ts
@@ -133,9 +133,13 @@
     return { changes, isTruncated: due.length > MAX_PUBLISHED_CHANGES };
   }
 
-  /** Publishes the changes of the last {@linkcode KEEP_MS} once more. */
+  /**
+   * Publishes the newest changes of the last {@linkcode KEEP_MS} once more, as many
+   * as peers can receive without a poll: most of them know these changes.
+   */
   publishAgain(now: number): void {
-    this.#recent = this.#recent.filter(({ at }) => now - at <= KEEP_MS)
-      .map(({ change }) => ({ change, at: now }));
+    const kept = this.#recent.filter(({ at }) => now - at <= KEEP_MS);
+    const again = kept.slice(-MAX_PUBLISHED_CHANGES);
+    this.#recent = again.map(({ change }) => ({ change, at: now }));
   }
 }
