Keep a group while a member that only lost the store works

Change: a member other than the head whose announcement ends without notice stays in its group for up to 4 s, while events of the group's streams show that it works. Heads, which receive requests, and members that had announced their departure are dropped as before. Calls to the store are counted by kind (oleander_store_calls_total, log store_calls), as the largest price.

The walk that the index of groups is compared with keeps unlisted members too, and lets them expire.

--- a/features/groups.feature
+++ b/features/groups.feature
@@ -51,6 +51,32 @@
       | 1    |
       | 2    |
 
+  Scenario: should keep a group while a member that lost the store works, and keep it whole afterwards
+    Given 2 fabric domains of 9 engine hosts
+    And the fleet runs for 25 seconds
+    When a member of a group of "large" is no longer announced, but its streams bring events
+    And the fleet runs for 3 seconds
+    Then no group was dissolved
+    When the member is announced again
+    And the fleet runs for 3 seconds
+    Then no group was dissolved
+    And 2 groups of "large" and 2 groups of "small" serve
+    And no group invariant was violated
+
+  Scenario Outline: should replace a member that is no longer announced, <when>
+    Given 2 fabric domains of 9 engine hosts
+    And the fleet runs for 25 seconds
+    When a member of a group of "large" is no longer announced, <evidence>
+    And the fleet runs for <time> milliseconds
+    Then one group was dissolved
+    And no group invariant was violated
+
+    Examples:
+      | when                               | evidence                                    | time |
+      | at once without events             | and its streams bring none                  | 500  |
+      | at once when the group is silent   | but its streams bring events until it fails | 1500 |
+      | once it has been missing for long  | but its streams bring events                | 6000 |
+
   Scenario: should replace a draining member
     Given 2 fabric domains of 9 engine hosts
     And the fleet runs for 25 seconds
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -34,6 +34,26 @@
     And a stream of 10 events is requested
     Then the caller has events 1 to 10 and a complete response after 1 attempt
 
+  Scenario: should keep using a group while a member that is no longer announced works
+    Given a relay with 1 replica group of "small"
+    And a stream of 40 events is in progress
+    When host "i-0-1" is no longer announced
+    And a stream of 10 events is requested
+    Then the caller has events 1 to 10 and a complete response after 1 attempt
+
+  Scenario Outline: should not send to a group when <what> is no longer announced
+    Given a relay with 1 replica group of "small"
+    And a stream of <events> events is in progress
+    When host "<host>" is no longer announced
+    And <pause> milliseconds pass
+    And a stream of 10 events is requested
+    Then the caller gets "no_replica"
+
+    Examples:
+      | what                                      | host  | events | pause |
+      | its head                                  | i-0-0 | 40     | 0     |
+      | a member, and its streams bring no events | i-0-1 | 1      | 800   |
+
   Scenario: should not send to a group whose head is leaving
     Given a relay with 1 replica group of "small"
     When host "i-0-0" announces that it is leaving
--- a/features/steps/group_steps.ts
+++ b/features/steps/group_steps.ts
@@ -19,6 +19,8 @@
   host: ServingHost;
   fleet: SimulatedFleet;
   chosenHostId: string;
+  /** The chosen host as it was last announced. */
+  unlisted: ServingHost | undefined;
   free: FreeHost[];
   steps: LayoutStep[];
   loadLimiter: LoadLimiter;
@@ -137,6 +139,35 @@
   },
 );
 
+When(
+  /^a member of a group of "(.*)" is no longer announced, (?:and|but) its streams bring (none|events|events until it fails)$/,
+  async function (this: GroupWorld, model: string, evidence: string) {
+    const { key, members } = this.fleet.groupOf(model);
+    [, this.chosenHostId] = members;
+    if (evidence !== "none") this.fleet.progressing.add(key);
+    const { hosts, timers } = this.fleet;
+    this.unlisted = hosts.get(this.chosenHostId);
+    hosts.withdraw(this.chosenHostId, timers.now(), false);
+    timers.subscribe(1_000, () => hosts.expire(timers.now()));
+    if (evidence !== "events until it fails") return;
+    await this.fleet.run(500);
+    assert.equal(this.fleet.log.named("group_dissolving").length, 0);
+    this.fleet.engine.stopResponding(this.chosenHostId);
+    this.fleet.progressing.delete(key);
+    await this.fleet.suspect(key);
+  },
+);
+
+When("the member is announced again", function (this: GroupWorld) {
+  const { hosts, timers } = this.fleet;
+  assert.ok(this.unlisted);
+  hosts.announce(this.unlisted, timers.now());
+});
+
+Then("no group was dissolved", function (this: GroupWorld) {
+  assert.equal(this.fleet.log.named("group_dissolving").length, 0);
+});
+
 Then("no group serves with a draining host", function (this: GroupWorld) {
   for (const { members } of this.fleet.engine.servingGroups) {
     for (const id of members) {
--- a/features/steps/outlook_steps.ts
+++ b/features/steps/outlook_steps.ts
@@ -99,6 +99,7 @@
       host: createHost(`i-${i}`, `g-${i}`, 0, "domain-0"),
       members: [`i-${i}`],
       isCrossDomain: false,
+      hasUnlistedMember: false,
     }));
     this.slownessOf = this.replicas.map(() => 1);
   },
--- a/features/steps/relay_steps.ts
+++ b/features/steps/relay_steps.ts
@@ -55,6 +55,38 @@
   },
 );
 
+Given(
+  "a stream of {int} events is in progress",
+  async function (this: RelayWorld, events: number) {
+    this.fixture.upstreams.eventsPerStream = events;
+    this.fixture.sendRequest("/draft/");
+    await this.fixture.timers.run(300);
+    // Only the attempts of later requests are counted.
+    this.fixture.upstreams.attempts.length = 0;
+  },
+);
+
+When(
+  "host {string} is no longer announced",
+  function (this: RelayWorld, id: string) {
+    this.fixture.withdraw(id);
+  },
+);
+
+When(
+  "{int} milliseconds pass",
+  async function (this: RelayWorld, ms: number) {
+    await this.fixture.timers.run(ms);
+  },
+);
+
+Then(
+  "the caller gets {string}",
+  function (this: RelayWorld, outcome: string) {
+    assert.equal(this.response.refusal?.kind, outcome);
+  },
+);
+
 When(
   "host {string} announces that it is leaving",
   function (this: RelayWorld, id: string) {
--- a/features/steps/scale_steps.ts
+++ b/features/steps/scale_steps.ts
@@ -11,7 +11,10 @@
 import type { Timers } from "../../src/base/timers.ts";
 import { sleep } from "../../src/base/timers.ts";
 import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
-import { HostRegistry } from "../../src/core/fleet/host_registry.ts";
+import {
+  HostRegistry,
+  UNLISTED_MEMBER_MS,
+} from "../../src/core/fleet/host_registry.ts";
 import { groupKey } from "../../src/core/fleet/replica.ts";
 import type { LoadStatus } from "../../src/core/gossip/messages.ts";
 import { CommandSender } from "../../src/core/orchestrator/command_sender.ts";
@@ -81,17 +84,32 @@
     this.differences = [];
     const random = new Random(1);
     const registry = new HostRegistry();
+    const unlisted = new Map<string, { host: ServingHost; since: number }>();
     for (let i = 0; i < changes; i++) {
+      const now = i * 10;
       const id = `i-${random.int(40)}`;
-      if (random.float() < 0.2) registry.withdraw(id, i, false);
-      else {
+      if (random.float() < 0.2) {
+        const host = registry.get(id);
+        if ((host?.membership?.rank ?? 0) > 0 && host !== undefined) {
+          unlisted.set(id, { host, since: now });
+        }
+        registry.withdraw(id, now, false);
+      } else {
         const group = random.float() < 0.2 ? undefined : `g-${random.int(6)}`;
-        registry.announce(createHost(id, group), i);
+        registry.announce(createHost(id, group), now);
+        unlisted.delete(id);
+      }
+      registry.expire(now);
+      for (const [key, { since }] of unlisted) {
+        if (now - since >= UNLISTED_MEMBER_MS) unlisted.delete(key);
       }
       const kept = [...registry.groups].map(([key, { members }]) =>
         `${key}: ${members.map((host) => host.id).sort()}`
       );
-      const walked = walkGroups([...registry.hosts()]);
+      const walked = walkGroups(
+        [...registry.hosts()],
+        [...unlisted.values()].map(({ host }) => host),
+      );
       if (kept.sort().join() !== walked.sort().join()) {
         this.differences.push(`after change ${i}`);
       }
@@ -99,10 +117,15 @@
   },
 );
 
-function walkGroups(hosts: readonly ServingHost[]): string[] {
-  const keys = new Set(hosts.flatMap((host) => keyOf(host) ?? []));
+function walkGroups(
+  listed: readonly ServingHost[],
+  unlisted: readonly ServingHost[],
+): string[] {
+  const keys = new Set(listed.flatMap((host) => keyOf(host) ?? []));
   return [...keys].map((key) => {
-    const members = hosts.filter((host) => keyOf(host) === key);
+    const members = [...listed, ...unlisted].filter((host) =>
+      keyOf(host) === key
+    );
     return `${key}: ${members.map((host) => host.id).sort()}`;
   });
 }
@@ -215,6 +238,7 @@
   host: createHost("i-0"),
   members: ["i-0"],
   isCrossDomain: false,
+  hasUnlistedMember: false,
 };
 
 Then("they never differed", function (this: ScaleWorld) {
--- a/features/steps/simulated_fleet.ts
+++ b/features/steps/simulated_fleet.ts
@@ -79,6 +79,8 @@
   readonly reportCounts = new Map<string, number>();
   /** Whether reports of hosts are lost on their way. */
   losesReports = false;
+  /** Keys of groups whose streams bring events. */
+  readonly progressing = new Set<string>();
   /** How far the orchestrator's event loop was behind. */
   lagMs = 0;
   #term = 1;
@@ -215,6 +217,7 @@
       isLeader,
       loopLag: { worstSince: () => this.lagMs },
       isStoreUnreachable: () => this.isStoreUnreachable,
+      makesProgress: (key) => this.progressing.has(key),
       demand: () => this.#demand(),
       onGroupResponsive: (key) =>
         this.suspicions.clear(key, this.timers.now(), "own"),
--- a/src/core/fleet/era_checked_store.ts
+++ b/src/core/fleet/era_checked_store.ts
@@ -22,6 +22,18 @@
 
 type AsyncOutcome<T> = Promise<Outcome<T, CoordinationError>>;
 
+/** A kind of call to the store, for metrics. */
+export type StoreCall =
+  | "list"
+  | "changes"
+  | "write"
+  | "grant_lease"
+  | "renew_lease"
+  | "end_lease";
+
+/** Called for each call to the store, with the prefix that it reads. */
+export type StoreCallObserver = (call: StoreCall, prefix: string) => void;
+
 const RESTORED: Outcome<never, CoordinationError> = failure({
   kind: "restored",
 });
@@ -34,13 +46,20 @@
 export class EraCheckedStore implements CoordinationStore {
   readonly #store: CoordinationStore;
   readonly #era: StoreEra;
+  readonly #onCall: StoreCallObserver;
 
-  constructor(store: CoordinationStore, era: StoreEra) {
+  constructor(
+    store: CoordinationStore,
+    era: StoreEra,
+    onCall: StoreCallObserver = () => {},
+  ) {
     this.#store = store;
     this.#era = era;
+    this.#onCall = onCall;
   }
 
   list(prefix: string): AsyncOutcome<CoordinationListing> {
+    this.#onCall("list", prefix);
     return this.#check(this.#store.list(prefix));
   }
 
@@ -50,6 +69,7 @@
     waitMs: number,
   ): AsyncOutcome<CoordinationChanges> {
     if (this.#era.isObsolete(after.era)) return RESTORED;
+    this.#onCall("changes", prefix);
     const res = await this.#check(this.#store.changes(prefix, after, waitMs));
     return res.ok && res.value.era !== after.era ? RESTORED : res;
   }
@@ -63,6 +83,7 @@
     if (leases.some((lease) => this.#era.isObsolete(lease.era))) {
       return success({ kind: "lease_ended", era: this.#era.newest ?? 0 });
     }
+    this.#onCall("write", "");
     const res = await this.#check(
       this.#store.write(conditions, puts, removes),
     );
@@ -73,6 +94,7 @@
   }
 
   grantLease(ttlMs: number): AsyncOutcome<Lease> {
+    this.#onCall("grant_lease", "");
     return this.#check(this.#store.grantLease(ttlMs));
   }
 
@@ -80,6 +102,7 @@
     if (this.#era.isObsolete(lease.era)) {
       return success({ isRenewed: false, era: this.#era.newest ?? 0 });
     }
+    this.#onCall("renew_lease", "");
     const res = await this.#check(this.#store.renewLease(lease));
     if (!res.ok) return res;
     const { era, isRenewed } = res.value;
@@ -90,6 +113,7 @@
     // The renewal shows whether the id is still that of this lease.
     const renewal = await this.renewLease(lease);
     if (!renewal.ok || !renewal.value.isRenewed) return renewal;
+    this.#onCall("end_lease", "");
     return this.#check(this.#store.endLease(lease));
   }
 
--- a/src/core/fleet/group_index.ts
+++ b/src/core/fleet/group_index.ts
@@ -14,6 +14,8 @@
 export class GroupIndex {
   readonly #members = new Map<string, Map<string, ServingHost>>();
   readonly #groups = new Map<string, ReplicaGroupView>();
+  /** Ids of members whose announcements have ended. */
+  readonly #unlisted = new Set<string>();
   /** Keys of the groups whose views must be derived again. */
   readonly #outdated = new Set<string>();
 
@@ -22,6 +24,8 @@
     previous: ServingHost | undefined,
     current: ServingHost | undefined,
   ): void {
+    const id = previous?.id ?? current?.id;
+    if (id !== undefined) this.#unlisted.delete(id);
     const oldKey = keyOf(previous);
     if (previous !== undefined && oldKey !== undefined) {
       this.#members.get(oldKey)?.delete(previous.id);
@@ -35,6 +39,14 @@
     this.#outdated.add(key);
   }
 
+  /** Keeps a host as a member of its group although it is no longer announced. */
+  unlist(host: ServingHost): void {
+    const key = keyOf(host);
+    if (key === undefined) return;
+    this.#unlisted.add(host.id);
+    this.#outdated.add(key);
+  }
+
   /** Groups by key. */
   get groups(): ReadonlyMap<string, ReplicaGroupView> {
     for (const key of this.#outdated) this.#derive(key);
@@ -49,7 +61,15 @@
       this.#groups.delete(key);
       return;
     }
-    this.#groups.set(key, toGroupView(key, [...members.values()]));
+    const hosts = [...members.values()];
+    const unlisted = hosts.map(({ id }) => id).filter((id) =>
+      this.#unlisted.has(id)
+    );
+    if (unlisted.length < hosts.length) {
+      this.#groups.set(key, toGroupView(key, hosts, unlisted));
+    } else {
+      this.#groups.delete(key);
+    }
   }
 }
 
@@ -58,7 +78,11 @@
   return groupKey(host.membership.group, host.membership.epoch);
 }
 
-function toGroupView(key: string, members: ServingHost[]): ReplicaGroupView {
+function toGroupView(
+  key: string,
+  members: ServingHost[],
+  unlisted: readonly string[],
+): ReplicaGroupView {
   members.sort((a, b) => (a.membership?.rank ?? 0) - (b.membership?.rank ?? 0));
   const [first] = members;
   const { membership } = first;
@@ -72,5 +96,6 @@
     state: head?.membership?.state ?? "broken",
     head,
     members,
+    unlisted,
   };
 }
--- a/src/core/fleet/host_registry.ts
+++ b/src/core/fleet/host_registry.ts
@@ -14,6 +14,13 @@
  */
 export const MISSING_HOST_GRACE_MS = 1_800;
 
+/**
+ * A member of a group whose announcement has ended without notice remains a member
+ * for this time, as long as the group's streams show that it works. A member that
+ * leaves without notice stays while the head has work.
+ */
+export const UNLISTED_MEMBER_MS = 4_000;
+
 interface HostEntry {
   readonly host: ServingHost;
   readonly coldUntil: number;
@@ -26,6 +33,8 @@
   readonly #entries = new Map<string, HostEntry>();
   readonly #listeners: (() => void)[] = [];
   readonly #removedAt = new Map<string, number>();
+  /** Members of groups whose announcements have ended without notice, by id. */
+  readonly #unlisted = new Map<string, ServingHost>();
   readonly #groups = new GroupIndex();
   #byService: Map<string, ServingHost[]> | undefined;
 
@@ -113,6 +122,13 @@
       this.#drop(id, now);
       changed = true;
     }
+    for (const [id, host] of this.#unlisted) {
+      const since = this.#removedAt.get(id) ?? -Infinity;
+      if (now - since < UNLISTED_MEMBER_MS) continue;
+      this.#unlisted.delete(id);
+      this.#groups.replace(host, undefined);
+      changed = true;
+    }
     for (const [id, at] of this.#removedAt) {
       if (now - at > 60_000) this.#removedAt.delete(id);
     }
@@ -139,7 +155,10 @@
 
   #put(host: ServingHost, now: number): void {
     this.#removedAt.delete(host.id);
-    this.#groups.replace(this.#entries.get(host.id)?.host, host);
+    const previous = this.#entries.get(host.id)?.host ??
+      this.#unlisted.get(host.id);
+    this.#unlisted.delete(host.id);
+    this.#groups.replace(previous, host);
     this.#entries.set(host.id, {
       host,
       coldUntil: host.coldLeftMs > 0 ? now + host.coldLeftMs : 0,
@@ -148,7 +167,13 @@
   }
 
   #drop(id: string, now: number): void {
-    this.#groups.replace(this.#entries.get(id)?.host, undefined);
+    const host = this.#entries.get(id)?.host;
+    if (host !== undefined && mayBeCutOff(host)) {
+      this.#unlisted.set(id, host);
+      this.#groups.unlist(host);
+    } else {
+      this.#groups.replace(host, undefined);
+    }
     this.#entries.delete(id);
     this.#removedAt.set(id, now);
   }
@@ -158,3 +183,12 @@
     for (const listener of this.#listeners) listener();
   }
 }
+
+/**
+ * Whether a host whose announcement has ended may still work in its group. The head
+ * of a group receives requests itself, and a host that has left must not.
+ */
+function mayBeCutOff({ membership, draining }: ServingHost): boolean {
+  return membership !== undefined && membership.rank > 0 && !draining &&
+    (membership.state === "ready" || membership.state === "open");
+}
--- a/src/core/fleet/replica.ts
+++ b/src/core/fleet/replica.ts
@@ -16,6 +16,8 @@
   readonly state: MembershipState;
   readonly head: ServingHost | undefined;
   readonly members: readonly ServingHost[];
+  /** Ids of the members whose announcements have ended. */
+  readonly unlisted: readonly string[];
 }
 
 /** An upstream that a request can be sent to. */
@@ -32,6 +34,11 @@
    * Whether the members are in several fabric domains, which slows the group.
    */
   readonly isCrossDomain: boolean;
+  /**
+   * Whether the announcement of a member other than the head has ended. The member
+   * may only have lost the store; events of the group's streams show that it works.
+   */
+  readonly hasUnlistedMember: boolean;
 }
 
 /**
--- a/src/core/fleet/replica_view.ts
+++ b/src/core/fleet/replica_view.ts
@@ -82,13 +82,14 @@
         host,
         members: [host.id],
         isCrossDomain: false,
+        hasUnlistedMember: false,
       }));
   }
 
   /**
    * Returns the group as a replica if it is open, no member is missing or in a
-   * zone out of service, and its head is not draining. Other draining members
-   * serve until they are replaced.
+   * zone out of service, and its head is not draining. Other members that are
+   * draining serve until they are replaced, and so may unlisted ones.
    */
   #toReplica(
     group: ReplicaGroupView,
@@ -108,6 +109,7 @@
       host: head,
       members: members.map((host) => host.id),
       isCrossDomain: members.some((host) => host.domain !== head.domain),
+      hasUnlistedMember: group.unlisted.length > 0,
     };
   }
 }
--- a/src/core/orchestrator/group_lifecycle.ts
+++ b/src/core/orchestrator/group_lifecycle.ts
@@ -36,6 +36,8 @@
   readonly retry: RetryLimiter;
   readonly log: EventLog;
   readonly isStoreUnreachable: () => boolean;
+  /** Whether a group serves although a member's announcement has ended. */
+  readonly servesUnlisted: (key: string) => boolean;
   /** Called after a command or a report, which may allow further steps. */
   readonly onChange: () => void;
 }
@@ -47,6 +49,7 @@
   readonly #retry: RetryLimiter;
   readonly #log: EventLog;
   readonly #isStoreUnreachable: () => boolean;
+  readonly #servesUnlisted: (key: string) => boolean;
   readonly #onChange: () => void;
   /** Time at which a group was sent the command to close, by group. */
   readonly #closedAt = new Map<string, number>();
@@ -59,6 +62,7 @@
     this.#retry = deps.retry;
     this.#log = deps.log;
     this.#isStoreUnreachable = deps.isStoreUnreachable;
+    this.#servesUnlisted = deps.servesUnlisted;
     this.#onChange = deps.onChange;
   }
 
@@ -125,6 +129,7 @@
    * longer, and finishes its requests.
    */
   #dissolve(group: ManagedGroup, now: number): void {
+    if (isServing(group) && this.#servesUnlisted(group.key)) return;
     if (isOnlyDraining(group)) {
       if (this.#mayKeepServing(group, now)) return;
       if (!this.#closeAndCheckDrained(group, now)) return;
@@ -197,3 +202,9 @@
     }
   }
 }
+
+/** Whether a group is open and its remaining members respond. */
+function isServing({ head, members }: ManagedGroup): boolean {
+  return head?.membership?.state === "open" && !head.host.draining &&
+    members.every((member) => !member.isSilent);
+}
--- a/src/core/orchestrator/group_orchestrator.ts
+++ b/src/core/orchestrator/group_orchestrator.ts
@@ -65,6 +65,8 @@
   readonly isLeader: () => boolean;
   /** Whether hosts' announcements can't be read at the moment. */
   readonly isStoreUnreachable: () => boolean;
+  /** Whether a group's streams have brought events recently. */
+  readonly makesProgress: (key: string) => boolean;
   /** Engine milliseconds requested per second by all callers, by model. */
   readonly demand: () => ReadonlyMap<string, number>;
   /**
@@ -130,6 +132,7 @@
       ...shared,
       executor: this.#executor,
       isStoreUnreachable: deps.isStoreUnreachable,
+      servesUnlisted: (key) => this.#servesUnlisted(key),
     });
   }
 
@@ -166,6 +169,17 @@
     return members.length === spec?.size;
   }
 
+  /**
+   * Whether a group is complete but for announcements that have ended, and makes
+   * progress: a member that only lost the store still works.
+   */
+  #servesUnlisted(key: string): boolean {
+    const group = this.#deps.hosts.groups.get(key);
+    return group !== undefined && group.unlisted.length > 0 &&
+      this.#isComplete(group) && !this.#deps.suspicions.isSuspected(key) &&
+      this.#deps.makesProgress(key);
+  }
+
   /** Probes a newly suspected group at once. */
   onSuspicion(suspicion: Suspicion): void {
     if (this.#deps.isLeader()) this.#probe(suspicion.key);
--- a/src/core/relay/load_tracker.ts
+++ b/src/core/relay/load_tracker.ts
@@ -9,6 +9,12 @@
 /** Age from which a peer's reported loads are ignored. */
 const PEER_LOAD_TTL_MS = 1_000;
 
+/**
+ * An upstream whose last event is not older makes progress. Peers' statuses show
+ * their events up to two intervals later.
+ */
+const PROGRESS_MS = 600;
+
 /** Load of this process on one upstream. */
 export interface LocalLoad {
   inFlight: number;
@@ -119,6 +125,12 @@
     return Math.max(own, peers);
   }
 
+  /** Whether the upstream has sent events to any process recently. */
+  makesProgress(key: string, now: number): boolean {
+    const at = this.lastEventAt(key);
+    return at !== undefined && now - at <= PROGRESS_MS;
+  }
+
   #addToTotals(loads: readonly LoadStatus[], sign: 1 | -1): void {
     for (const { key, inFlight, pendingPromptTokens } of loads) {
       let total = this.#peerTotals.get(key);
--- a/src/core/relay/placer.ts
+++ b/src/core/relay/placer.ts
@@ -136,6 +136,9 @@
     let lowestRejectedMs = Infinity;
     for (const replica of candidates) {
       if (suspicions.isSuspected(replica.key)) continue;
+      if (replica.hasUnlistedMember && !loads.makesProgress(replica.key, now)) {
+        continue;
+      }
       considered += 1;
       if (query.excludes(replica.key)) continue;
       const load = loads.totalLoad(replica.key, now);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -7,6 +7,7 @@
 import type { Random } from "../base/random.ts";
 import type { Timers } from "../base/timers.ts";
 import { CatalogHolder } from "../core/catalog/catalog_holder.ts";
+import type { StoreCall } from "../core/fleet/era_checked_store.ts";
 import { EraCheckedStore } from "../core/fleet/era_checked_store.ts";
 import { LeaderLease } from "../core/fleet/leader_lease.ts";
 import { SuspicionTracker } from "../core/fleet/suspicion_tracker.ts";
@@ -46,6 +47,8 @@
 const CATALOG_READERS = 3;
 /** Number of nodes that send what they have learnt of engines to their peers. */
 const RESIDUAL_SHARERS = 8;
+/** Interval at which the number of calls to the store is logged. */
+const STORE_CALLS_LOG_MS = 10_000;
 /** Number of nodes that campaign for leadership when no node holds it. */
 const LEADER_CANDIDATES = 3;
 /**
@@ -110,6 +113,8 @@
   readonly #leaderLease: LeaderLease;
   readonly #orchestrator: GroupOrchestrator;
   readonly #internalAddress: string;
+  /** Calls to the store since they were last logged, by kind and prefix. */
+  #storeCalls = new Map<string, number>();
   /** The latest settings; `#deps.settings` are those at the start. */
   #settings: NodeSettings;
   #leaving = false;
@@ -125,7 +130,11 @@
     this.#deps = deps;
     this.#settings = deps.settings;
     const { timers, settings } = deps;
-    this.#store = new EraCheckedStore(deps.store, this.#storeEra);
+    this.#store = new EraCheckedStore(
+      deps.store,
+      this.#storeEra,
+      (call, prefix) => this.#onStoreCall(call, prefix),
+    );
     this.#storeEra.onRise((era, formerEra) =>
       deps.log.warn("store_restored", { era, formerEra })
     );
@@ -229,6 +238,7 @@
       log: deps.log,
       isLeader: () => this.#isLeader,
       isStoreUnreachable: () => this.#fleetState.isStoreUnreachable,
+      makesProgress: (key) => this.relay.loads.makesProgress(key, timers.now()),
       demand: () => this.#fleetDemand(),
       onGroupResponsive: (key) => {
         this.#suspicions.clear(key, timers.now(), "own");
@@ -257,6 +267,10 @@
     this.relay.start();
     this.#leaderLease.start();
     this.#orchestrator.start();
+    this.#deps.timers.subscribe(
+      STORE_CALLS_LOG_MS,
+      () => this.#logStoreCalls(),
+    );
   }
 
   /** Applies changed seeds and bounds; changed addresses need a restart. */
@@ -394,6 +408,19 @@
     });
   }
 
+  #onStoreCall(call: StoreCall, prefix: string): void {
+    this.metrics.recordStoreCall(call, prefix);
+    const kind = `${call} ${prefix}`.trim();
+    this.#storeCalls.set(kind, (this.#storeCalls.get(kind) ?? 0) + 1);
+  }
+
+  #logStoreCalls(): void {
+    if (this.#storeCalls.size === 0) return;
+    const calls = Object.fromEntries(this.#storeCalls);
+    this.#storeCalls = new Map();
+    this.#deps.log.info("store_calls", { calls });
+  }
+
   #onStatusTraffic(traffic: DatagramTraffic): void {
     this.metrics.recordStatusTraffic(traffic);
     const { sentBytes, receivedBytes } = traffic;
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { StoreCall } from "../core/fleet/era_checked_store.ts";
 import type { DatagramTraffic } from "./metered_datagrams.ts";
 import type { RelayRun, RunEvent } from "../core/relay/relay_run.ts";
 
@@ -43,6 +44,7 @@
   readonly #forecastError: Histogram;
   readonly #gapError: Histogram;
   readonly #late: Counter;
+  readonly #storeCalls: Counter;
   readonly #abandonedResponses: Counter;
   readonly #crashes: Counter;
   readonly #quarantinedParts: Counter;
@@ -99,6 +101,12 @@
       labelNames: ["route", "cause"],
       registers,
     });
+    this.#storeCalls = new Counter({
+      name: "oleander_store_calls_total",
+      help: "Calls to the store, by kind and by the prefix that they read",
+      labelNames: ["call", "prefix"],
+      registers,
+    });
     this.#abandonedResponses = new Counter({
       name: "oleander_abandoned_responses_total",
       help: "Responses of hosts whose unneeded rest exceeded a limit",
@@ -176,6 +184,11 @@
     );
   }
 
+  /** Counts a call to the store. */
+  recordStoreCall(call: StoreCall, prefix: string): void {
+    this.#storeCalls.inc({ call, prefix });
+  }
+
   /** Counts a response that missed its route's goal. */
   recordLate(run: RelayRun, cause: "first_byte" | "gap"): void {
     this.#late.inc({ route: run.contract.route.name, cause });
