Take the lowest of recent batches for the constant time, and damp the choice of replicas

Cause: with a quantile of the last 64 differences, samples from a queue raise the constant part; requests are then refused, and few samples correct it. And the random choice made up for a whole difference between replicas within one status, which overshoots.

Change: batches of eight differences; the lowest quartile of the last eight batches is the constant part. Replicas are chosen from within twice what unreported requests add, so that these make up for half of a difference.

--- a/features/steps/outlook_steps.ts
+++ b/features/steps/outlook_steps.ts
@@ -69,7 +69,7 @@
 
 /** The forecast for a request to an idle replica, by its parts. */
 function forecast(world: OutlookWorld, replica: Replica) {
-  const model = world.outlook.of(world.service, "small", world.now);
+  const model = world.outlook.of(world.service, "small", 6, world.now);
   assert(model !== undefined);
   return model.forecast(replica, IDLE, PROMPT_TOKENS, world.now);
 }
@@ -146,7 +146,7 @@
 Then(
   "a forecast is between {int} and {int} milliseconds above the computed time",
   function (this: OutlookWorld, lowest: number, highest: number) {
-    const model = this.outlook.of(this.service, "small", this.now);
+    const model = this.outlook.of(this.service, "small", 6, this.now);
     const [replica] = this.replicas;
     const { constantMs, computedMs, firstEventMs } = forecast(this, replica);
     assert(model !== undefined);
--- a/src/core/outlook/engine_latency_model.ts
+++ b/src/core/outlook/engine_latency_model.ts
@@ -76,10 +76,15 @@
       this.decodeStepMs(decoding);
   }
 
-  /** Share of prefill in the engine time of a usual request. */
-  get prefillShare(): number {
+  /** Prefill time of a usual prompt. */
+  get usualPrefillMs(): number {
+    return this.prefillMs(this.#engine.usual.prompt);
+  }
+
+  /** Engine time of a usual request; see {@linkcode requestMs}. */
+  get usualRequestMs(): number {
     const { prompt, answer } = this.#engine.usual;
-    return this.prefillMs(prompt) / this.requestMs(prompt, answer);
+    return this.requestMs(prompt, answer);
   }
 
   /** Engine time that one request uses while all slots are busy. */
--- a/src/core/outlook/engine_outlook.ts
+++ b/src/core/outlook/engine_outlook.ts
@@ -38,6 +38,12 @@
 
 /** A service's model, and the forecasts of its replicas. */
 export interface ModelOutlook {
+  /**
+   * Time that requests which nodes have sent, but not reported yet, add to the
+   * first event on each replica, in milliseconds. Replicas that differ by less
+   * can't be told apart.
+   */
+  readonly unreportedMs: number;
   /** Forecasts for a request with `promptTokens` on a replica under `load`. */
   forecast(
     replica: Replica,
@@ -45,12 +51,6 @@
     promptTokens: number,
     now: number,
   ): EngineForecast;
-  /**
-   * Time that requests which other nodes have sent, but not reported yet, add to
-   * the first event on each of `replicas`, in milliseconds. Replicas that differ by
-   * less can't be told apart.
-   */
-  unreportedMs(replicas: number): number;
 }
 
 /** Dependencies of an {@linkcode EngineOutlook}. */
@@ -75,17 +75,25 @@
     this.#deps = deps;
   }
 
-  /** Outlook of a model; undefined if the service doesn't have it. */
+  /**
+   * Outlook of a model that `replicas` serve; undefined if the service doesn't have
+   * it.
+   */
   of(
     service: ServiceSpec,
     model: string | undefined,
+    replicas: number,
     now: number,
   ): ModelOutlook | undefined {
     const models = this.#models.of(service, model);
     if (models === undefined || model === undefined) return undefined;
     const key = modelKey(service.name, model);
     const { constantMs, spreadMs } = this.#calibration.residual(key, now);
+    const { oneDomain } = models;
+    const unreported = this.#unreported(model, oneDomain) /
+      Math.max(1, replicas);
     return {
+      unreportedMs: unreported * oneDomain.usualPrefillMs,
       forecast: (replica, load, promptTokens, at) => {
         const engine = modelOf(models, replica);
         const slowness = this.slowness(replica.key, at);
@@ -107,15 +115,16 @@
           computedMs,
         };
       },
-      unreportedMs: (replicas) => {
-        const demandMs = this.#deps.fleetDemand().get(model) ?? 0;
-        const unreported = demandMs / 1_000 * this.#deps.statusLagMs();
-        return unreported * models.oneDomain.prefillShare /
-          Math.max(1, replicas);
-      },
     };
   }
 
+  /** Number of requests that nodes have sent to a model, but not reported yet. */
+  #unreported(model: string, engine: EngineLatencyModel): number {
+    const demandMs = this.#deps.fleetDemand().get(model) ?? 0;
+    const perSecond = demandMs / engine.usualRequestMs;
+    return perSecond * this.#deps.statusLagMs() / 1_000;
+  }
+
   /** How many times slower a replica is than expected; at least 1. */
   slowness(replicaKey: string, now: number): number {
     return this.#slowness.factor(replicaKey, now);
--- a/src/core/outlook/first_event_calibration.ts
+++ b/src/core/outlook/first_event_calibration.ts
@@ -8,15 +8,11 @@
 import { ResidualWindow } from "./residual_window.ts";
 
 /**
- * Quantile of the residuals that is taken for the constant part: queueing that
- * the performance model misses only makes residuals longer.
+ * Quantile of each batch of residuals; the lowest is taken for the constant part.
  */
-const CONSTANT_QUANTILE = 0.4;
-const SPREAD_QUANTILE = 0.8;
+const CONSTANT_QUANTILE = 0.25;
 /** Number of own samples from which they replace what peers have learnt. */
 const MIN_OWN_SAMPLES = 12;
-/** With fewer samples, the smallest one is taken. */
-const MIN_QUANTILE_SAMPLES = 4;
 /** An estimate is up to date for this time after its newest sample. */
 const FRESH_MS = 2_000;
 /**
@@ -173,13 +169,12 @@
   window: ResidualWindow,
   now: number,
 ): FirstEventResidual | undefined {
-  const isEnough = window.count(now) >= MIN_QUANTILE_SAMPLES;
-  const constantMs = window.quantile(isEnough ? CONSTANT_QUANTILE : 0, now);
-  const slowMs = window.quantile(SPREAD_QUANTILE, now);
-  if (constantMs === undefined || slowMs === undefined) return undefined;
+  const constantMs = window.lowest(CONSTANT_QUANTILE, now);
+  if (constantMs === undefined) return undefined;
+  const usualMs = window.latestMedian(now) ?? constantMs;
   return {
     constantMs: clamp(constantMs),
-    spreadMs: clamp(slowMs - constantMs),
+    spreadMs: clamp(usualMs - constantMs),
   };
 }
 
--- a/src/core/outlook/residual_window.ts
+++ b/src/core/outlook/residual_window.ts
@@ -1,70 +1,74 @@
 /**
- * Recent differences between measured and expected times, and their quantiles.
+ * Recent differences between measured and expected times.
  *
  * @module
  */
 
-/** Number of samples kept; older ones are replaced. */
-const CAPACITY = 64;
-/** Age from which a sample is ignored, in milliseconds. */
-const MAX_AGE_MS = 20_000;
-/** A quantile is computed again after this many new samples. */
-const SAMPLES_PER_UPDATE = 4;
+/** Number of successive samples of which a quantile is kept. */
+const BATCH_SIZE = 8;
+/** Number of batches that are kept. */
+const MAX_BATCHES = 8;
+/** Age from which a batch is ignored, in milliseconds. */
+const MAX_AGE_MS = 10_000;
 
-interface Sample {
-  readonly value: number;
-  readonly at: number;
+interface Batch {
+  readonly values: number[];
+  /** Time of the newest sample. */
+  at: number;
 }
 
-/** A window of samples of bounded size and age. */
+/**
+ * Samples in batches, of bounded number and age. While requests queue, all samples of
+ * a batch are too long, but the batches before and after are not.
+ */
 export class ResidualWindow {
-  readonly #samples: Sample[] = [];
-  #next = 0;
-  #sorted: readonly number[] = [];
-  #sortedAt = -Infinity;
-  #addedSinceSort = 0;
-  #newestAt = -Infinity;
+  readonly #batches: Batch[] = [];
 
   /** Adds a sample, in milliseconds. */
   add(value: number, now: number): void {
-    this.#samples[this.#next] = { value, at: now };
-    this.#next = (this.#next + 1) % CAPACITY;
-    this.#addedSinceSort += 1;
-    this.#newestAt = now;
+    let batch = this.#batches.at(-1);
+    if (batch === undefined || batch.values.length === BATCH_SIZE) {
+      batch = { values: [], at: now };
+      this.#batches.push(batch);
+      if (this.#batches.length > MAX_BATCHES) this.#batches.shift();
+    }
+    const index = batch.values.findIndex((other) => other > value);
+    batch.values.splice(index < 0 ? batch.values.length : index, 0, value);
+    batch.at = now;
   }
 
   /** Time since the newest sample, in milliseconds; infinite without one. */
   ageMs(now: number): number {
-    return now - this.#newestAt;
+    return now - (this.#batches.at(-1)?.at ?? -Infinity);
   }
 
   /** Number of samples that are recent enough. */
   count(now: number): number {
-    return this.#values(now).length;
+    return this.#recent(now).reduce(
+      (sum, { values }) => sum + values.length,
+      0,
+    );
   }
 
-  /** Returns a quantile of the samples; undefined if there are none. */
-  quantile(share: number, now: number): number | undefined {
-    const values = this.#values(now);
-    if (values.length === 0) return undefined;
-    const index = Math.min(
-      values.length - 1,
-      Math.floor(share * values.length),
+  /**
+   * Returns the lowest of the batches' quantiles; undefined without samples. The
+   * quantile of an incomplete batch is its smallest sample.
+   */
+  lowest(share: number, now: number): number | undefined {
+    const quantiles = this.#recent(now).map(({ values }) =>
+      values[values.length < BATCH_SIZE ? 0 : Math.floor(share * BATCH_SIZE)]
     );
-    return values[index];
+    return quantiles.length === 0 ? undefined : Math.min(...quantiles);
+  }
+
+  /** Returns the median of the newest complete batch, if it is recent enough. */
+  latestMedian(now: number): number | undefined {
+    return this.#recent(now)
+      .findLast(({ values }) => values.length === BATCH_SIZE)
+      ?.values[BATCH_SIZE >> 1];
   }
 
-  #values(now: number): readonly number[] {
-    const isCurrent = this.#addedSinceSort < SAMPLES_PER_UPDATE &&
-      this.#sorted.length >= SAMPLES_PER_UPDATE &&
-      now - this.#sortedAt < 1_000;
-    if (isCurrent) return this.#sorted;
-    this.#sorted = this.#samples
-      .filter(({ at }) => now - at <= MAX_AGE_MS)
-      .map(({ value }) => value)
-      .sort((a, b) => a - b);
-    this.#sortedAt = now;
-    this.#addedSinceSort = 0;
-    return this.#sorted;
+  #recent(now: number): readonly Batch[] {
+    return this.#batches.filter(({ at }) => now - at <= MAX_AGE_MS);
   }
 }
--- a/src/core/relay/placer.ts
+++ b/src/core/relay/placer.ts
@@ -46,6 +46,12 @@
 /** Utilization of an engine's slots above which its cost increases. */
 const BUSY_UTILIZATION = 0.7;
 
+/**
+ * Replicas are chosen from if their cost exceeds the lowest by at most this many times
+ * what unreported requests add.
+ */
+const UNREPORTED_TOLERANCE = 2;
+
 /** Properties of a request that determine its placement. */
 export interface PlacementQuery {
   readonly service: ServiceSpec;
@@ -130,7 +136,12 @@
   place(query: PlacementQuery, now: number): Placement {
     const { view, suspicions, loads, outlook } = this.#deps;
     const candidates = view.announced(query.service.name, query.model);
-    const model = outlook.of(query.service, query.model, now);
+    const model = outlook.of(
+      query.service,
+      query.model,
+      candidates.length,
+      now,
+    );
     let considered = 0;
     const fitting: Candidate[] = [];
     let lowestRejectedMs = Infinity;
@@ -157,7 +168,7 @@
       if (!fits) lowestRejectedMs = Math.min(lowestRejectedMs, expectedMs);
       else fitting.push(candidate);
     }
-    const best = this.#choose(fitting, model?.unreportedMs(considered) ?? 0);
+    const best = this.#choose(fitting, model?.unreportedMs ?? 0);
     if (best !== undefined) {
       const { replica, expectedMs, forecast, load } = best;
       return { kind: "send", replica, expectedMs, forecast, load, considered };
@@ -168,20 +179,21 @@
   }
 
   /**
-   * Chooses among the replicas whose costs differ by less than `toleranceMs` from
-   * the lowest at random, those with a lower cost more often. All nodes know the
+   * Chooses at random, replicas with a lower cost more often. All nodes know the
    * same loads from before the last statuses; if each took the lowest cost, all
-   * would send to the same replica until the next ones.
+   * would send to the same replica until the next ones. The tolerance lets the
+   * requests that aren't reported yet make up for half of a difference.
    */
   #choose(
     fitting: readonly Candidate[],
-    toleranceMs: number,
+    unreportedMs: number,
   ): Candidate | undefined {
     let best: Candidate | undefined;
     for (const candidate of fitting) {
       if (best === undefined || isBetter(candidate, best)) best = candidate;
     }
-    if (best === undefined || toleranceMs <= 0) return best;
+    if (best === undefined || unreportedMs <= 0) return best;
+    const toleranceMs = unreportedMs * UNREPORTED_TOLERANCE;
     const { cost: lowest, exceedsGap } = best;
     const weigh = (candidate: Candidate) =>
       candidate.exceedsGap === exceedsGap
--- a/tools/load/load_kinds.ts
+++ b/tools/load/load_kinds.ts
@@ -88,6 +88,7 @@
   perSequenceMs: 0.1,
   contextMsPerThousand: 0.003,
   prefillTokensPerSecond: 56_000,
+  chunkTokens: 2_048,
   loadsPerSecond: 4,
   maxConcurrentLoads: 6,
   usual: { prompt: 950, answer: 140 },
--- a/tools/load/load_node.ts
+++ b/tools/load/load_node.ts
@@ -9,6 +9,7 @@
   ObservationStatuses,
 } from "../../src/core/gossip/observation_exchange.ts";
 import type { LoadStatus } from "../../src/core/gossip/messages.ts";
+import type { ResidualStatus } from "../../src/core/outlook/mod.ts";
 import type {
   Relay,
   RelayDependencies,
@@ -38,6 +39,9 @@
   readonly node: string;
   readonly loads: readonly LoadStatus[];
   readonly observations: ObservationStatuses;
+  /** Empty in builds that learn nothing of engines. */
+  readonly residuals: readonly ResidualStatus[];
+  readonly demand: Readonly<Record<string, number>>;
 }
 
 /** A node; its relay is the one of the build that created it. */
@@ -49,6 +53,8 @@
   readonly #hosts: HostRegistry;
   readonly #exchange: ObservationExchange;
   readonly #confirm: () => void;
+  /** Engine time that callers request of each peer, by model. */
+  readonly #peerDemand = new Map<string, Readonly<Record<string, number>>>();
 
   constructor(modules: RelayModules, settings: LoadNodeSettings) {
     const { index, nodeCount, timers, extra } = settings;
@@ -76,6 +82,7 @@
       loopLag: { worstSince: () => 0 },
       retryBounds: () => ({ ratio: 0.2, windowMs: 10_000, slack: 300 }),
       maxConfirmationAgeMs: () => 4_250,
+      fleetDemand: () => this.#fleetDemand(),
       fleetSize: () => nodeCount,
       fleetRank: () => index,
       ...extra,
@@ -100,6 +107,8 @@
       node: this.name,
       loads: this.relay.loads.localLoads(now),
       observations: this.#exchange.take(now),
+      residuals: this.#outlook?.shared(now) ?? [],
+      demand: this.relay.demand.engineMsPerSecond(now),
     };
   }
 
@@ -108,9 +117,28 @@
     const now = this.#settings.timers.now();
     const { node, loads, observations } = status;
     this.relay.loads.recordPeerLoads(node, loads, now, ageMs);
+    this.#outlook?.recordPeer(node, status.residuals, now);
+    this.#peerDemand.set(node, status.demand);
     this.#exchange.apply(observations, now);
   }
 
+  /** Undefined in builds that learn nothing of engines. */
+  get #outlook(): Relay["outlook"] | undefined {
+    return this.relay.outlook as Relay["outlook"] | undefined;
+  }
+
+  #fleetDemand(): ReadonlyMap<string, number> {
+    const now = this.#settings.timers.now();
+    const own = this.relay.demand.engineMsPerSecond(now);
+    const total = new Map<string, number>();
+    for (const demand of [own, ...this.#peerDemand.values()]) {
+      for (const [model, ms] of Object.entries(demand)) {
+        total.set(model, (total.get(model) ?? 0) + ms);
+      }
+    }
+    return total;
+  }
+
   /** Applies an announcement, or its end if `host` is undefined. */
   announce(id: string, host: ServingHost | undefined): void {
     const now = this.#settings.timers.now();
@@ -130,15 +158,15 @@
 
   #onEvent(
     { request }: RelayRun,
-    event: RunEvent & { readonly expectedGapMs?: number },
+    event: RunEvent,
   ): void {
-    const { replica, expectedMs, expectedGapMs } = event;
+    const { replica, expectedMs, forecast } = event;
     if (event.event !== "sent" || replica === undefined) return;
     this.#settings.onPrediction(request.id, {
       hostId: replica.host.id,
       sentAt: this.#settings.timers.now(),
       expectedMs: expectedMs ?? 0,
-      expectedGapMs,
+      expectedGapMs: forecast?.gapMs,
     });
   }
 }
