Give turns in a node's queue by customer, goal and waiting time

Cause: a node's queue went by priority and arrival, and dropped the last when it was full. Who sent most was served most, and small requests took the room before there was enough of it for a large one.

Within a priority, a response that has begun goes first and what can't meet its goal goes last; then the customer that was given least engine time lately, by levels; then the earliest goal. A newcomer does not overtake those that wait for the same destination; a request that waited for half of its time is not overtaken by smaller ones; a full queue drops from the customer that has most in it.

The scenario of queued requests in scale.feature let the prompt's size alone decide what has room. The bound relies on size and urgency together, as the placer does, so its replica does now; the comparison is as exact as before.

Three mutants are killed.

--- a/features/steps/relay_fixture.ts
+++ b/features/steps/relay_fixture.ts
@@ -96,6 +96,7 @@
   readonly metrics = new NodeMetrics({
     inFlight: () => this.relay.inFlight,
     waiting: () => this.relay.queuedCount,
+    waitingByPriority: () => this.relay.queuedByPriority,
     peers: () => 0,
     catalogVersion: () => this.catalog.version,
     confirmationAgeMs: () => this.catalog.confirmationAgeMs,
--- a/features/steps/scale_steps.ts
+++ b/features/steps/scale_steps.ts
@@ -18,6 +18,7 @@
 import { HostStateTracker } from "../../src/core/orchestrator/host_state_tracker.ts";
 import { ReportCollector } from "../../src/core/orchestrator/report_collector.ts";
 import { LoadTracker } from "../../src/core/relay/load_tracker.ts";
+import type { PlacementQuery } from "../../src/core/relay/placer.ts";
 import type { QueueEntry } from "../../src/core/relay/request_queue.ts";
 import { RequestQueue } from "../../src/core/relay/request_queue.ts";
 import { exampleCatalog } from "../../src/standins/fleet/example_catalog.ts";
@@ -152,17 +153,23 @@
     this.differences = [];
     const random = new Random(3);
     const [service] = exampleCatalog(1).services;
-    let room = 0;
+    let room = -10_000;
     const placed: string[] = [];
-    // A replica has room for requests with up to `room` prompt tokens.
-    const queue = new RequestQueue((query) =>
-      query.promptTokens <= room
-        ? { kind: "send", expectedMs: 1, considered: 1, replica: REPLICA }
-        : { kind: "full", expectedMs: 900 }
-    );
+    // A replica has room for requests with up to `room` prompt tokens, and for
+    // larger ones that are less urgent.
+    const fits = (query: PlacementQuery) =>
+      query.promptTokens - query.firstByteLimitMs <= room - 100;
+    const queue = new RequestQueue({
+      place: (query) =>
+        fits(query)
+          ? { kind: "send", expectedMs: 1, considered: 1, replica: REPLICA }
+          : { kind: "full", expectedMs: 900 },
+      costOf: ({ promptTokens }) => ({ engineMs: 1, leastMs: promptTokens }),
+    });
     const waiting: (QueueEntry & { id: string })[] = [];
     for (let i = 0; i < changes; i++) {
-      room = 0;
+      // No request fits.
+      room = -10_000;
       const entry = {
         id: `r${i}`,
         service,
@@ -173,6 +180,9 @@
         queueDeadline: i + random.int(60),
         priority: random.int(3),
         isRetry: false,
+        customer: undefined,
+        contract: { route: { goalMs: 10_000 } },
+        firstByteMs: undefined,
         excludes: () => false,
         onPlaced: () => placed.push(entry.id),
         onNotPlaced: () => {},
@@ -183,7 +193,7 @@
       room = random.int(1_000);
       placed.length = 0;
       const expected = waiting
-        .filter((other) => other.promptTokens <= room)
+        .filter(fits)
         .sort((a, b) => a.priority - b.priority || a.arrivedAt - b.arrivedAt)
         .map((other) => other.id);
       queue.dispatch(i);
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -39,6 +39,7 @@
 import type { AttemptOutcome, RunningAttempt } from "./running_attempt.ts";
 import { ReplicaStats } from "./replica_stats.ts";
 import { RequestContract } from "./request_contract.ts";
+import { RequestCosts } from "./request_costs.ts";
 import type { RetryBounds } from "./fleet_retry_budget.ts";
 import { FleetRetryBudget } from "./fleet_retry_budget.ts";
 import { HostNotices } from "./host_notices.ts";
@@ -164,7 +165,11 @@
       fleetSize: deps.fleetSize,
       fleetRank: deps.fleetRank,
     });
-    this.#queue = new RequestQueue((query, now) => placer.place(query, now));
+    const costs = new RequestCosts();
+    this.#queue = new RequestQueue({
+      place: (query, now) => placer.place(query, now),
+      costOf: (query) => costs.of(query),
+    });
     this.#runDependencies = this.#createRunDependencies();
     this.promptParts.onQuarantined((suspect) =>
       deps.observer.onPartQuarantined(suspect)
@@ -194,6 +199,11 @@
     return this.#queue.size;
   }
 
+  /** Number of queued requests of each priority. */
+  get queuedByPriority(): ReadonlyMap<number, number> {
+    return this.#queue.sizeByPriority;
+  }
+
   /** Refuses new requests from now on; requests in flight are completed. */
   refuseNewRequests(): void {
     this.#isShuttingDown = true;
@@ -523,6 +533,7 @@
 
   #expire(now: number): void {
     this.loads.expire(now);
+    this.#queue.expire(now);
     this.#stats.expire(now);
     this.#coldHostLimiter.expire(now);
     this.hostNotices.expire(now);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -310,6 +310,7 @@
     return new NodeMetrics({
       inFlight: () => this.relay.inFlight,
       waiting: () => this.relay.queuedCount,
+      waitingByPriority: () => this.relay.queuedByPriority,
       peers: () => this.#gossip.live().length,
       catalogVersion: () => this.#catalog.version,
       // The age is infinite before the first confirmation.
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -14,6 +14,8 @@
 export interface NodeGauges {
   readonly inFlight: () => number;
   readonly waiting: () => number;
+  /** Number of queued requests of each priority. */
+  readonly waitingByPriority: () => ReadonlyMap<number, number>;
   readonly peers: () => number;
   readonly catalogVersion: () => number;
   readonly confirmationAgeMs: () => number;
@@ -102,6 +104,18 @@
       help: "Changes of the rate limits that hosts name in responses",
       registers,
     });
+    new Gauge({
+      name: "oleander_requests_waiting_by_priority",
+      help: "Requests that wait for an upstream, by priority",
+      labelNames: ["priority"],
+      registers,
+      collect() {
+        this.reset();
+        for (const [priority, count] of gauges.waitingByPriority()) {
+          this.set({ priority: String(priority) }, count);
+        }
+      },
+    });
     const gaugeReaders: Record<string, () => number> = {
       oleander_requests_in_flight: gauges.inFlight,
       oleander_requests_waiting: gauges.waiting,
--- a/tools/bench_decisions.ts
+++ b/tools/bench_decisions.ts
@@ -20,6 +20,8 @@
 import { LoadTracker } from "../src/core/relay/load_tracker.ts";
 import type { PlacementQuery } from "../src/core/relay/placer.ts";
 import { Placer } from "../src/core/relay/placer.ts";
+import { RequestCosts } from "../src/core/relay/request_costs.ts";
+import { RequestQueue } from "../src/core/relay/request_queue.ts";
 import { ReplicaStats } from "../src/core/relay/replica_stats.ts";
 import { exampleCatalog } from "../src/standins/fleet/example_catalog.ts";
 import type { ServingHost } from "../src/world/serving_host.ts";
@@ -160,6 +162,51 @@
   };
 }
 
+/** A node's queue with requests of 24 customers that nothing has room for. */
+class WaitingQueue {
+  readonly #fleet: DecisionFleet;
+  readonly #queue: RequestQueue;
+  #arrivals = 0;
+
+  constructor(fleet: DecisionFleet, waiting: number) {
+    this.#fleet = fleet;
+    const costs = new RequestCosts();
+    this.#queue = new RequestQueue({
+      // What the placer costs is measured apart.
+      place: () => ({ kind: "full", expectedMs: 2_000 }),
+      costOf: (query) => costs.of(query),
+    });
+    for (let i = 0; i < waiting; i++) this.#arrive(Infinity);
+  }
+
+  dispatch(): void {
+    this.#queue.dispatch(0);
+  }
+
+  /** A request arrives, is tried in turn, and is refused. */
+  refuse(): void {
+    this.#arrive(0);
+  }
+
+  #arrive(queueDeadline: number): void {
+    const i = this.#arrivals++;
+    this.#queue.placeOrEnqueue({
+      ...this.#fleet.query,
+      promptTokens: 100 + i * 37 % 2_000,
+      firstByteLimitMs: 200 + i * 13 % 600,
+      arrivedAt: 0,
+      queueDeadline,
+      priority: i % 3,
+      isRetry: false,
+      customer: { name: `customer-${i % 24}` },
+      contract: { route: { goalMs: 1_000 } },
+      firstByteMs: undefined,
+      onPlaced: () => {},
+      onNotPlaced: () => {},
+    }, 0);
+  }
+}
+
 /** Runs `decide` for at least 300 ms; returns microseconds per call. */
 function timeDecision(decide: (round: number) => void): number {
   for (let i = 0; i < 20; i++) decide(i);
@@ -183,3 +230,15 @@
   const size = `${String(hosts).padStart(7)}${String(peers).padStart(7)}`;
   process.stdout.write(`${size} ${costs.join("")}\n`);
 }
+
+process.stdout.write("\nwaiting  dispatch   refuse   (microseconds)\n");
+const [{ hosts, peers }] = FLEETS;
+const smallFleet = new DecisionFleet(hosts, peers);
+for (const waiting of [1, 8, 64, 500]) {
+  const queue = new WaitingQueue(smallFleet, waiting);
+  const costs = [
+    timeDecision(() => queue.dispatch()),
+    timeDecision(() => queue.refuse()),
+  ].map((us) => us.toFixed(1).padStart(9));
+  process.stdout.write(`${String(waiting).padStart(7)} ${costs.join("")}\n`);
+}
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -1179,4 +1179,34 @@
       replace: "if (true)",
     }],
   },
+  {
+    promise: 6,
+    tag: "@turns",
+    mechanism: "Customers that were given little engine time go first",
+    edits: [{
+      file: "turns/turn_order.js",
+      find: "a.level - b.level ||",
+      replace: "",
+    }],
+  },
+  {
+    promise: 6,
+    tag: "@turns",
+    mechanism: "The customer that has most in a full queue loses a request",
+    edits: [{
+      file: "turns/turn_order.js",
+      find: "own.length > most.length",
+      replace: "most.length === 0",
+    }],
+  },
+  {
+    promise: 6,
+    tag: "@turns",
+    mechanism: "Small requests don't overtake one that has waited for long",
+    edits: [{
+      file: "relay/dispatch_round.js",
+      find: "if (!isOverdue && this.#overtakes(entry, leastMs))",
+      replace: "if (false)",
+    }],
+  },
 ];
