Tell refused callers different times at which there is room

Cause: all callers that were refused at once were told the same time, mostly 0.1 to 0.3 s, returned together in the same burst and were refused again, which ended their request.

Each refusal now takes the next slot of its destination's room. A tenth of the room is for callers that return; a node hands out its share by the number of live nodes, and the nodes' first slots follow each other by rank. Without a slot within a third of its time left, a caller is told the last tenth of that. A caller that returns when it was told has its place in turn once, recognized by its request's fingerprint; one that is too early goes behind others of its priority. The delay is in request_ended; metrics count returned callers. Nothing is reserved at an upstream.

--- a/features/steps/queue_fixture.ts
+++ b/features/steps/queue_fixture.ts
@@ -18,11 +18,13 @@
   readonly waitMs?: number;
   readonly priority?: number;
   readonly firstByteMs?: number;
+  readonly fingerprint?: string;
 }
 
 const [SERVICE] = exampleCatalog(1).services;
 /** Time that a request of one token takes on an idle group. */
 const TOKEN_MS = 0.1;
+const TIMEOUT_MS = 6_000;
 
 /** Queues requests, and notes which are sent and refused. */
 export class QueueFixture {
@@ -31,6 +33,7 @@
   readonly engineMs = 60;
   readonly sent: string[] = [];
   readonly refused: { name: string; retryAfterMs: number }[] = [];
+  readonly returned = { placed: 0, refused: 0 };
   /** Number of looks for room. */
   looks = 0;
   /** Whether a replica has room for a request. */
@@ -41,6 +44,9 @@
       engineMs: this.engineMs,
       leastMs: promptTokens * TOKEN_MS,
     }),
+    rateOf: () => 2,
+    position: () => ({ size: 1, rank: 0 }),
+    onReturned: (result) => this.returned[result] += 1,
   });
 
   /** Hands a request to the queue. */
@@ -61,7 +67,8 @@
       priority: request.priority ?? 1,
       isRetry: false,
       customer: { name: customer },
-      contract: { route: { goalMs } },
+      fingerprint: request.fingerprint ?? name,
+      contract: { route: { goalMs }, deadline: arrivedAt + TIMEOUT_MS },
       firstByteMs: request.firstByteMs,
       onPlaced: () => this.sent.push(name),
       onNotPlaced: (_, retryAfterMs) =>
--- a/features/steps/queue_load.ts
+++ b/features/steps/queue_load.ts
@@ -54,6 +54,8 @@
 /** Plays callers against a queue and groups that do what their model says. */
 export class QueueLoad {
   readonly requests: LoadRequest[] = [];
+  /** Number of callers that returned when they were told, by what became of it. */
+  readonly returned = { placed: 0, refused: 0 };
   readonly #service: ServiceSpec;
   readonly #latencyModel: EngineLatencyModel;
   readonly #groups: Group[];
@@ -83,6 +85,9 @@
         engineMs: this.#engineMs(promptTokens),
         leastMs: this.#latencyModel.firstEventMs(0, 0, promptTokens),
       }),
+      rateOf: () => groups,
+      position: () => ({ size: 1, rank: 0 }),
+      onReturned: (result) => this.returned[result] += 1,
     });
   }
 
@@ -167,7 +172,11 @@
       priority: request.priority,
       isRetry: false,
       customer: { name: request.customer },
-      contract: { route: { goalMs: GOAL_MS } },
+      fingerprint: request.fingerprint,
+      contract: {
+        route: { goalMs: GOAL_MS },
+        deadline: request.at + TIMEOUT_MS,
+      },
       firstByteMs: undefined,
       onPlaced: (placement) => this.#start(request, placement.replica.key),
       onNotPlaced: (_, retryAfterMs) => this.#onRefused(request, retryAfterMs),
--- a/features/steps/relay_fixture.ts
+++ b/features/steps/relay_fixture.ts
@@ -86,6 +86,15 @@
   }
 }
 
+interface SentRequest {
+  readonly path: string;
+  readonly target: string;
+  readonly body: string;
+  readonly apiKey: string;
+  readonly model: string;
+  readonly promptParts: readonly string[];
+}
+
 /** A relay with scripted upstreams, by default in virtual time. */
 export class RelayFixture<T extends Timers = VirtualTimers> {
   readonly timers: T;
@@ -109,6 +118,7 @@
   lagMs = 0;
   loopLag: LoopLag = { worstSince: () => this.lagMs };
   readonly #hosts = new HostRegistry();
+  readonly #sent: SentRequest[] = [];
   #nextId = 0;
 
   constructor(
@@ -216,14 +226,13 @@
     });
   }
 
-  #send(options: {
-    path: string;
-    target: string;
-    body: string;
-    apiKey: string;
-    model: string;
-    promptParts: readonly string[];
-  }): RecordedResponse {
+  /** Sends the request with this number again, under another id. */
+  repeat(index: number): RecordedResponse {
+    return this.#send(this.#sent[index]);
+  }
+
+  #send(options: SentRequest): RecordedResponse {
+    this.#sent.push(options);
     const { path, target, body, apiKey, model, promptParts } = options;
     const response = new RecordedResponse(() => this.timers.now());
     const isStream = path.startsWith("/draft/") || path.startsWith("/once/");
--- a/features/steps/scale_steps.ts
+++ b/features/steps/scale_steps.ts
@@ -165,6 +165,9 @@
           ? { kind: "send", expectedMs: 1, considered: 1, replica: REPLICA }
           : { kind: "full", expectedMs: 900 },
       costOf: ({ promptTokens }) => ({ engineMs: 1, leastMs: promptTokens }),
+      rateOf: () => 1,
+      position: () => ({ size: 1, rank: 0 }),
+      onReturned: () => {},
     });
     const waiting: (QueueEntry & { id: string })[] = [];
     for (let i = 0; i < changes; i++) {
@@ -181,7 +184,8 @@
         priority: random.int(3),
         isRetry: false,
         customer: undefined,
-        contract: { route: { goalMs: 10_000 } },
+        fingerprint: `r${i}`,
+        contract: { route: { goalMs: 10_000 }, deadline: i + 10_000 },
         firstByteMs: undefined,
         excludes: () => false,
         onPlaced: () => placed.push(entry.id),
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -81,6 +81,11 @@
   onMalformedRateLimit(hostId: string, text: string): void;
   /** Called when requests with a prompt part are refused from now on. */
   onPartQuarantined(suspect: SuspectPart): void;
+  /**
+   * Called when a caller that had been refused, and returned when it was told, is
+   * placed or refused again.
+   */
+  onReturned(result: "placed" | "refused"): void;
 }
 
 /** Dependencies and settings of a {@linkcode Relay}. */
@@ -165,10 +170,13 @@
       fleetSize: deps.fleetSize,
       fleetRank: deps.fleetRank,
     });
-    const costs = new RequestCosts();
+    const costs = new RequestCosts(deps.view, deps.suspicions);
     this.#queue = new RequestQueue({
       place: (query, now) => placer.place(query, now),
       costOf: (query) => costs.of(query),
+      rateOf: (query) => costs.rateOf(query),
+      position: () => ({ size: deps.fleetSize(), rank: deps.fleetRank() }),
+      onReturned: (result) => deps.observer.onReturned(result),
     });
     this.#runDependencies = this.#createRunDependencies();
     this.promptParts.onQuarantined((suspect) =>
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -80,6 +80,8 @@
   readonly considered?: number;
   /** Time without progress when the attempt ended; undefined if it had none. */
   readonly silentMs?: number;
+  /** Time after which a refused caller is to return. */
+  readonly retryAfterMs?: number;
 }
 
 /** What a {@linkcode RelayRun} needs from the relay. */
@@ -551,9 +553,10 @@
   /** Ends the request with a refusal, or by aborting a response in progress. */
   #refuse(refusal: Refusal): void {
     if (this.#isEnded) return;
+    const { kind, detail, retryAfterMs } = refusal;
     if (this.#writer.started) this.#response.abort();
     else this.#response.refuse(refusal);
-    this.#finish(refusal.kind, refusal.detail);
+    this.#finish(kind, detail, retryAfterMs);
   }
 
   /** Forwards an upstream's error response to the caller. */
@@ -586,14 +589,19 @@
     });
   }
 
-  #finish(outcome: RunOutcome, detail = ""): void {
+  #finish(outcome: RunOutcome, detail = "", retryAfterMs?: number): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#deadlineTimer.cancel();
     this.#deps.dequeue(this);
     const attempt = this.#attempt;
     if (attempt !== undefined) this.#endAttempt(attempt, "cancelled", outcome);
-    this.#deps.onEvent(this, { event: "ended", outcome, detail });
+    this.#deps.onEvent(this, {
+      event: "ended",
+      outcome,
+      detail,
+      retryAfterMs,
+    });
     this.#deps.onEnded(this, outcome);
   }
 }
--- a/src/core/relay/request_costs.ts
+++ b/src/core/relay/request_costs.ts
@@ -1,9 +1,11 @@
 /**
- * What requests take of upstreams.
+ * What requests take of upstreams, and how much upstreams provide.
  *
  * @module
  */
 import type { ServiceSpec } from "../../world/catalog.ts";
+import type { ReplicaView } from "../fleet/replica_view.ts";
+import type { SuspicionTracker } from "../fleet/suspicion_tracker.ts";
 import { LatencyModelCache } from "./latency_model_cache.ts";
 
 /** Assumed time of a request to a host without an engine. */
@@ -26,8 +28,15 @@
 
 /** Estimates costs from the engines' latency models. */
 export class RequestCosts {
+  readonly #view: ReplicaView;
+  readonly #suspicions: SuspicionTracker;
   readonly #latencyModels = new LatencyModelCache();
 
+  constructor(view: ReplicaView, suspicions: SuspicionTracker) {
+    this.#view = view;
+    this.#suspicions = suspicions;
+  }
+
   /** Returns what a request takes of an upstream. */
   of({ service, model, promptTokens }: CostQuery): RequestCost {
     const { engine } = service;
@@ -40,4 +49,22 @@
       leastMs: latencyModel.firstEventMs(0, 0, promptTokens),
     };
   }
+
+  /**
+   * Returns the engine time that the destination of a request provides per unit
+   * of time; 0 if no upstream takes requests.
+   */
+  rateOf({ service, model }: CostQuery): number {
+    let rate = 0;
+    for (const replica of this.#view.announced(service.name, model)) {
+      if (this.#suspicions.isSuspected(replica.key)) continue;
+      if (service.engine === undefined) rate += replica.host.slots;
+      else {
+        rate += replica.isCrossDomain
+          ? 1 / service.engine.crossDomainFactor
+          : 1;
+      }
+    }
+    return rate;
+  }
 }
--- a/src/core/relay/request_queue.ts
+++ b/src/core/relay/request_queue.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import type { Turn } from "../turns/mod.ts";
-import { TurnOrder } from "../turns/mod.ts";
+import type { FleetPosition } from "../fleet/fleet_share.ts";
+import type { ReturnKind, Turn } from "../turns/mod.ts";
+import { ReturnSchedule, TurnOrder } from "../turns/mod.ts";
 import { DispatchRound } from "./dispatch_round.ts";
 import type { Placement, PlacementQuery } from "./placer.ts";
 import type { CostQuery, RequestCost } from "./request_costs.ts";
@@ -20,7 +21,13 @@
   /** Whether an attempt was made already, so that some replicas may be excluded. */
   readonly isRetry: boolean;
   readonly customer: { readonly name: string } | undefined;
-  readonly contract: { readonly route: { readonly goalMs: number } };
+  /** Hash that is equal for repetitions of the request by its customer. */
+  readonly fingerprint: string;
+  readonly contract: {
+    readonly route: { readonly goalMs: number };
+    /** Monotonic time of the caller's deadline. */
+    readonly deadline: number;
+  };
   /** Time to the first byte of the response; undefined before it. */
   readonly firstByteMs: number | undefined;
   onPlaced(placement: Placement & { kind: "send" }): void;
@@ -31,6 +38,11 @@
 export interface RequestQueueDependencies {
   place(query: PlacementQuery, now: number): Placement;
   costOf(query: CostQuery): RequestCost;
+  /** Engine time that a destination provides per unit of time. */
+  rateOf(query: CostQuery): number;
+  position(): FleetPosition;
+  /** Called when a caller that returned when it was told is placed or refused. */
+  onReturned(result: "placed" | "refused"): void;
 }
 
 /** A queued request and its turn. */
@@ -40,13 +52,19 @@
 
 /** Maximum length of the queue; beyond it, requests are refused. */
 const MAX_QUEUED = 512;
-const MIN_RETRY_AFTER_MS = 100;
-const MAX_RETRY_AFTER_MS = 2_000;
+/** Maximum time until room is expected where upstreams are full. */
+const MAX_FULL_MS = 2_000;
+/** Time until room is expected if no replica is available. */
+const NO_REPLICA_MS = 400;
+/** Share of the remaining time that a refused caller can wait. */
+const USABLE_SHARE = 1 / 3;
+const MIN_RETRY_AFTER_MS = 10;
 
 /** Places requests at once, or queues them until an upstream is available. */
 export class RequestQueue {
   readonly #deps: RequestQueueDependencies;
   readonly #order = new TurnOrder();
+  readonly #returns = new ReturnSchedule();
   readonly #waiting = new Map<QueueEntry, Waiting>();
   readonly #destinations = new Map<string, Set<Waiting>>();
   #isDispatching = false;
@@ -71,7 +89,7 @@
 
   /** Places a request at once if possible, and queues it otherwise. */
   placeOrEnqueue(request: QueueEntry, now: number): void {
-    const turn = this.#toTurn(request);
+    const turn = this.#toTurn(request, now);
     const queued = this.#destinations.get(turn.destination);
     if (queued !== undefined && !this.#isDispatching) {
       // Those that wait already may have the turn.
@@ -81,7 +99,7 @@
       const placement = this.#deps.place(request, now);
       if (placement.kind === "send") return this.#send(turn, placement, now);
       if (request.queueDeadline <= now) {
-        return this.#refuse(turn.entry, placement);
+        return this.#refuse(turn, placement, now);
       }
       this.#enqueue(turn);
     }
@@ -107,6 +125,7 @@
   /** Drops outdated state. */
   expire(now: number): void {
     this.#order.expire(now);
+    this.#returns.expire(now);
   }
 
   /** Places requests; refuses overdue ones, or only `newcomer` if it is given. */
@@ -146,12 +165,12 @@
         this.#send(turn, placement, now);
       } else if (isOverdue && placement !== undefined) {
         this.remove(entry);
-        this.#refuse(turn.entry, placement);
+        this.#refuse(turn, placement, now);
       }
     }
   }
 
-  #toTurn(entry: QueueEntry): Waiting {
+  #toTurn(entry: QueueEntry, now: number): Waiting {
     const { service, model, contract, arrivedAt } = entry;
     return {
       entry,
@@ -161,10 +180,16 @@
       arrivedAt,
       goalAt: arrivedAt + contract.route.goalMs,
       hasBegun: entry.firstByteMs !== undefined,
+      returned: this.#recognize(entry, now),
       ...this.#deps.costOf(entry),
     };
   }
 
+  #recognize(entry: QueueEntry, now: number): ReturnKind {
+    if (entry.isRetry) return "new";
+    return this.#returns.recognize(entry.fingerprint, now);
+  }
+
   #enqueue(turn: Waiting): void {
     this.#waiting.set(turn.entry, turn);
     const queued = this.#destinations.get(turn.destination);
@@ -178,7 +203,7 @@
     this.remove(dropped.entry);
     const placement = this.#deps.place(dropped.entry, now);
     if (placement.kind === "send") this.#send(dropped, placement, now);
-    else this.#refuse(dropped.entry, placement);
+    else this.#refuse(dropped, placement, now);
   }
 
   #send(
@@ -187,17 +212,37 @@
     now: number,
   ): void {
     this.#order.recordGiven(turn, now);
+    if (turn.returned === "on_time") this.#deps.onReturned("placed");
     turn.entry.onPlaced(placement);
   }
 
-  #refuse(entry: QueueEntry, placement: Placement): void {
-    const excessMs = placement.kind === "full"
-      ? placement.expectedMs - entry.firstByteLimitMs
-      : MIN_RETRY_AFTER_MS * 4;
-    const retryAfterMs = Math.min(
-      MAX_RETRY_AFTER_MS,
-      Math.max(MIN_RETRY_AFTER_MS, excessMs),
+  #refuse(turn: Waiting, placement: Placement, now: number): void {
+    const { entry, destination, engineMs } = turn;
+    if (turn.returned === "on_time") this.#deps.onReturned("refused");
+    const { size, rank } = this.#deps.position();
+    const remainingMs = Math.max(0, entry.contract.deadline - now);
+    const { afterMs } = this.#returns.refuse(
+      {
+        destination,
+        fingerprint: entry.fingerprint,
+        engineMs,
+        usableMs: remainingMs * USABLE_SHARE,
+      },
+      {
+        rate: this.#deps.rateOf(entry),
+        nodes: size,
+        rank,
+        freeInMs: freeInMs(entry, placement),
+      },
+      now,
     );
-    entry.onNotPlaced(placement, retryAfterMs);
+    entry.onNotPlaced(placement, Math.max(MIN_RETRY_AFTER_MS, afterMs));
   }
 }
+
+function freeInMs(entry: QueueEntry, placement: Placement): number {
+  if (placement.kind !== "full") return NO_REPLICA_MS;
+  // The expected time of a full host without an engine is not one.
+  if (entry.model === undefined) return 0;
+  return Math.min(MAX_FULL_MS, placement.expectedMs - entry.firstByteLimitMs);
+}
--- a/src/core/turns/turn_order.ts
+++ b/src/core/turns/turn_order.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { CustomerUsage } from "./customer_usage.ts";
+import type { ReturnKind } from "./return_schedule.ts";
 
 /** What determines a queued request's turn. */
 export interface Turn {
@@ -19,6 +20,8 @@
   readonly goalAt: number;
   /** Whether its caller has a part of the response already. */
   readonly hasBegun: boolean;
+  /** Whether its caller had been refused and told when to return. */
+  readonly returned: ReturnKind;
   /** Engine time that it uses. */
   readonly engineMs: number;
   /** Time to its first event on an idle upstream. */
@@ -38,7 +41,7 @@
 const LEVEL_FACTOR = 3;
 
 /** Lanes within one priority, in the order in which they are served. */
-const LANE = { begun: 0, waiting: 1, late: 2 } as const;
+const LANE = { begun: 0, returned: 1, waiting: 2, early: 3, late: 4 } as const;
 
 /**
  * Orders requests by priority, then by lane, then by the level of the engine time
@@ -128,12 +131,13 @@
 }
 
 function laneOf(
-  { hasBegun, goalAt, leastMs }: Turn,
+  { hasBegun, goalAt, leastMs, returned }: Turn,
   now: number,
 ): number {
   if (hasBegun) return LANE.begun;
   if (now + leastMs > goalAt) return LANE.late;
-  return LANE.waiting;
+  if (returned === "early") return LANE.early;
+  return returned === "on_time" ? LANE.returned : LANE.waiting;
 }
 
 function levelOf(usedMs: number): number {
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -37,6 +37,7 @@
   readonly #loopLag: Histogram;
   readonly #statusBytes: Counter;
   readonly #rateLimitChanges: Counter;
+  readonly #returnedCallers: Counter;
 
   constructor(gauges: NodeGauges) {
     const registers = [this.registry];
@@ -104,6 +105,12 @@
       help: "Changes of the rate limits that hosts name in responses",
       registers,
     });
+    this.#returnedCallers = new Counter({
+      name: "oleander_returned_callers_total",
+      help: "Refused callers that returned when they were told, by result",
+      labelNames: ["result"],
+      registers,
+    });
     new Gauge({
       name: "oleander_requests_waiting_by_priority",
       help: "Requests that wait for an upstream, by priority",
@@ -185,6 +192,11 @@
     this.#rateLimitChanges.inc();
   }
 
+  /** Counts a caller that returned when it was told, by what became of it. */
+  recordReturnedCaller(result: "placed" | "refused"): void {
+    this.#returnedCallers.inc({ result });
+  }
+
   /** Records the statuses that were exchanged with peers. */
   recordStatusTraffic({ sentBytes, receivedBytes }: DatagramTraffic): void {
     this.#statusBytes.inc({ direction: "sent" }, sentBytes);
--- a/src/node/request_log.ts
+++ b/src/node/request_log.ts
@@ -61,6 +61,7 @@
           firstMs: run.firstByteMs && Math.round(run.firstByteMs),
           gapMs: Math.round(run.longestGapMs),
           goalMs: run.contract.route.goalMs,
+          retryAfterMs: event.retryAfterMs && Math.round(event.retryAfterMs),
         }
         : {}),
     });
@@ -100,6 +101,10 @@
     });
   }
 
+  onReturned(result: "placed" | "refused"): void {
+    this.#metrics.recordReturnedCaller(result);
+  }
+
   onRefused(request: RelayRequest, refusal: Refusal, version: number): void {
     this.#metrics.recordRefusal(refusal.kind);
     this.#log.info("request_turned_away", {
--- a/tools/bench_decisions.ts
+++ b/tools/bench_decisions.ts
@@ -68,6 +68,7 @@
   readonly registry = new HostRegistry();
   readonly loads = new LoadTracker();
   readonly placer: Placer;
+  readonly view: ReplicaView;
   readonly query: PlacementQuery;
   readonly #peers: number;
 
@@ -77,8 +78,9 @@
     this.registry.replaceAll(this.hosts, 0, false);
     const catalog = new CatalogHolder(() => 0, () => 0);
     catalog.installIfNewer(exampleCatalog(1));
+    this.view = new ReplicaView(this.registry, catalog, new Set());
     this.placer = new Placer({
-      view: new ReplicaView(this.registry, catalog, new Set()),
+      view: this.view,
       suspicions: new SuspicionTracker(),
       hosts: this.registry,
       loads: this.loads,
@@ -170,11 +172,14 @@
 
   constructor(fleet: DecisionFleet, waiting: number) {
     this.#fleet = fleet;
-    const costs = new RequestCosts();
+    const costs = new RequestCosts(fleet.view, new SuspicionTracker());
     this.#queue = new RequestQueue({
       // What the placer costs is measured apart.
       place: () => ({ kind: "full", expectedMs: 2_000 }),
       costOf: (query) => costs.of(query),
+      rateOf: (query) => costs.rateOf(query),
+      position: () => ({ size: 36, rank: 0 }),
+      onReturned: () => {},
     });
     for (let i = 0; i < waiting; i++) this.#arrive(Infinity);
   }
@@ -183,7 +188,7 @@
     this.#queue.dispatch(0);
   }
 
-  /** A request arrives, is tried in turn, and is refused. */
+  /** A request arrives, is tried in turn, and is refused with a time. */
   refuse(): void {
     this.#arrive(0);
   }
@@ -199,7 +204,8 @@
       priority: i % 3,
       isRetry: false,
       customer: { name: `customer-${i % 24}` },
-      contract: { route: { goalMs: 1_000 } },
+      fingerprint: `request-${i}`,
+      contract: { route: { goalMs: 1_000 }, deadline: 6_000 },
       firstByteMs: undefined,
       onPlaced: () => {},
       onNotPlaced: () => {},
--- a/tools/fuzz/fuzz_relay.ts
+++ b/tools/fuzz/fuzz_relay.ts
@@ -64,6 +64,7 @@
         onRefused() {},
         onCrashVerdict() {},
         onPartQuarantined() {},
+        onReturned() {},
         onRateLimitChanged() {},
         onMalformedRateLimit() {},
       },
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -1209,4 +1209,24 @@
       replace: "if (false)",
     }],
   },
+  {
+    promise: 6,
+    tag: "@turns",
+    mechanism: "A node hands out only its share of the room",
+    edits: [{
+      file: "turns/return_schedule.js",
+      find: "+ nodes * stepMs",
+      replace: "+ stepMs",
+    }],
+  },
+  {
+    promise: 6,
+    tag: "@turns",
+    mechanism: "A caller that returns too early gets no place",
+    edits: [{
+      file: "turns/return_schedule.js",
+      find: 'return "early";',
+      replace: 'return "on_time";',
+    }],
+  },
 ];
