--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -40,6 +40,7 @@
 import type { AttemptOutcome, RunningAttempt } from "./running_attempt.ts";
 import { ReplicaFailures } from "./replica_failures.ts";
 import { RequestContract } from "./request_contract.ts";
+import { RequestCosts } from "./request_costs.ts";
 import type { RetryBounds } from "./fleet_retry_budget.ts";
 import { FleetRetryBudget } from "./fleet_retry_budget.ts";
 import { HostNotices } from "./host_notices.ts";
@@ -87,6 +88,11 @@
   onMalformedRateLimit(hostId: string, text: string): void;
   /** Called when requests with a prompt part are refused from now on. */
   onPartQuarantined(suspect: SuspectPart): void;
+  /**
+   * Called when a caller that had been refused, and returned when it was told, is
+   * placed or refused again.
+   */
+  onReturned(result: "placed" | "refused"): void;
 }
 
 /** Dependencies and settings of a {@linkcode Relay}. */
@@ -179,7 +185,14 @@
       fleetSize: deps.fleetSize,
       fleetRank: deps.fleetRank,
     });
-    this.#queue = new RequestQueue((query, now) => placer.place(query, now));
+    const costs = new RequestCosts(deps.view, deps.suspicions);
+    this.#queue = new RequestQueue({
+      place: (query, now) => placer.place(query, now),
+      costOf: (query) => costs.of(query),
+      rateOf: (query) => costs.rateOf(query),
+      position: () => ({ size: deps.fleetSize(), rank: deps.fleetRank() }),
+      onReturned: (result) => deps.observer.onReturned(result),
+    });
     this.#runDependencies = this.#createRunDependencies();
     this.promptParts.onQuarantined((suspect) =>
       deps.observer.onPartQuarantined(suspect)
@@ -209,6 +222,11 @@
     return this.#queue.size;
   }
 
+  /** Number of queued requests of each priority. */
+  get queuedByPriority(): ReadonlyMap<number, number> {
+    return this.#queue.sizeByPriority;
+  }
+
   /** Refuses new requests from now on; requests in flight are completed. */
   refuseNewRequests(): void {
     this.#isShuttingDown = true;
@@ -541,6 +559,7 @@
 
   #expire(now: number): void {
     this.loads.expire(now);
+    this.#queue.expire(now);
     this.#failures.expire(now);
     this.outlook.expire(now);
     this.#coldHostLimiter.expire(now);
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -27,6 +27,8 @@
 export interface NodeGauges {
   readonly inFlight: () => number;
   readonly waiting: () => number;
+  /** Number of queued requests of each priority. */
+  readonly waitingByPriority: () => ReadonlyMap<number, number>;
   readonly peers: () => number;
   readonly catalogVersion: () => number;
   readonly confirmationAgeMs: () => number;
@@ -52,6 +54,7 @@
   readonly #loopLag: Histogram;
   readonly #statusBytes: Counter;
   readonly #rateLimitChanges: Counter;
+  readonly #returnedCallers: Counter;
 
   constructor(gauges: NodeGauges) {
     const registers = [this.registry];
@@ -145,6 +148,24 @@
       help: "Changes of the rate limits that hosts name in responses",
       registers,
     });
+    this.#returnedCallers = new Counter({
+      name: "oleander_returned_callers_total",
+      help: "Refused callers that returned when they were told, by result",
+      labelNames: ["result"],
+      registers,
+    });
+    new Gauge({
+      name: "oleander_requests_waiting_by_priority",
+      help: "Requests that wait for an upstream, by priority",
+      labelNames: ["priority"],
+      registers,
+      collect() {
+        this.reset();
+        for (const [priority, count] of gauges.waitingByPriority()) {
+          this.set({ priority: String(priority) }, count);
+        }
+      },
+    });
     const gaugeReaders: Record<string, () => number> = {
       oleander_requests_in_flight: gauges.inFlight,
       oleander_requests_waiting: gauges.waiting,
@@ -234,6 +255,11 @@
     this.#rateLimitChanges.inc();
   }
 
+  /** Counts a caller that returned when it was told, by what became of it. */
+  recordReturnedCaller(result: "placed" | "refused"): void {
+    this.#returnedCallers.inc({ result });
+  }
+
   /** Records the statuses that were exchanged with peers. */
   recordStatusTraffic({ sentBytes, receivedBytes }: DatagramTraffic): void {
     this.#statusBytes.inc({ direction: "sent" }, sentBytes);
--- a/src/node/request_log.ts
+++ b/src/node/request_log.ts
@@ -67,6 +67,7 @@
           gapMs: Math.round(run.longestGapMs),
           goalMs: run.contract.route.goalMs,
           gapGoalMs: run.contract.route.gapMs,
+          retryAfterMs: event.retryAfterMs && Math.round(event.retryAfterMs),
         }
         : {}),
     });
@@ -129,6 +130,10 @@
     });
   }
 
+  onReturned(result: "placed" | "refused"): void {
+    this.#metrics.recordReturnedCaller(result);
+  }
+
   onRefused(request: RelayRequest, refusal: Refusal, version: number): void {
     this.#metrics.recordRefusal(refusal.kind);
     this.#log.info("request_turned_away", {
--- a/tools/bench_decisions.ts
+++ b/tools/bench_decisions.ts
@@ -22,6 +22,8 @@
 import { Placer } from "../src/core/relay/placer.ts";
 import { ReplicaFailures } from "../src/core/relay/replica_failures.ts";
 import { EngineOutlook } from "../src/core/outlook/mod.ts";
+import { RequestCosts } from "../src/core/relay/request_costs.ts";
+import { RequestQueue } from "../src/core/relay/request_queue.ts";
 import { exampleCatalog } from "../src/standins/fleet/example_catalog.ts";
 import type { ServingHost } from "../src/world/serving_host.ts";
 
@@ -67,6 +69,7 @@
   readonly registry = new HostRegistry();
   readonly loads = new LoadTracker();
   readonly placer: Placer;
+  readonly view: ReplicaView;
   readonly query: PlacementQuery;
   readonly #peers: number;
 
@@ -76,8 +79,9 @@
     this.registry.replaceAll(this.hosts, 0, false);
     const catalog = new CatalogHolder(() => 0, () => 0);
     catalog.installIfNewer(exampleCatalog(1));
+    this.view = new ReplicaView(this.registry, catalog, new Set());
     this.placer = new Placer({
-      view: new ReplicaView(this.registry, catalog, new Set()),
+      view: this.view,
       suspicions: new SuspicionTracker(),
       hosts: this.registry,
       loads: this.loads,
@@ -166,6 +170,55 @@
   };
 }
 
+/** A node's queue with requests of 24 customers that nothing has room for. */
+class WaitingQueue {
+  readonly #fleet: DecisionFleet;
+  readonly #queue: RequestQueue;
+  #arrivals = 0;
+
+  constructor(fleet: DecisionFleet, waiting: number) {
+    this.#fleet = fleet;
+    const costs = new RequestCosts(fleet.view, new SuspicionTracker());
+    this.#queue = new RequestQueue({
+      // What the placer costs is measured apart.
+      place: () => ({ kind: "full", expectedMs: 2_000 }),
+      costOf: (query) => costs.of(query),
+      rateOf: (query) => costs.rateOf(query),
+      position: () => ({ size: 36, rank: 0 }),
+      onReturned: () => {},
+    });
+    for (let i = 0; i < waiting; i++) this.#arrive(Infinity);
+  }
+
+  dispatch(): void {
+    this.#queue.dispatch(0);
+  }
+
+  /** A request arrives, is tried in turn, and is refused with a time. */
+  refuse(): void {
+    this.#arrive(0);
+  }
+
+  #arrive(queueDeadline: number): void {
+    const i = this.#arrivals++;
+    this.#queue.placeOrEnqueue({
+      ...this.#fleet.query,
+      promptTokens: 100 + i * 37 % 2_000,
+      firstByteLimitMs: 200 + i * 13 % 600,
+      arrivedAt: 0,
+      queueDeadline,
+      priority: i % 3,
+      isRetry: false,
+      customer: { name: `customer-${i % 24}` },
+      fingerprint: `request-${i}`,
+      contract: { route: { goalMs: 1_000 }, deadline: 6_000 },
+      firstByteMs: undefined,
+      onPlaced: () => {},
+      onNotPlaced: () => {},
+    }, 0);
+  }
+}
+
 /** Runs `decide` for at least 300 ms; returns microseconds per call. */
 function timeDecision(decide: (round: number) => void): number {
   for (let i = 0; i < 20; i++) decide(i);
@@ -189,3 +242,15 @@
   const size = `${String(hosts).padStart(7)}${String(peers).padStart(7)}`;
   process.stdout.write(`${size} ${costs.join("")}\n`);
 }
+
+process.stdout.write("\nwaiting  dispatch   refuse   (microseconds)\n");
+const [{ hosts, peers }] = FLEETS;
+const smallFleet = new DecisionFleet(hosts, peers);
+for (const waiting of [1, 8, 64, 500]) {
+  const queue = new WaitingQueue(smallFleet, waiting);
+  const costs = [
+    timeDecision(() => queue.dispatch()),
+    timeDecision(() => queue.refuse()),
+  ].map((us) => us.toFixed(1).padStart(9));
+  process.stdout.write(`${String(waiting).padStart(7)} ${costs.join("")}\n`);
+}
--- a/tools/fuzz/fuzz_relay.ts
+++ b/tools/fuzz/fuzz_relay.ts
@@ -65,6 +65,7 @@
         onRefused() {},
         onCrashVerdict() {},
         onPartQuarantined() {},
+        onReturned() {},
         onRateLimitChanged() {},
         onMalformedRateLimit() {},
       },
