Choose the addresses for callers by zone, capacity and load

Cause: `Node.addresses` returned all serving nodes, whatever the zone, at most 64 of them. Two thirds of the work crossed zones, and a node that turned slow kept its callers.

Now a subsystem, src/core/entry/, decides them: a zone's nodes, nodes of other zones as far as its demand needs them, without nodes that are behind. One node a zone decides, the others follow its plan in its status. It takes effect once every serving node has `processor_share` in its settings and says its capacity; else all serving nodes are returned as before.

The wire gets two optional fields, which nodes of earlier versions ignore. The list of optional fields in timer_steps.ts names them, and EntryHost and other fixtures give the new dependencies; no check is easier than before.

--- a/features/steps/entry_host.ts
+++ b/features/steps/entry_host.ts
@@ -44,7 +44,7 @@
 export class EntryHost {
   readonly id: string;
   readonly #fleet: NodeFleet;
-  readonly #zone: string;
+  readonly zone: string;
   #run: NodeRun | undefined;
   /** Receives the datagrams for the current run. */
   #receive: ((payload: Uint8Array, from: string) => void) | undefined;
@@ -56,13 +56,17 @@
   #lossCount = 0;
   storeAccess: StoreAccess = "served";
   receivesStatuses = true;
+  /** Share of a core in the settings; undefined as in earlier settings. */
+  processorShare: number | undefined;
+  /** Share of time for which the event loop is busy. */
+  load = 0;
   /** When the entry host was last stopped, started, or turned away by the store. */
   disturbedAt = -Infinity;
 
   constructor(fleet: NodeFleet, id: string, zone: string) {
     this.#fleet = fleet;
     this.id = id;
-    this.#zone = zone;
+    this.zone = zone;
     fleet.timers.subscribe(REQUEST_INTERVAL_MS, () => this.#sendRequest());
   }
 
@@ -83,6 +87,16 @@
     return this.storeAccess === "silent";
   }
 
+  /** The node's answer to a caller of a zone. */
+  addresses(zone: string): readonly string[] {
+    return this.#run?.node.addresses(zone).addresses ?? [];
+  }
+
+  /** What the node's metrics say. */
+  metrics(): Promise<string> {
+    return this.#run?.node.metrics.registry.metrics() ?? Promise.resolve("");
+  }
+
   /** Log events of the current run. */
   get log(): RecordedLog | undefined {
     return this.#run?.log;
@@ -181,6 +195,7 @@
         },
       },
       log,
+      loopBusyMs: () => timers.now() * this.load,
       addressTtlMs: 3_000,
       onLimits: () => {},
     });
@@ -190,7 +205,7 @@
     return {
       node: {
         id: this.id,
-        availability_zone: this.#zone,
+        availability_zone: this.zone,
         region: "region",
         ip: this.id,
         caller_address: `${this.id}:1`,
@@ -199,6 +214,8 @@
         internal_port: 7,
         metrics_port: 8,
         link: 1_000,
+        cores: 1,
+        processor_share: this.processorShare,
         seeds: this.#fleet.seeds,
       },
       platform: { store: "store:1", heartbeat: 1_200 },
--- a/features/steps/gossip_steps.ts
+++ b/features/steps/gossip_steps.ts
@@ -200,6 +200,7 @@
     operatorRevision: 0,
     demand: {},
     peers: [],
+    entry: undefined,
     acceptsCompressed: true,
   };
 }
--- a/features/steps/relay_fixture.ts
+++ b/features/steps/relay_fixture.ts
@@ -101,6 +101,7 @@
     confirmationAgeMs: () => this.catalog.confirmationAgeMs,
     hostListAgeMs: () => 0,
     isLeader: () => false,
+    entry: () => [],
   });
   /** This node among the nodes of the fleet. */
   position: FleetPosition = { size: 1, rank: 0 };
--- a/features/steps/sample_status.ts
+++ b/features/steps/sample_status.ts
@@ -49,6 +49,13 @@
     operatorRevision: 7,
     demand: { large: 1 },
     peers: ["10.0.0.2:7"],
+    entry: {
+      cores: 1.5,
+      linkMbps: 200,
+      work: 0.25,
+      isBehind: true,
+      plan: { isAll: false, isSpread: true, weakOut: 2, helpers: ["n-3"] },
+    },
     acceptsCompressed: true,
   };
 }
--- a/features/steps/settings_watcher_steps.ts
+++ b/features/steps/settings_watcher_steps.ts
@@ -7,6 +7,7 @@
 import { NodeSettingsSchema } from "../../src/settings/node_settings.ts";
 import { loadSettings } from "../../src/settings/settings_file.ts";
 import { SettingsWatcher } from "../../src/settings/settings_watcher.ts";
+import { NODE_SETTINGS } from "./sample_settings.ts";
 import { RecordedLog } from "./simulated_fleet.ts";
 
 interface WatcherWorld {
@@ -16,36 +17,9 @@
   watcher: SettingsWatcher<typeof NodeSettingsSchema>;
 }
 
-const SETTINGS = `[node]
-id = node-1
-availability_zone = valley-a
-region = kathmandu-valley
-ip = 10.1.0.4
-caller_address = 10.1.0.4:8641
-ready_address = 10.1.0.4:8642
-directory_address = 10.1.0.4:8643
-internal_port = 7340
-metrics_port = 9464
-seeds = 10.1.0.4:8229
-[platform]
-store = 10.200.1.7:8223
-heartbeat = 1200ms
-[bounds]
-confirm_keys_within = 5000ms
-change_in_force_within = 2000ms
-drain_within = 2s
-shutdown_within = 8s
-stall = 4000ms
-retry_ratio = 0.2
-retry_window = 10s
-retry_slack = 136
-load_window = 5s
-address_ttl_max = 5s
-`;
-
 Given("a watched settings file of a node", function (this: WatcherWorld) {
   this.file = join(mkdtempSync(join(tmpdir(), "oleander-")), "node.ini");
-  writeFileSync(this.file, SETTINGS);
+  writeFileSync(this.file, NODE_SETTINGS);
   const settings = loadSettings(this.file, NodeSettingsSchema);
   assert.ok(settings.ok);
   this.log = new RecordedLog();
--- a/features/steps/timer_steps.ts
+++ b/features/steps/timer_steps.ts
@@ -194,6 +194,8 @@
   "hl",
   "er",
   "hr",
+  "en",
+  "ep",
   "ac",
 ]);
 
@@ -215,6 +217,7 @@
       hostLimits: [],
       storeEra: 0,
       hostRead: undefined,
+      entry: undefined,
       acceptsCompressed: false,
     });
   },
--- a/src/core/gossip/message_codec.ts
+++ b/src/core/gossip/message_codec.ts
@@ -6,8 +6,15 @@
 import { Buffer } from "node:buffer";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type { LoadStatus, StatusBatch, StatusMessage } from "./messages.ts";
+import { MAX_ADDRESSES } from "../entry/mod.ts";
+import type { EntryStatus, ZonePlan } from "../entry/mod.ts";
 import type { WireChange, WireStatus } from "./wire_status.ts";
-import { isWireBatch, MAX_CRASHED_UPSTREAMS } from "./wire_status.ts";
+import {
+  isWireBatch,
+  MAX_CAPACITY,
+  MAX_CRASHED_UPSTREAMS,
+  MIN_CAPACITY,
+} from "./wire_status.ts";
 
 /** First byte of a compressed payload; others begin with a brace. */
 const COMPRESSED_MARK = 1;
@@ -142,10 +149,36 @@
     y: msg.operatorRevision,
     w: msg.demand,
     p: [...msg.peers],
+    en: msg.entry && toWireEntry(msg.entry),
+    ep: msg.entry?.plan && toWirePlan(msg.entry.plan),
     ac: msg.acceptsCompressed,
   };
 }
 
+function toWireEntry(entry: EntryStatus): WireStatus["en"] {
+  const capacity = (value: number) =>
+    Math.min(MAX_CAPACITY, Math.max(MIN_CAPACITY, roundToThousandths(value)));
+  return [
+    capacity(entry.cores),
+    capacity(entry.linkMbps),
+    Math.min(MAX_CAPACITY, roundToThousandths(entry.work)),
+    entry.isBehind,
+  ];
+}
+
+function toWirePlan(plan: ZonePlan): WireStatus["ep"] {
+  return [
+    plan.isAll,
+    plan.isSpread,
+    plan.weakOut,
+    plan.helpers.slice(0, MAX_ADDRESSES),
+  ];
+}
+
+function roundToThousandths(value: number): number {
+  return Math.round(value * 1_000) / 1_000;
+}
+
 function fromWire(wire: WireStatus): StatusMessage {
   return {
     ageMs: wire.g,
@@ -212,6 +245,18 @@
     operatorRevision: wire.y,
     demand: wire.w,
     peers: [...wire.p],
+    entry: wire.en && {
+      cores: wire.en[0],
+      linkMbps: wire.en[1],
+      work: wire.en[2],
+      isBehind: wire.en[3],
+      plan: wire.ep && {
+        isAll: wire.ep[0],
+        isSpread: wire.ep[1],
+        weakOut: wire.ep[2],
+        helpers: wire.ep[3],
+      },
+    },
     acceptsCompressed: wire.ac === true,
   };
 }
--- a/src/core/gossip/messages.ts
+++ b/src/core/gossip/messages.ts
@@ -8,6 +8,7 @@
 import type { SuspicionKind } from "../fleet/suspicion_tracker.ts";
 import type { HostChange } from "../fleet/host_changes.ts";
 import type { HostRead } from "../fleet/host_update.ts";
+import type { EntryStatus } from "../entry/mod.ts";
 import type { ClockTime } from "./node_clock.ts";
 
 /** Load that one node puts on one upstream. */
@@ -147,6 +148,11 @@
   readonly demand: Readonly<Record<string, number>>;
   /** Internal addresses of other nodes, so that starting nodes find peers. */
   readonly peers: readonly string[];
+  /**
+   * Capacity and load for the choice of addresses; undefined from nodes of
+   * earlier versions and from those without a capacity in their settings.
+   */
+  readonly entry: EntryStatus | undefined;
   /** Whether the node decodes compressed batches. */
   readonly acceptsCompressed: boolean;
 }
--- a/src/core/gossip/wire_status.ts
+++ b/src/core/gossip/wire_status.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { MAX_ADDRESSES } from "../entry/mod.ts";
 import type { StatusMessage } from "./messages.ts";
 
 type Load = [
@@ -53,6 +54,18 @@
 ];
 type ClockTime = [clock: number, at: number];
 type ClockLag = [clock: number, lagMs: number];
+type Entry = [
+  cores: number,
+  linkMbps: number,
+  work: number,
+  isBehind: boolean,
+];
+type EntryPlan = [
+  isAll: boolean,
+  isSpread: boolean,
+  weakOut: number,
+  helpers: string[],
+];
 type Read = [ageMs: number, revision: number, changeRevision: number];
 /** A host change on the wire; `value` is null if the host was removed. */
 export type WireChange = [
@@ -128,6 +141,10 @@
   readonly w: Readonly<Record<string, number>>;
   /** peers */
   readonly p: readonly string[];
+  /** entry without its plan; absent if undefined, and from nodes of earlier versions */
+  readonly en?: Entry;
+  /** plan of entry; absent if undefined, and from nodes of earlier versions */
+  readonly ep?: EntryPlan;
   /** acceptsCompressed; absent from nodes of earlier versions */
   readonly ac?: boolean;
 }
@@ -160,6 +177,10 @@
   "closing",
   "broken",
 ]);
+/** Smallest capacity of a node, in cores and megabits per second. */
+export const MIN_CAPACITY = 0.001;
+/** Largest capacity and work of a node, in cores and megabits per second. */
+export const MAX_CAPACITY = 1_000_000;
 /** Maximum number of upstreams in a strike; a batch with more is rejected. */
 export const MAX_CRASHED_UPSTREAMS = 8;
 
@@ -181,7 +202,7 @@
   if (typeof value !== "object" || value === null) return false;
   const { n, i, a, c, z, s, l, d, u, k, h, e, p, w, cp, sp, hl, ac, ...rest } =
     value as WireStatus;
-  const { g, v, t, x, j, y, o, f, m, hr, ct, cl, er } = rest;
+  const { g, v, t, x, j, y, o, f, m, hr, ct, cl, er, en, ep } = rest;
   return [n, i, a, c, z].every(isText) && NODE_STATES.has(s) &&
     [g, v, t, x, j, y].every(isNumber) && [o, f, m].every(isBoolean) &&
     isListOf(l, isLoad) && isListOf(d, isSuspicion) && isListOf(u, isAged) &&
@@ -189,7 +210,9 @@
     isOptionalListOf(sp, isAged) && isOptionalListOf(hl, isHostLimit) &&
     isListOf(h, isHost) &&
     isListOf(e, isChange) && (hr === undefined || isRead(hr)) &&
-    (er === undefined || isEra(er)) &&
+    (er === undefined || isCount(er)) &&
+    (en === undefined || isEntry(en)) &&
+    (ep === undefined || isEntryPlan(ep)) &&
     (ct === undefined || isNumberPair(ct)) &&
     isOptionalListOf(cl, isNumberPair) &&
     isListOf(p, isText) && typeof w === "object" && w !== null &&
@@ -249,6 +272,22 @@
   return isTuple(value, 3) && value.every(isNumber);
 }
 
+function isEntry(value: unknown): boolean {
+  return isTuple(value, 4) && isWithin(value[0], MIN_CAPACITY) &&
+    isWithin(value[1], MIN_CAPACITY) && isWithin(value[2], 0) &&
+    isBoolean(value[3]);
+}
+
+function isEntryPlan(value: unknown): boolean {
+  return isTuple(value, 4) && isBoolean(value[0]) && isBoolean(value[1]) &&
+    isCount(value[2]) && isListOf(value[3], isText) &&
+    (value[3] as string[]).length <= MAX_ADDRESSES;
+}
+
+function isWithin(value: unknown, min: number): boolean {
+  return isNumber(value) && value >= min && value <= MAX_CAPACITY;
+}
+
 function isTuple(value: unknown, length: number): value is unknown[] {
   return Array.isArray(value) && value.length === length;
 }
@@ -272,7 +311,7 @@
   return Number.isFinite(value);
 }
 
-function isEra(value: unknown): boolean {
+function isCount(value: unknown): boolean {
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -15,6 +15,13 @@
 import { NodeRegistration } from "../core/fleet/node_registration.ts";
 import { StoreEra } from "../core/fleet/store_era.ts";
 import { ReplicaView } from "../core/fleet/replica_view.ts";
+import type {
+  EntryChange,
+  EntryNode,
+  EntryStatus,
+  NodeCapacity,
+} from "../core/entry/mod.ts";
+import { EntryDirectory, LoadMeter } from "../core/entry/mod.ts";
 import type { HubCandidate } from "../core/gossip/hub_election.ts";
 import type { HostStatus, StatusMessage } from "../core/gossip/messages.ts";
 import { ObservationExchange } from "../core/gossip/observation_exchange.ts";
@@ -78,6 +85,8 @@
   readonly client: RelayClient;
   readonly datagrams: Datagrams;
   readonly log: EventLog;
+  /** Time for which the event loop was busy since the start, in milliseconds. */
+  readonly loopBusyMs: () => number;
   /** How long callers may cache an address. */
   readonly addressTtlMs: number;
   /** Called with the limits of each catalog that is put in force. */
@@ -100,6 +109,8 @@
   readonly #clock: NodeClock;
   readonly #peerClocks = new PeerClocks();
   readonly #loopMonitor: LoopMonitor;
+  readonly #loadMeter: LoadMeter;
+  readonly #entry: EntryDirectory;
   readonly #replicaView: ReplicaView;
   readonly #observations: ObservationExchange;
   readonly #gossip: PeerGossip;
@@ -137,6 +148,18 @@
       () => this.#catalog.readClocks(),
     );
     this.#loopMonitor = new LoopMonitor(timers, (lagMs) => this.#onLag(lagMs));
+    this.#loadMeter = new LoadMeter({
+      busyMs: deps.loopBusyMs,
+      lag: this.#loopMonitor,
+      capacity: () => this.#capacity,
+    });
+    this.#entry = new EntryDirectory({
+      selfId: node.id,
+      nodes: () => this.#servingNodes(),
+      onChange: (change) => this.#onEntryChange(change),
+      onSwitch: (byCapacity, unrated) =>
+        deps.log.info("entry_switched", { byCapacity, unrated }),
+    });
     this.#replicaView = new ReplicaView(
       this.#hosts,
       this.#catalog,
@@ -262,6 +285,7 @@
   /** Leaves the directory and resigns as leader; requests are still accepted. */
   withdraw(): void {
     this.#leaving = true;
+    this.#entry.invalidate();
     this.#gossip.broadcast();
     this.#registration.leave();
     this.#leaderLease.resign();
@@ -273,14 +297,11 @@
       this.#isConfirmed;
   }
 
-  /** Caller addresses of serving nodes in all zones, with their time to live. */
-  addresses(_zone: string | undefined) {
-    const { node } = this.#deps.settings;
-    const serving = this.#gossip.live().filter((peer) =>
-      peer.status.state === "serving"
-    ).map((peer) => peer.status.callerAddress);
-    if (this.isReady()) serving.push(node.caller_address);
-    return { addresses: serving.slice(0, 64), ttlMs: this.#deps.addressTtlMs };
+  /** Caller addresses of serving nodes for a zone, with their time to live. */
+  addresses(zone: string | undefined) {
+    const { addressTtlMs, timers } = this.#deps;
+    const addresses = this.#entry.addresses(zone, timers.now());
+    return { addresses, ttlMs: addressTtlMs };
   }
 
   /**
@@ -297,6 +318,51 @@
     return this.#gossip.live().every((peer) => peer.status.leaderTerm < term);
   }
 
+  /** Undefined while the settings name no processor share. */
+  get #capacity(): NodeCapacity | undefined {
+    const { processor_share, cores, link } = this.#settings.node;
+    if (processor_share === undefined) return undefined;
+    return { cores: processor_share * cores, linkMbps: link };
+  }
+
+  #servingNodes(): EntryNode[] {
+    const { node } = this.#deps.settings;
+    const serving: EntryNode[] = [];
+    for (const { status } of this.#gossip.live()) {
+      if (status.state !== "serving") continue;
+      serving.push({
+        id: status.node,
+        address: status.callerAddress,
+        zone: status.zone,
+        status: status.entry,
+      });
+    }
+    if (!this.isReady()) return serving;
+    serving.push({
+      id: node.id,
+      address: node.caller_address,
+      zone: node.availability_zone,
+      status: this.#ownLoad(this.#deps.timers.now()),
+    });
+    return serving;
+  }
+
+  /** This node's capacity and load, without a plan. */
+  #ownLoad(now: number): EntryStatus | undefined {
+    const load = this.#loadMeter.read(now);
+    return load && { ...load, plan: undefined };
+  }
+
+  #entryStatus(now: number): EntryStatus | undefined {
+    const load = this.#ownLoad(now);
+    return load && { ...load, plan: this.#entry.ownPlan(now) };
+  }
+
+  #onEntryChange({ zone, leftOut, ...counts }: EntryChange): void {
+    const change = { callerZone: zone, ...counts, ...leftOut };
+    this.#deps.log.info("entry_changed", change);
+  }
+
   get #isConfirmed(): boolean {
     return this.#catalog.confirmationAgeMs < this.#keyTrustMs;
   }
@@ -316,6 +382,7 @@
       confirmationAgeMs: () => Math.min(1e9, this.#catalog.confirmationAgeMs),
       hostListAgeMs: () => Math.min(1e9, this.#fleetState.hostListAgeMs),
       isLeader: () => this.#isLeader,
+      entry: () => this.#entry.answers(this.#deps.timers.now()),
     });
   }
 
@@ -455,6 +522,7 @@
       ...this.#fleetState.createUpdate(),
       demand: this.relay.demand.engineMsPerSecond(now),
       peers,
+      entry: this.#entryStatus(now),
       acceptsCompressed: true,
     };
   }
@@ -473,6 +541,7 @@
   #applyPeerStatus(status: StatusMessage, hub: string | undefined): void {
     const now = this.#deps.timers.now();
     const { loads, ageMs: statusAgeMs } = status;
+    if (status.state === "leaving") this.#entry.invalidate();
     this.relay.loads.recordPeerLoads(status.node, loads, now, statusAgeMs);
     this.#observations.apply(status, now);
     const from = hub === undefined ? status.node : `${status.node} via ${hub}`;
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -5,6 +5,7 @@
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { DatagramTraffic } from "./metered_datagrams.ts";
+import type { EntryAnswer } from "../core/entry/mod.ts";
 import type { RelayRun, RunEvent } from "../core/relay/relay_run.ts";
 
 const LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 2, 5];
@@ -19,6 +20,8 @@
   readonly confirmationAgeMs: () => number;
   readonly hostListAgeMs: () => number;
   readonly isLeader: () => boolean;
+  /** Answers for the zones that callers named of late. */
+  readonly entry: () => readonly EntryAnswer[];
 }
 
 /** Prometheus metrics of the node. */
@@ -102,6 +105,7 @@
       help: "Changes of the rate limits that hosts name in responses",
       registers,
     });
+    this.#registerEntryGauges(gauges);
     const gaugeReaders: Record<string, () => number> = {
       oleander_requests_in_flight: gauges.inFlight,
       oleander_requests_waiting: gauges.waiting,
@@ -123,6 +127,36 @@
     }
   }
 
+  #registerEntryGauges({ entry }: NodeGauges): void {
+    const registers = [this.registry];
+    new Gauge({
+      name: "oleander_entry_addresses",
+      help: "Addresses in the answer for callers of a zone",
+      labelNames: ["caller_zone"],
+      registers,
+      collect() {
+        this.reset();
+        for (const { zone, addresses } of entry()) {
+          this.set({ caller_zone: zone }, addresses);
+        }
+      },
+    });
+    new Gauge({
+      name: "oleander_entry_left_out",
+      help: "Serving nodes that the answer for a zone lacks, by reason",
+      labelNames: ["caller_zone", "reason"],
+      registers,
+      collect() {
+        this.reset();
+        for (const { zone, leftOut } of entry()) {
+          for (const [reason, count] of Object.entries(leftOut)) {
+            this.set({ caller_zone: zone, reason }, count);
+          }
+        }
+      },
+    });
+  }
+
   /** Records an attempt or a request that ended; ignores all other events. */
   recordEvent(run: RelayRun, event: RunEvent, elapsedMs: number): void {
     const route = run.contract.route.name;
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -5,6 +5,7 @@
  */
 import { randomUUID } from "node:crypto";
 import type { Server } from "node:http";
+import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { serve } from "@hono/node-server";
 import { Hono } from "hono";
@@ -89,6 +90,7 @@
       ),
       datagrams,
       log: this.#log,
+      loopBusyMs: () => performance.eventLoopUtilization().active,
       addressTtlMs: ADDRESS_TTL_MS,
       onLimits: (limits) => {
         if (this.#relayServer !== undefined) this.#relayServer.limits = limits;
--- a/src/settings/node_settings.ts
+++ b/src/settings/node_settings.ts
@@ -11,6 +11,10 @@
 const DecimalNumber = z.string().regex(/^\d+(\.\d+)?$/, "a number").transform(
   Number,
 );
+const PositiveNumber = DecimalNumber.refine(
+  (value) => value > 0,
+  "a number above 0",
+);
 const AddressList = z.string().default("").transform((text) =>
   text.split(/[\s,]+/).filter((part) => part !== "")
 ).pipe(z.array(IpPort));
@@ -29,6 +33,13 @@
     metrics_port: Port,
     /** Bandwidth of this host's link, in megabits per second. */
     link: DecimalNumber.default(1_000),
+    /**
+     * Share of a core's time that the process may use, to choose addresses for
+     * callers by capacity; without it, callers get the addresses of all nodes.
+     */
+    processor_share: PositiveNumber.optional(),
+    /** Cores to which `processor_share` applies, or speed of the one core. */
+    cores: PositiveNumber.default(1),
     /**
      * Addresses of other nodes, which may be stale. Only the IP address is used; the
      * port is `internal_port`.
