--- a/tools/bench_decisions.ts
+++ b/tools/bench_decisions.ts
@@ -10,6 +10,8 @@
 import process from "node:process";
 import { Random } from "../src/base/random.ts";
 import { CatalogHolder } from "../src/core/catalog/catalog_holder.ts";
+import type { EntryNode } from "../src/core/entry/mod.ts";
+import { EntryDirectory } from "../src/core/entry/mod.ts";
 import { HostRegistry } from "../src/core/fleet/host_registry.ts";
 import { ReplicaView } from "../src/core/fleet/replica_view.ts";
 import { SuspicionTracker } from "../src/core/fleet/suspicion_tracker.ts";
@@ -145,6 +147,47 @@
   }
 }
 
+/** Sizes of fleets for which addresses are chosen. */
+const NODE_COUNTS = [5, 36, 65, 300];
+const ZONE_COUNT = 3;
+/** Longer than the interval of decisions, so that each question needs one. */
+const QUESTION_INTERVAL_MS = 1_000;
+
+function createNodes(count: number): EntryNode[] {
+  return Array.from({ length: count }, (_, i) => ({
+    id: `node-${1_000 + i}`,
+    address: `10.0.0.1:${i}`,
+    zone: `zone-${i % ZONE_COUNT}`,
+    status: {
+      cores: i % 10 === 0 ? 1.35 : 0.324,
+      linkMbps: 200,
+      work: i % ZONE_COUNT === 0 ? 0.25 : 0.05,
+      isBehind: false,
+      plan: undefined,
+    },
+  }));
+}
+
+/** Asks one node for addresses; it decides anew for each question. */
+class AddressQuestions {
+  readonly #directory: EntryDirectory;
+
+  constructor(nodes: readonly EntryNode[], selfId: string) {
+    this.#directory = new EntryDirectory({
+      selfId,
+      nodes: () => nodes,
+      onChange: () => {},
+      onSwitch: () => {},
+    });
+  }
+
+  ask(round: number): void {
+    const now = round * QUESTION_INTERVAL_MS;
+    const addresses = this.#directory.addresses("zone-0", now);
+    if (addresses.length === 0) throw new Error("No addresses");
+  }
+}
+
 function toFreeHost(host: ServingHost): FreeHost {
   return {
     id: host.id,
@@ -183,3 +226,14 @@
   const size = `${String(hosts).padStart(7)}${String(peers).padStart(7)}`;
   process.stdout.write(`${size} ${costs.join("")}\n`);
 }
+
+process.stdout.write("\n  nodes  decide  follow   (microseconds, addresses)\n");
+for (const count of NODE_COUNTS) {
+  const nodes = createNodes(count);
+  const costs = [nodes[0], nodes[nodes.length - 1]].map(({ id }) => {
+    const questions = new AddressQuestions(nodes, id);
+    let asked = 0;
+    return timeDecision(() => questions.ask(asked++));
+  }).map((us) => us.toFixed(1).padStart(8));
+  process.stdout.write(`${String(count).padStart(7)}${costs.join("")}\n`);
+}
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -1179,4 +1179,65 @@
       replace: "if (true)",
     }],
   },
+  {
+    promise: 9,
+    tag: "@entry",
+    mechanism:
+      "Callers get nodes of other zones only when their zone's can't carry them",
+    edits: [{
+      file: "entry/zone_planner.js",
+      find: "if (ownLoad <= maxLoad)",
+      replace: "if (true) return this.#nodes;\n        if (false)",
+    }],
+  },
+  {
+    promise: 9,
+    tag: "@entry",
+    mechanism: "Nodes of other zones help when a zone gets most callers",
+    edits: [{
+      file: "entry/zone_planner.js",
+      find: "return best;",
+      replace: "return 0;",
+    }],
+  },
+  {
+    promise: 9,
+    tag: "@entry",
+    mechanism: "Addresses that are not needed any more stay for a while",
+    edits: [{
+      file: "entry/zone_members.js",
+      find: "const HOLD_MS = 10_000;",
+      replace: "const HOLD_MS = 0;",
+    }],
+  },
+  {
+    promise: 9,
+    tag: "@entry",
+    mechanism: "A node that can't keep up is left out",
+    edits: [{
+      file: "entry/behind_nodes.js",
+      find: "if (behind.length === 0)",
+      replace: "if (true)",
+    }],
+  },
+  {
+    promise: 9,
+    tag: "@entry",
+    mechanism: "All nodes are returned unless each says its capacity",
+    edits: [{
+      file: "entry/entry_node.js",
+      find: "return undefined;",
+      replace: "continue;",
+    }],
+  },
+  {
+    promise: 9,
+    tag: "@entry",
+    mechanism: "The next node goes on from the plan that it has followed",
+    edits: [{
+      file: "entry/entry_directory.js",
+      find: "state.plan = decider?.plan ?? state.plan;",
+      replace: "state.plan = decider?.plan;",
+    }],
+  },
 ];
