--- a/features/entry.feature
+++ b/features/entry.feature
@@ -228,6 +228,13 @@
     When the whole nodes run for 10 seconds
     Then each whole node gives callers of its zone 21 addresses
 
+  Scenario: should spread a plan with helpers to all whole nodes
+    Given 21 whole nodes with a capacity in their settings
+    When those of zone "z0" are busy for 80 percent of the time
+    And the whole nodes run for 10 seconds
+    Then all whole nodes give callers of zone "z0" the same addresses, of 12 nodes
+    And all whole nodes give callers of zone "z1" the same addresses, of 7 nodes
+
   Scenario: should drop the address of a whole node that ends
     Given 21 whole nodes with a capacity in their settings
     When the whole nodes run for 10 seconds
--- a/features/steps/entry_steps.ts
+++ b/features/steps/entry_steps.ts
@@ -588,6 +588,34 @@
   },
 );
 
+When(
+  "those of zone {string} are busy for {int} percent of the time",
+  function (this: EntryWorld, zone: string, percent: number) {
+    for (const entryHost of this.nodeFleet.entryHosts) {
+      if (entryHost.zone === zone) entryHost.load = percent / 100;
+    }
+  },
+);
+
+Then(
+  /^all whole nodes give callers of zone "(\w+)" the same addresses, of (\d+) nodes$/,
+  async function (
+    this: EntryWorld,
+    zone: string,
+    count: string,
+  ) {
+    const { nodeFleet } = this;
+    const ask = () =>
+      nodeFleet.entryHosts.map((each) => [...each.addresses(zone)].sort());
+    ask();
+    // A node that wasn't asked before decides at its next question.
+    await nodeFleet.timers.run(1_000);
+    const [first, ...others] = ask();
+    assert.equal(first.length, Number(count));
+    for (const other of others) assert.deepEqual(other, first);
+  },
+);
+
 When("the second one is terminated", function (this: EntryWorld) {
   this.nodeFleet.entryHosts[1].terminate();
 });
