--- a/features/steps/gossip_steps.ts
+++ b/features/steps/gossip_steps.ts
@@ -201,6 +201,7 @@
     demand: {},
     residuals: [],
     peers: [],
+    entry: undefined,
     acceptsCompressed: true,
   };
 }
--- a/features/steps/sample_status.ts
+++ b/features/steps/sample_status.ts
@@ -50,6 +50,13 @@
     demand: { large: 1 },
     residuals: [{ model: "pool/large", constantMs: 93, spreadMs: 12 }],
     peers: ["10.0.0.2:7"],
+    entry: {
+      cores: 1.5,
+      linkMbps: 200,
+      work: 0.25,
+      isBehind: true,
+      plan: { isAll: false, isSpread: true, weakOut: 2, helpers: ["n-3"] },
+    },
     acceptsCompressed: true,
   };
 }
--- a/features/steps/timer_steps.ts
+++ b/features/steps/timer_steps.ts
@@ -195,6 +195,8 @@
   "er",
   "hr",
   "re",
+  "en",
+  "ep",
   "ac",
 ]);
 
@@ -217,6 +219,7 @@
       storeEra: 0,
       hostRead: undefined,
       residuals: [],
+      entry: undefined,
       acceptsCompressed: false,
     });
   },
