--- a/src/base/hash.ts
+++ b/src/base/hash.ts
@@ -4,13 +4,21 @@
  *
  * @module
  */
+import { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
-import xxhash from "xxhash-wasm";
 
-const { h32 } = await xxhash();
+/** Primes of the xxHash algorithm. */
+const PRIME_1 = 0x9e3779b1;
+const PRIME_2 = 0x85ebca77;
+const PRIME_3 = 0xc2b2ae3d;
+const PRIME_4 = 0x27d4eb2f;
+const PRIME_5 = 0x165667b1;
+/** Bytes that a step of the algorithm takes, as four lanes of four. */
+const STRIPE_BYTES = 16;
 
 /**
- * Hashes text to an unsigned 32-bit integer.
+ * Hashes text to an unsigned 32-bit integer, by XXH32 of its UTF-8 bytes. Written
+ * here, as a WebAssembly module has to be compiled at each start of a process.
  *
  * @example
  * ```ts
@@ -18,7 +26,22 @@
  * ```
  */
 export function hash32(text: string): number {
-  return h32(text) >>> 0;
+  const bytes = Buffer.from(text, "utf8");
+  const stripesEnd = bytes.length - bytes.length % STRIPE_BYTES;
+  let hash = stripesEnd === 0 ? PRIME_5 : hashStripes(bytes, stripesEnd);
+  hash = (hash + bytes.length) | 0;
+  let at = stripesEnd;
+  for (; at + 4 <= bytes.length; at += 4) {
+    hash = (hash + Math.imul(bytes.readUInt32LE(at), PRIME_3)) | 0;
+    hash = Math.imul(rotateLeft(hash, 17), PRIME_4);
+  }
+  for (; at < bytes.length; at++) {
+    hash = (hash + Math.imul(bytes[at], PRIME_5)) | 0;
+    hash = Math.imul(rotateLeft(hash, 11), PRIME_1);
+  }
+  hash = Math.imul(hash ^ (hash >>> 15), PRIME_2);
+  hash = Math.imul(hash ^ (hash >>> 13), PRIME_3);
+  return (hash ^ (hash >>> 16)) >>> 0;
 }
 
 /**
@@ -51,3 +74,21 @@
     .sort((a, b) => b.rank - a.rank || (a.node < b.node ? -1 : 1))
     .map((entry) => entry.node);
 }
+
+function hashStripes(bytes: Buffer, end: number): number {
+  const lanes = [(PRIME_1 + PRIME_2) | 0, PRIME_2, 0, -PRIME_1 | 0];
+  for (let at = 0; at < end; at += STRIPE_BYTES) {
+    for (let lane = 0; lane < lanes.length; lane++) {
+      const input = bytes.readUInt32LE(at + lane * 4);
+      const sum = (lanes[lane] + Math.imul(input, PRIME_2)) | 0;
+      lanes[lane] = Math.imul(rotateLeft(sum, 13), PRIME_1);
+    }
+  }
+  const [a, b, c, d] = lanes;
+  return rotateLeft(a, 1) + rotateLeft(b, 7) + rotateLeft(c, 12) +
+    rotateLeft(d, 18);
+}
+
+function rotateLeft(value: number, bits: number): number {
+  return (value << bits) | (value >>> (32 - bits));
+}
