Log and measure each step of a node's start

One line, started_serving, gives the milliseconds from the start of the process to each of 13 steps, or after 10 s which steps are missing; oleander_start_step_ms the same by step. Ruled out: reading it off other lines, as the first that a process writes comes after its code was loaded and its sockets listen.

--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -13,3 +13,19 @@
       | Nobody inspects the spammish repetition | e2293b2f |
       | exactly16 bytes!                        | 3762f1f4 |
       | Größe, 大小, und mehr als 16 Bytes      | 3fc91c02 |
+
+  # Guards against starts of which nobody can say what took how long.
+  Scenario Outline: should log when each step of a start was reached
+    Given <nodes> nodes with seed 1 that may send requests to a leaving host for 3 seconds
+    When all nodes end, and start again 700 milliseconds later
+    Then each node logs every step of its start once, up to its first request
+
+    Examples:
+      | nodes |
+      | 2     |
+      | 12    |
+
+  Scenario: should log which steps of a start are missing after 10 seconds
+    Given 2 nodes with seed 1 that may send requests to a leaving host for 3 seconds
+    When all nodes end, and start again without the store
+    Then each node logs that "storeReached" is missing, 10 seconds after its start
--- a/features/steps/entry_host.ts
+++ b/features/steps/entry_host.ts
@@ -6,6 +6,7 @@
 import { failure } from "../../src/base/outcome.ts";
 import { Random } from "../../src/base/random.ts";
 import { Node } from "../../src/node/node.ts";
+import { StartTimeline } from "../../src/node/start_timeline.ts";
 import type { CoordinationStore } from "../../src/ports/coordination_store.ts";
 import type {
   RelayClient,
@@ -23,6 +24,14 @@
 /** Interval of the requests that each node receives. */
 const REQUEST_INTERVAL_MS = 70;
 
+/** Steps of a start that a process reaches before it creates its node. */
+const STEPS_OF_PROCESS = [
+  "runtimeReady",
+  "codeLoaded",
+  "settingsRead",
+  "socketsListening",
+] as const;
+
 /** How the store treats the requests of one node. */
 export type StoreAccess = "served" | "silent" | "refused" | "busy" | "reset";
 
@@ -156,6 +165,9 @@
 
   #createNode(timers: ProcessTimers, log: RecordedLog): Node {
     const fleet = this.#fleet;
+    const startedAt = timers.now();
+    const timeline = new StartTimeline(() => timers.now() - startedAt);
+    for (const step of STEPS_OF_PROCESS) timeline.mark(step);
     const unreachable = () =>
       Promise.resolve(
         { ok: false, err: { kind: "refused", detail: "no engine" } } as const,
@@ -183,6 +195,7 @@
       log,
       addressTtlMs: 3_000,
       onLimits: () => {},
+      timeline,
     });
   }
 
--- a/src/bin/oleander_node.ts
+++ b/src/bin/oleander_node.ts
@@ -3,9 +3,11 @@
  *
  * @module
  */
+import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { cac } from "cac";
 import { NodeProcess } from "../node/node_process.ts";
+import { StartTimeline } from "../node/start_timeline.ts";
 import { platformSettingsPath } from "../platform/settings_path.ts";
 import { NodeSettingsSchema } from "../settings/node_settings.ts";
 import {
@@ -15,6 +17,11 @@
 } from "../settings/settings_file.ts";
 import { VERSION } from "./version.ts";
 
+/** Its time counts from the start of the process. */
+const timeline = new StartTimeline(() => performance.now());
+timeline.mark("runtimeReady", performance.nodeTiming.bootstrapComplete);
+timeline.mark("codeLoaded");
+
 const cli = cac("oleander-node");
 cli.command("[settings]", "Run with the settings in an INI file")
   .option("--check", "Check the settings and exit")
@@ -36,7 +43,8 @@
     process.stdout.write(`${file}: settings are valid\n`);
     return;
   }
-  const node = new NodeProcess(settings.value, file);
+  timeline.mark("settingsRead");
+  const node = new NodeProcess(settings.value, file, timeline);
   process.on("SIGHUP", () => node.reload());
   process.on("SIGTERM", async () => {
     await node.shutdown("SIGTERM");
--- a/src/core/catalog/catalog_holder.ts
+++ b/src/core/catalog/catalog_holder.ts
@@ -27,6 +27,8 @@
   /** Confirmations by this process's own requests to the store. */
   readonly #ownConfirmation: Confirmation;
   #inForce: CatalogInForce | undefined;
+  /** Called at the first confirmation. */
+  #onFirstConfirmed: (() => void) | undefined;
 
   constructor(monotonic: () => number, wall: () => number) {
     this.#confirmation = new Confirmation(monotonic, wall);
@@ -68,13 +70,26 @@
     if (version !== this.version) return;
     this.#ownConfirmation.record(requestedAt);
     this.#confirmation.record(requestedAt);
+    this.#reportFirstConfirmed();
   }
 
   /**
    * Records that a peer's copy of the same version was confirmed `ageMs` ago.
    */
   recordPeerConfirmation(version: number, ageMs: number): void {
-    if (version === this.version) this.#confirmation.recordWithAge(ageMs);
+    if (version !== this.version) return;
+    this.#confirmation.recordWithAge(ageMs);
+    this.#reportFirstConfirmed();
+  }
+
+  /** Sets what is called at the first confirmation. */
+  onFirstConfirmed(callback: () => void): void {
+    this.#onFirstConfirmed = callback;
+  }
+
+  #reportFirstConfirmed(): void {
+    this.#onFirstConfirmed?.();
+    this.#onFirstConfirmed = undefined;
   }
 
   /**
--- a/src/core/fleet/node_registration.ts
+++ b/src/core/fleet/node_registration.ts
@@ -24,6 +24,7 @@
   readonly #store: CoordinationStore;
   readonly #key: string;
   readonly #value: string;
+  readonly #onRegistered: () => void;
   #lease: Lease | undefined;
   #stopped = false;
 
@@ -32,11 +33,13 @@
     store: CoordinationStore,
     nodeId: string,
     internalAddress: string,
+    onRegistered: () => void = () => {},
   ) {
     this.#timers = timers;
     this.#store = store;
     this.#key = `${NODE_PREFIX}${nodeId}`;
     this.#value = internalAddress;
+    this.#onRegistered = onRegistered;
   }
 
   /** Starts registering and renewing. */
@@ -76,6 +79,7 @@
       return false;
     }
     this.#lease = lease.value;
+    this.#onRegistered();
     return true;
   }
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -36,6 +36,8 @@
 import { MeteredDatagrams } from "./metered_datagrams.ts";
 import { NodeMetrics } from "./node_metrics.ts";
 import { RequestLog } from "./request_log.ts";
+import { StartReport } from "./start_report.ts";
+import type { StartTimeline } from "./start_timeline.ts";
 
 const GOSSIP_PERIOD_MS = 100;
 const BYTES_PER_MEGABIT = 125_000;
@@ -82,6 +84,8 @@
   readonly addressTtlMs: number;
   /** Called with the limits of each catalog that is put in force. */
   readonly onLimits: (limits: CallerLimits) => void;
+  /** Steps of the start that the process has reached. */
+  readonly timeline: StartTimeline;
 }
 
 /** One node of the fleet. */
@@ -89,6 +93,7 @@
   readonly relay: Relay;
   readonly metrics: NodeMetrics;
   readonly #deps: NodeDependencies;
+  readonly #startReport: StartReport;
   readonly #storeEra = new StoreEra();
   readonly #store: CoordinationStore;
   readonly #catalog: CatalogHolder;
@@ -143,6 +148,12 @@
       this.#zonesOutOfService,
     );
     this.metrics = this.#createMetrics();
+    this.#startReport = new StartReport({
+      timers,
+      log: deps.log,
+      metrics: this.metrics,
+      timeline: deps.timeline,
+    });
     this.relay = new Relay({
       timers,
       random: deps.random,
@@ -151,7 +162,12 @@
       hosts: this.#hosts,
       view: this.#replicaView,
       suspicions: this.#suspicions,
-      observer: new RequestLog(timers, deps.log, this.metrics),
+      observer: new RequestLog(
+        timers,
+        deps.log,
+        this.metrics,
+        this.#startReport,
+      ),
       nodeId: node.id,
       zone: node.availability_zone,
       loopLag: this.#loopMonitor,
@@ -203,6 +219,7 @@
       this.#store,
       node.id,
       this.#internalAddress,
+      () => this.#startReport.mark("nodeRegistered"),
     );
     this.#leaderLease = new LeaderLease({
       timers,
@@ -244,6 +261,11 @@
   start(): void {
     const { log, settings, incarnation } = this.#deps;
     log.info("start", { incarnation, settings });
+    this.#startReport.start();
+    this.#catalog.onFirstConfirmed(() =>
+      this.#startReport.mark("catalogConfirmed")
+    );
+    this.#hosts.onChange(() => this.#startReport.mark("hostsListed"));
     this.#pauseDetector.start();
     this.#loopMonitor.start();
     this.#fleetState.start();
@@ -339,6 +361,7 @@
       drainWithinMs: () => this.#settings.bounds.drain_within,
       listener: {
         catalogChanged: (version) => {
+          this.#startReport.mark("catalogInForce");
           const catalog = this.#catalog.inForce?.catalog;
           if (catalog !== undefined) onLimits(catalog.limits);
           this.#replicaView.invalidate();
@@ -349,12 +372,16 @@
           });
         },
         zonesChanged: (out) => {
+          this.#startReport.mark("storeReached");
           this.#replicaView.invalidate();
           log.info("zones_out", { out, era: this.#storeEra.newest });
         },
-        nodesChanged: (addresses) =>
-          this.#gossip.setRegisteredAddresses(addresses),
+        nodesChanged: (addresses) => {
+          this.#startReport.mark("storeReached");
+          this.#gossip.setRegisteredAddresses(addresses);
+        },
         leaderChanged: (nodeId) => {
+          if (nodeId !== undefined) this.#startReport.mark("leaderKnown");
           this.#leaderLease.setHolder(nodeId);
           this.#isNotLeaseHolder = nodeId !== settings.node.id;
           log.info("acting_node", {
@@ -397,6 +424,7 @@
   }
 
   #onLeadershipGained(term: number): void {
+    this.#startReport.mark("leaderKnown");
     this.#deps.log.info("acting_gained", {
       term,
       era: this.#storeEra.newest,
@@ -471,6 +499,7 @@
   }
 
   #applyPeerStatus(status: StatusMessage, hub: string | undefined): void {
+    this.#startReport.mark("peersKnown");
     const now = this.#deps.timers.now();
     const { loads, ageMs: statusAgeMs } = status;
     this.relay.loads.recordPeerLoads(status.node, loads, now, statusAgeMs);
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -35,6 +35,7 @@
   readonly #loopLag: Histogram;
   readonly #statusBytes: Counter;
   readonly #rateLimitChanges: Counter;
+  readonly #startSteps: Gauge;
 
   constructor(gauges: NodeGauges) {
     const registers = [this.registry];
@@ -102,6 +103,12 @@
       help: "Changes of the rate limits that hosts name in responses",
       registers,
     });
+    this.#startSteps = new Gauge({
+      name: "oleander_start_step_ms",
+      help: "Time from the start of the process to each step of the start",
+      labelNames: ["step"],
+      registers,
+    });
     const gaugeReaders: Record<string, () => number> = {
       oleander_requests_in_flight: gauges.inFlight,
       oleander_requests_waiting: gauges.waiting,
@@ -177,6 +184,11 @@
     this.#statusBytes.inc({ direction: "received" }, receivedBytes);
   }
 
+  /** Records when a starting process reached a step. */
+  recordStartStep(step: string, sinceStartMs: number): void {
+    this.#startSteps.set({ step }, sinceStartMs);
+  }
+
   /** Counts a request that was refused on arrival. */
   recordRefusal(outcome: string): void {
     this.#requests.inc({ route: "none", outcome });
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -27,6 +27,7 @@
 import { SettingsWatcher } from "../settings/settings_watcher.ts";
 import { ErrorPolicy } from "./error_policy.ts";
 import { Node } from "./node.ts";
+import type { StartTimeline } from "./start_timeline.ts";
 
 /** Callers cache an address this long, and some of them three times as long. */
 const ADDRESS_TTL_MS = 1_000;
@@ -38,6 +39,7 @@
 /** Runs a {@linkcode Node} with its sockets. */
 export class NodeProcess {
   readonly #settings: NodeSettings;
+  readonly #timeline: StartTimeline;
   readonly #timers = new SystemTimers();
   readonly #errorPolicy = new ErrorPolicy(() => this.#timers.now());
   readonly #lineBuffer: LineBuffer;
@@ -48,8 +50,13 @@
   #relayServer: RelayServer | undefined;
   #shutdown: Promise<void> | undefined;
 
-  constructor(settings: NodeSettings, settingsPath: string) {
+  constructor(
+    settings: NodeSettings,
+    settingsPath: string,
+    timeline: StartTimeline,
+  ) {
     this.#settings = settings;
+    this.#timeline = timeline;
     this.#lineBuffer = new LineBuffer(this.#timers);
     this.#log = createEventLog(
       settings.log.level,
@@ -93,8 +100,10 @@
       onLimits: (limits) => {
         if (this.#relayServer !== undefined) this.#relayServer.limits = limits;
       },
+      timeline: this.#timeline,
     });
     await this.#openSockets(this.#node);
+    this.#timeline.mark("socketsListening");
     this.#node.start();
     this.#settingsWatcher.start(this.#timers);
   }
--- a/src/node/request_log.ts
+++ b/src/node/request_log.ts
@@ -11,6 +11,7 @@
 import type { RelayRun, RunEvent } from "../core/relay/relay_run.ts";
 import type { EventLog } from "../base/event_log.ts";
 import type { NodeMetrics } from "./node_metrics.ts";
+import type { StartReport } from "./start_report.ts";
 
 /** Length up to which a malformed header is logged. */
 const MAX_LOGGED_VALUE = 100;
@@ -23,14 +24,23 @@
   readonly #timers: Timers;
   readonly #log: EventLog;
   readonly #metrics: NodeMetrics;
+  /** Undefined once the first request was sent to a host. */
+  #startReport: StartReport | undefined;
 
-  constructor(timers: Timers, log: EventLog, metrics: NodeMetrics) {
+  constructor(
+    timers: Timers,
+    log: EventLog,
+    metrics: NodeMetrics,
+    startReport?: StartReport,
+  ) {
     this.#timers = timers;
     this.#log = log;
     this.#metrics = metrics;
+    this.#startReport = startReport;
   }
 
   onEvent(run: RelayRun, event: RunEvent): void {
+    this.#markStart(event.event);
     const elapsedMs = this.#timers.now() - run.arrivedAt;
     this.#metrics.recordEvent(run, event, elapsedMs);
     const { firstByteMs } = run;
@@ -101,6 +111,7 @@
   }
 
   onRefused(request: RelayRequest, refusal: Refusal, version: number): void {
+    this.#startReport?.mark("firstRequestRead");
     this.#metrics.recordRefusal(refusal.kind);
     this.#log.info("request_turned_away", {
       request: request.id,
@@ -109,4 +120,12 @@
       catalogVersion: version,
     });
   }
+
+  #markStart(event: RunEvent["event"]): void {
+    if (this.#startReport === undefined) return;
+    this.#startReport.mark("firstRequestRead");
+    if (event !== "sent") return;
+    this.#startReport.mark("firstPlaced");
+    this.#startReport = undefined;
+  }
 }
