Hold requests while a node starts, and ask the store for less then

Cause: a starting node refused what it read before the catalog came, for 0.5 s to callers that repeat once; every node campaigned for the leader's key before it had read whose it is (3 calls each); and the first check of lists, up to 250 ms after the start, asked for a poll after the listing under way (1 call each). The store is asked before the other sockets open. A node whose sockets can't be opened ends.

--- a/features/steps/entry_host.ts
+++ b/features/steps/entry_host.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { failure } from "../../src/base/outcome.ts";
+import { sleep } from "../../src/base/timers.ts";
 import { Random } from "../../src/base/random.ts";
 import { Node } from "../../src/node/node.ts";
 import { StartTimeline } from "../../src/node/start_timeline.ts";
@@ -65,6 +66,8 @@
   #lossCount = 0;
   storeAccess: StoreAccess = "served";
   receivesStatuses = true;
+  /** Number of requests for changes of hosts. */
+  hostPolls = 0;
   /** When the entry host was last stopped, started, or turned away by the store. */
   disturbedAt = -Infinity;
 
@@ -239,6 +242,8 @@
       if (access !== "served" && access !== "silent") {
         return STORE_FAILURES[access] as T;
       }
+      const { storeDelayMs } = this.#fleet;
+      if (storeDelayMs > 0) await sleep(timers, storeDelayMs);
       const lossCount = this.#lossCount;
       const res = this.#isStoreSilent ? undefined : await request();
       // The response is lost, too, if the store has turned silent meanwhile.
@@ -250,11 +255,15 @@
       list: (prefix) => through(() => client.list(prefix)),
       changes: (prefix, after, waitMs) => {
         this.#fleet.countRead(prefix);
+        if (prefix === SCHEMA.hostPrefix) this.hostPolls += 1;
         return through(() => client.changes(prefix, after, waitMs));
       },
       write: (conditions, puts, removes) =>
         through(() => client.write(conditions, puts, removes)),
-      grantLease: (ttlMs) => through(() => client.grantLease(ttlMs)),
+      grantLease: (ttlMs) => {
+        this.#fleet.grantCount += 1;
+        return through(() => client.grantLease(ttlMs));
+      },
       renewLease: (id) => through(() => client.renewLease(id)),
       endLease: (id) => through(() => client.endLease(id)),
     };
--- a/features/steps/node_fleet.ts
+++ b/features/steps/node_fleet.ts
@@ -54,6 +54,10 @@
   readonly leftAt = new Map<string, number>();
   /** Requests for changes that nodes sent to the store, by prefix. */
   readonly reads = new Map<string, number>();
+  /** Number of leases that nodes asked the store for. */
+  grantCount = 0;
+  /** Time that the store takes for each response, besides waits for changes. */
+  storeDelayMs = 0;
   /** Time for which a status waits to be read; its ages leave it out. */
   statusDelayMs = LINK_DELAY_MS;
   /** Time for which nodes open a connection before they send a request. */
--- a/src/bin/oleander_node.ts
+++ b/src/bin/oleander_node.ts
@@ -53,7 +53,13 @@
   process.on("uncaughtException", (err) => {
     if (node.handleUnexpectedError(err) === "exit") process.exit(1);
   });
-  await node.start();
+  try {
+    await node.start();
+  } catch (err) {
+    // A node without its sockets must not stay listed.
+    node.handleUnexpectedError(err as Error);
+    process.exit(1);
+  }
 }
 
 function fail(message: string): void {
--- a/src/core/fleet/host_list.ts
+++ b/src/core/fleet/host_list.ts
@@ -204,7 +204,8 @@
   check(): void {
     const { ageMs } = this;
     const isOutdated = ageMs > this.#maxAgeMs;
-    if (isOutdated) this.#feed.pollNow();
+    // Before the first read, the feed lists as often as it can.
+    if (isOutdated && ageMs !== Infinity) this.#feed.pollNow();
     if (isOutdated && !this.#isOutdated) this.#deps.onOutdated(ageMs);
     this.#isOutdated = isOutdated;
     this.#feed.endPauseIfDue();
--- a/src/core/fleet/leader_lease.ts
+++ b/src/core/fleet/leader_lease.ts
@@ -37,6 +37,9 @@
 /** A process campaigns again after this time even if the key appears held. */
 const CAMPAIGN_RETRY_MS = 3_000;
 
+/** A process campaigns after this time if the key could not be read. */
+const HOLDER_READ_TIMEOUT_MS = 200;
+
 /** Dependencies of the lease. */
 export interface LeaderLeaseDependencies {
   readonly timers: Timers;
@@ -69,6 +72,8 @@
   /** Whether this process has tried to write the key. */
   #hasWritten = false;
   #isHolder = false;
+  /** Ends the wait for the first reading of the key. */
+  #onHolderRead: (() => void) | undefined;
   #stopped = false;
 
   constructor(deps: LeaderLeaseDependencies) {
@@ -118,11 +123,13 @@
    */
   setHolder(nodeId: string | undefined): void {
     this.#holder = nodeId;
+    this.#onHolderRead?.();
     if (nodeId === undefined) this.#campaignedAt = -Infinity;
   }
 
   async #run(): Promise<void> {
     const { timers } = this.#deps;
+    await this.#awaitHolder();
     while (!this.#stopped) {
       if (this.#isHolder) await this.#renew();
       else if (this.#shouldCampaign()) await this.#campaign();
@@ -133,6 +140,18 @@
     }
   }
 
+  /**
+   * Waits for the first reading of the key, so that starting nodes don't campaign
+   * for a key that another one holds.
+   */
+  async #awaitHolder(): Promise<void> {
+    const read = new Promise<void>((resolve) => this.#onHolderRead = resolve);
+    const { timers } = this.#deps;
+    await withTimeout(timers, read, HOLDER_READ_TIMEOUT_MS);
+    this.#onHolderRead = undefined;
+    if (this.#holder !== undefined) this.#campaignedAt = timers.now();
+  }
+
   get #intervalMs(): number {
     if (this.#isHolder) return RENEW_MS;
     return this.#deps.mayLead() ? CAMPAIGN_POLL_MS : INELIGIBLE_POLL_MS;
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -11,9 +11,14 @@
 import { SystemTimers } from "../base/system_timers.ts";
 import { sleep } from "../base/timers.ts";
 import type { EventLog } from "../base/event_log.ts";
+import type {
+  RelayRequest,
+  RelayResponse,
+} from "../core/relay/relay_request.ts";
 import { createEventLog } from "../logging/event_log.ts";
 import { LineBuffer } from "../logging/line_buffer.ts";
 import { RelayServer } from "../platform/relay_server.ts";
+import { StartGate } from "../platform/start_gate.ts";
 import type { Endpoint } from "../platform/endpoint_server.ts";
 import { EndpointServer } from "../platform/endpoint_server.ts";
 import {
@@ -47,9 +52,9 @@
   readonly #errorPolicy = new ErrorPolicy(() => this.#timers.now());
   readonly #lineBuffer: LineBuffer;
   readonly #log: EventLog;
+  readonly #relayServer: RelayServer;
   readonly #settingsWatcher: SettingsWatcher<typeof NodeSettingsSchema>;
   #node: Node | undefined;
-  #relayServer: RelayServer | undefined;
   #shutdown: Promise<void> | undefined;
 
   constructor(
@@ -59,6 +64,7 @@
   ) {
     this.#settings = settings;
     this.#timeline = timeline;
+    this.#relayServer = this.#createRelayServer();
     this.#lineBuffer = new LineBuffer(this.#timers);
     this.#log = createEventLog(
       settings.log.level,
@@ -83,6 +89,11 @@
   async start(): Promise<void> {
     if (isCodeCacheRejected()) this.#log.warn("code_cache_rejected", {});
     const { node, platform } = this.#settings;
+    // First, as callers lose an attempt by each connection that is refused; the
+    // server holds requests until they can be placed.
+    const listening = this.#relayServer.listen(
+      ...splitAddress(node.caller_address),
+    );
     const datagrams = await UdpDatagrams.bind(node.ip, node.internal_port);
     this.#node = new Node({
       settings: this.#settings,
@@ -100,37 +111,55 @@
       datagrams,
       log: this.#log,
       addressTtlMs: ADDRESS_TTL_MS,
-      onLimits: (limits) => {
-        if (this.#relayServer !== undefined) this.#relayServer.limits = limits;
-      },
+      onLimits: (limits) => this.#relayServer.limits = limits,
       timeline: this.#timeline,
     });
-    await this.#openSockets(this.#node);
-    this.#timeline.mark("socketsListening");
     this.#node.start();
+    await Promise.all([listening, this.#openEndpoints(this.#node)]);
+    this.#timeline.mark("socketsListening");
     this.#settingsWatcher.start(this.#timers);
   }
 
-  async #openSockets(node: Node): Promise<void> {
-    const { caller_address, ready_address, directory_address, ip } =
-      this.#settings.node;
-    this.#relayServer = new RelayServer((request, response) =>
-      node.relay.handle(request, response)
+  #createRelayServer(): RelayServer {
+    const gate = new StartGate(this.#timers);
+    this.#timeline.whenReached(
+      ["catalogConfirmed", "hostsListed"],
+      () => gate.open(),
     );
+    return new RelayServer(
+      (request, response) => this.#handle(request, response),
+      undefined,
+      gate,
+    );
+  }
+
+  #handle(request: RelayRequest, response: RelayResponse) {
+    if (this.#node !== undefined) {
+      return this.#node.relay.handle(request, response);
+    }
+    response.refuse({
+      kind: "no_catalog",
+      detail: "The node is starting",
+      retryAfterMs: 500,
+    });
+  }
+
+  async #openEndpoints(node: Node): Promise<void> {
+    const { ready_address, directory_address, ip, metrics_port } =
+      this.#settings.node;
     const metrics = async () => ({
       status: 200,
       contentType: "text/plain; charset=UTF-8",
       body: await node.metrics.registry.metrics(),
     });
     await Promise.all([
-      this.#relayServer.listen(...splitAddress(caller_address)),
-      serve("/ready", readinessEndpoint(node), ...splitAddress(ready_address)),
       serve(
         "/resolve",
         directoryEndpoint(node),
         ...splitAddress(directory_address),
       ),
-      serve("/metrics", metrics, ip, this.#settings.node.metrics_port),
+      serve("/ready", readinessEndpoint(node), ...splitAddress(ready_address)),
+      serve("/metrics", metrics, ip, metrics_port),
     ]);
   }
 
@@ -172,7 +201,7 @@
     this.#node.withdraw();
     await sleep(this.#timers, ACCEPT_WHILE_STOPPING_MS);
     this.#node.relay.refuseNewRequests();
-    this.#relayServer?.drainConnections();
+    this.#relayServer.drainConnections();
     // Refuses late requests for 1.2 s even when none is in flight, unless the
     // timeout passes first.
     while (this.#timers.now() - startedAt < timeoutMs) {
--- a/src/node/start_timeline.ts
+++ b/src/node/start_timeline.ts
@@ -36,6 +36,10 @@
 export class StartTimeline {
   readonly #sinceStartMs: () => number;
   readonly #times = new Map<StartStep, number>();
+  #waiting: {
+    readonly steps: readonly StartStep[];
+    readonly callback: () => void;
+  }[] = [];
 
   /** `sinceStartMs` returns the milliseconds since the process was started. */
   constructor(sinceStartMs: () => number) {
@@ -49,9 +53,21 @@
   mark(step: StartStep, atMs?: number): boolean {
     if (this.#times.has(step)) return false;
     this.#times.set(step, Math.round(atMs ?? this.#sinceStartMs()));
+    const due = this.#waiting.filter(({ steps }) => this.#hasReached(steps));
+    this.#waiting = this.#waiting.filter((entry) => !due.includes(entry));
+    for (const { callback } of due) callback();
     return true;
   }
 
+  /** Calls back once all of some steps are reached that are not reached yet. */
+  whenReached(steps: readonly StartStep[], callback: () => void): void {
+    this.#waiting.push({ steps, callback });
+  }
+
+  #hasReached(steps: readonly StartStep[]): boolean {
+    return steps.every((step) => this.#times.has(step));
+  }
+
   /** When a step was reached, in milliseconds; undefined if it was not. */
   get(step: StartStep): number | undefined {
     return this.#times.get(step);
--- a/src/platform/relay_server.ts
+++ b/src/platform/relay_server.ts
@@ -17,6 +17,7 @@
   RelayRequest,
   RelayResponse,
 } from "../core/relay/relay_request.ts";
+import type { StartGate } from "./start_gate.ts";
 import { forwardedRequestHeaders, HEADER } from "./wire_names.ts";
 
 /** Limits in force until the first manifest has been read. */
@@ -58,13 +59,22 @@
   readonly #server: Server;
   readonly #handle: RequestHandler;
   readonly #onError: ErrorReporter;
+  readonly #gate: StartGate | undefined;
   #limits = INITIAL_LIMITS;
   #draining = false;
 
-  /** Creates a server. `onError` receives what `handle` throws. */
-  constructor(handle: RequestHandler, onError: ErrorReporter = reportError) {
+  /**
+   * Creates a server. `onError` receives what `handle` throws. Requests that `gate`
+   * holds are handled later, with the rest of their time.
+   */
+  constructor(
+    handle: RequestHandler,
+    onError: ErrorReporter = reportError,
+    gate?: StartGate,
+  ) {
     this.#handle = handle;
     this.#onError = onError;
+    this.#gate = gate;
     this.#server = createServer({
       maxHeaderSize: PARSER_MAX_HEADER_BYTES,
       connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MS,
@@ -124,8 +134,10 @@
     if (contentLength > this.#limits.maxBodyBytes) {
       return response.respond(413, "The body is too large");
     }
-    this.#readBody(req, response, (body) => {
-      const request = toRelayRequest(req, target, requestId, body);
+    this.#readBody(req, response, (body, heldMs) => {
+      const hasLeft = res.destroyed || req.socket.readableEnded;
+      if (heldMs > 0 && hasLeft) return response.abort();
+      const request = toRelayRequest(req, target, requestId, body, heldMs);
       const run = this.#handle(request, response);
       if (run === undefined) return;
       const onDisconnect = () => {
@@ -148,7 +160,7 @@
   #readBody(
     req: IncomingMessage,
     response: HttpResponse,
-    onBody: (body: Uint8Array) => void,
+    onBody: (body: Uint8Array, heldMs: number) => void,
   ): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
@@ -163,12 +175,17 @@
     });
     req.on("end", () => {
       if (response.finished) return;
-      try {
-        onBody(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
-      } catch (err) {
-        response.respond(500, "Unexpected error");
-        this.#onError(err);
-      }
+      const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+      const handle = (heldMs: number) => {
+        try {
+          onBody(body, heldMs);
+        } catch (err) {
+          response.respond(500, "Unexpected error");
+          this.#onError(err);
+        }
+      };
+      if (this.#gate === undefined) handle(0);
+      else this.#gate.pass(handle);
     });
     req.on("error", () => {});
   }
@@ -255,6 +272,7 @@
   target: string,
   requestId: string,
   body: Uint8Array,
+  heldMs: number,
 ): RelayRequest {
   const [promptTokens, maxTokens] = parseNumbers(
     headerValue(req, HEADER.tokenCount),
@@ -270,7 +288,7 @@
     headers: forwardedRequestHeaders(req.rawHeaders),
     body,
     apiKey: apiKeyOf(headerValue(req, HEADER.authorization)),
-    deadlineMs,
+    deadlineMs: deadlineMs && Math.max(0, deadlineMs - heldMs),
     lastEventId: headerValue(req, HEADER.lastEventId),
     model: headerValue(req, HEADER.model),
     promptTokens: promptTokens ?? 0,
