--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -9,7 +9,7 @@
  * @module
  */
 import { execFileSync } from "node:child_process";
-import { copyFileSync, readFileSync, writeFileSync } from "node:fs";
+import { copyFileSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { dirname, join } from "node:path";
 import process from "node:process";
 import { build } from "esbuild";
@@ -58,6 +58,8 @@
   },
 };
 
+// V8 tells code of another source by its length alone, so none may be left over.
+rmSync(cacheFile, { force: true });
 await build({
   entryPoints: ["src/bin/oleander_node.ts"],
   outfile: codeFile,
