--- a/features/steps/entry_host.ts
+++ b/features/steps/entry_host.ts
@@ -4,8 +4,10 @@
  * @module
  */
 import { failure } from "../../src/base/outcome.ts";
+import { sleep } from "../../src/base/timers.ts";
 import { Random } from "../../src/base/random.ts";
 import { Node } from "../../src/node/node.ts";
+import { StartTimeline } from "../../src/node/start_timeline.ts";
 import type { CoordinationStore } from "../../src/ports/coordination_store.ts";
 import type {
   RelayClient,
@@ -23,6 +25,14 @@
 /** Interval of the requests that each node receives. */
 const REQUEST_INTERVAL_MS = 70;
 
+/** Steps of a start that a process reaches before it creates its node. */
+const STEPS_OF_PROCESS = [
+  "runtimeReady",
+  "codeLoaded",
+  "settingsRead",
+  "socketsListening",
+] as const;
+
 /** How the store treats the requests of one node. */
 export type StoreAccess = "served" | "silent" | "refused" | "busy" | "reset";
 
@@ -60,6 +70,8 @@
   processorShare: number | undefined;
   /** Share of time for which the event loop is busy. */
   load = 0;
+  /** Number of requests for changes of hosts. */
+  hostPolls = 0;
   /** When the entry host was last stopped, started, or turned away by the store. */
   disturbedAt = -Infinity;
 
@@ -170,6 +182,9 @@
 
   #createNode(timers: ProcessTimers, log: RecordedLog): Node {
     const fleet = this.#fleet;
+    const startedAt = timers.now();
+    const timeline = new StartTimeline(() => timers.now() - startedAt);
+    for (const step of STEPS_OF_PROCESS) timeline.mark(step);
     const unreachable = () =>
       Promise.resolve(
         { ok: false, err: { kind: "refused", detail: "no engine" } } as const,
@@ -198,6 +213,7 @@
       loopBusyMs: () => timers.now() * this.load,
       addressTtlMs: 3_000,
       onLimits: () => {},
+      timeline,
     });
   }
 
@@ -243,6 +259,8 @@
       if (access !== "served" && access !== "silent") {
         return STORE_FAILURES[access] as T;
       }
+      const { storeDelayMs } = this.#fleet;
+      if (storeDelayMs > 0) await sleep(timers, storeDelayMs);
       const lossCount = this.#lossCount;
       const res = this.#isStoreSilent ? undefined : await request();
       // The response is lost, too, if the store has turned silent meanwhile.
@@ -254,11 +272,15 @@
       list: (prefix) => through(() => client.list(prefix)),
       changes: (prefix, after, waitMs) => {
         this.#fleet.countRead(prefix);
+        if (prefix === SCHEMA.hostPrefix) this.hostPolls += 1;
         return through(() => client.changes(prefix, after, waitMs));
       },
       write: (conditions, puts, removes) =>
         through(() => client.write(conditions, puts, removes)),
-      grantLease: (ttlMs) => through(() => client.grantLease(ttlMs)),
+      grantLease: (ttlMs) => {
+        this.#fleet.grantCount += 1;
+        return through(() => client.grantLease(ttlMs));
+      },
       renewLease: (id) => through(() => client.renewLease(id)),
       endLease: (id) => through(() => client.endLease(id)),
     };
--- a/src/core/gossip/message_codec.ts
+++ b/src/core/gossip/message_codec.ts
@@ -186,7 +186,7 @@
   return {
     ageMs: wire.g,
     createdAt: wire.ct && { clock: wire.ct[0], at: wire.ct[1] },
-    clockLags: [...wire.cl ?? []],
+    clockLags: wire.cl ?? [],
     node: wire.n,
     incarnation: wire.i,
     internalAddress: wire.a,
@@ -204,7 +204,7 @@
       silentMs,
     })),
     suspicions: wire.d.map(([key, kind, ageMs]) => ({ key, kind, ageMs })),
-    cleared: [...wire.u],
+    cleared: wire.u,
     strikes: wire.k.map(([fingerprint, crashed]) => ({ fingerprint, crashed })),
     suspectParts: (wire.cp ?? []).map((
       [part, model, companions, crashes, isQuarantined],
@@ -215,7 +215,7 @@
       crashes: crashes.map(([upstream, ageMs]) => ({ upstream, ageMs })),
       isQuarantined,
     })),
-    soundParts: [...wire.sp ?? []],
+    soundParts: wire.sp ?? [],
     hostLimits: (wire.hl ?? []).map(([id, born, perSecond, ageMs]) => ({
       id,
       born,
@@ -252,7 +252,7 @@
       constantMs,
       spreadMs,
     })),
-    peers: [...wire.p],
+    peers: wire.p,
     entry: wire.en && {
       cores: wire.en[0],
       linkMbps: wire.en[1],
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -58,6 +58,7 @@
   readonly #statusBytes: Counter;
   readonly #rateLimitChanges: Counter;
   readonly #returnedCallers: Counter;
+  readonly #startSteps: Gauge;
 
   constructor(gauges: NodeGauges) {
     const registers = [this.registry];
@@ -170,6 +171,12 @@
       },
     });
     this.#registerEntryGauges(gauges);
+    this.#startSteps = new Gauge({
+      name: "oleander_start_step_ms",
+      help: "Time from the start of the process to each step of the start",
+      labelNames: ["step"],
+      registers,
+    });
     const gaugeReaders: Record<string, () => number> = {
       oleander_requests_in_flight: gauges.inFlight,
       oleander_requests_waiting: gauges.waiting,
@@ -300,6 +307,11 @@
     this.#statusBytes.inc({ direction: "received" }, receivedBytes);
   }
 
+  /** Records when a starting process reached a step. */
+  recordStartStep(step: string, sinceStartMs: number): void {
+    this.#startSteps.set({ step }, sinceStartMs);
+  }
+
   /** Counts a request that was refused on arrival. */
   recordRefusal(outcome: string): void {
     this.#requests.inc({ route: "none", outcome });
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -4,21 +4,28 @@
  * @module
  */
 import { randomUUID } from "node:crypto";
-import type { Server } from "node:http";
 import { performance } from "node:perf_hooks";
 import process from "node:process";
-import { serve } from "@hono/node-server";
-import { Hono } from "hono";
 import { UdpDatagrams } from "../adapters/udp_datagrams.ts";
 import { hash32 } from "../base/hash.ts";
 import { Random } from "../base/random.ts";
 import { SystemTimers } from "../base/system_timers.ts";
 import { sleep } from "../base/timers.ts";
 import type { EventLog } from "../base/event_log.ts";
+import type {
+  RelayRequest,
+  RelayResponse,
+} from "../core/relay/relay_request.ts";
 import { createEventLog } from "../logging/event_log.ts";
 import { LineBuffer } from "../logging/line_buffer.ts";
 import { RelayServer } from "../platform/relay_server.ts";
-import { directoryApp, readinessApp } from "../platform/platform_endpoints.ts";
+import { StartGate } from "../platform/start_gate.ts";
+import type { Endpoint } from "../platform/endpoint_server.ts";
+import { EndpointServer } from "../platform/endpoint_server.ts";
+import {
+  directoryEndpoint,
+  readinessEndpoint,
+} from "../platform/platform_endpoints.ts";
 import { PlatformStore } from "../platform/platform_store.ts";
 import { HttpRelayClient } from "../platform/http_relay_client.ts";
 import { HttpHostControl } from "../platform/http_host_control.ts";
@@ -26,8 +33,10 @@
 import type { NodeSettings } from "../settings/node_settings.ts";
 import { NodeSettingsSchema } from "../settings/node_settings.ts";
 import { SettingsWatcher } from "../settings/settings_watcher.ts";
+import { isCodeCacheRejected } from "./code_cache.ts";
 import { ErrorPolicy } from "./error_policy.ts";
 import { Node } from "./node.ts";
+import type { StartTimeline } from "./start_timeline.ts";
 
 /** Callers cache an address this long, and some of them three times as long. */
 const ADDRESS_TTL_MS = 1_000;
@@ -39,18 +48,24 @@
 /** Runs a {@linkcode Node} with its sockets. */
 export class NodeProcess {
   readonly #settings: NodeSettings;
+  readonly #timeline: StartTimeline;
   readonly #timers = new SystemTimers();
   readonly #errorPolicy = new ErrorPolicy(() => this.#timers.now());
   readonly #lineBuffer: LineBuffer;
   readonly #log: EventLog;
+  readonly #relayServer: RelayServer;
   readonly #settingsWatcher: SettingsWatcher<typeof NodeSettingsSchema>;
-  readonly #httpServers: Server[] = [];
   #node: Node | undefined;
-  #relayServer: RelayServer | undefined;
   #shutdown: Promise<void> | undefined;
 
-  constructor(settings: NodeSettings, settingsPath: string) {
+  constructor(
+    settings: NodeSettings,
+    settingsPath: string,
+    timeline: StartTimeline,
+  ) {
     this.#settings = settings;
+    this.#timeline = timeline;
+    this.#relayServer = this.#createRelayServer();
     this.#lineBuffer = new LineBuffer(this.#timers);
     this.#log = createEventLog(
       settings.log.level,
@@ -73,7 +88,13 @@
 
   /** Opens all sockets and starts serving. */
   async start(): Promise<void> {
+    if (isCodeCacheRejected()) this.#log.warn("code_cache_rejected", {});
     const { node, platform } = this.#settings;
+    // First, as callers lose an attempt by each connection that is refused; the
+    // server holds requests until they can be placed.
+    const listening = this.#relayServer.listen(
+      ...splitAddress(node.caller_address),
+    );
     const datagrams = await UdpDatagrams.bind(node.ip, node.internal_port);
     this.#node = new Node({
       settings: this.#settings,
@@ -92,49 +113,61 @@
       log: this.#log,
       loopBusyMs: () => performance.eventLoopUtilization().active,
       addressTtlMs: ADDRESS_TTL_MS,
-      onLimits: (limits) => {
-        if (this.#relayServer !== undefined) this.#relayServer.limits = limits;
-      },
+      onLimits: (limits) => this.#relayServer.limits = limits,
+      timeline: this.#timeline,
     });
-    await this.#openSockets(this.#node);
     this.#node.start();
+    await Promise.all([listening, this.#openEndpoints(this.#node)]);
+    this.#timeline.mark("socketsListening");
     this.#settingsWatcher.start(this.#timers);
   }
 
-  async #openSockets(node: Node): Promise<void> {
-    const { caller_address, ready_address, directory_address, ip } =
-      this.#settings.node;
-    this.#relayServer = new RelayServer((request, response) =>
-      node.relay.handle(request, response)
-    );
-    const [callerIp, callerPort] = splitAddress(caller_address);
-    await this.#relayServer.listen(callerIp, callerPort);
-    await this.#serveApp(readinessApp(node), ...splitAddress(ready_address));
-    await this.#serveApp(
-      directoryApp(node),
-      ...splitAddress(directory_address),
+  #createRelayServer(): RelayServer {
+    const gate = new StartGate(this.#timers);
+    this.#timeline.whenReached(
+      ["catalogConfirmed", "hostsListed"],
+      () => gate.open(),
     );
-    const metrics = new Hono();
-    metrics.get(
-      "/metrics",
-      async (ctx) => ctx.text(await node.metrics.registry.metrics()),
+    return new RelayServer(
+      (request, response) => this.#handle(request, response),
+      undefined,
+      gate,
     );
-    await this.#serveApp(metrics, ip, this.#settings.node.metrics_port);
   }
 
-  #onResponseAbandoned(host: string, reason: string): void {
-    this.#node?.metrics.recordAbandonedResponse();
-    this.#log.warn("response_abandoned", { host, reason });
+  #handle(request: RelayRequest, response: RelayResponse) {
+    if (this.#node !== undefined) {
+      return this.#node.relay.handle(request, response);
+    }
+    response.refuse({
+      kind: "no_catalog",
+      detail: "The node is starting",
+      retryAfterMs: 500,
+    });
   }
 
-  #serveApp(app: Hono, hostname: string, port: number): Promise<void> {
-    return new Promise((resolve) => {
-      const server = serve(
-        { fetch: app.fetch, hostname, port },
-        () => resolve(),
-      );
-      this.#httpServers.push(server as Server);
+  async #openEndpoints(node: Node): Promise<void> {
+    const { ready_address, directory_address, ip, metrics_port } =
+      this.#settings.node;
+    const metrics = async () => ({
+      status: 200,
+      contentType: "text/plain; charset=UTF-8",
+      body: await node.metrics.registry.metrics(),
     });
+    await Promise.all([
+      serve(
+        "/resolve",
+        directoryEndpoint(node),
+        ...splitAddress(directory_address),
+      ),
+      serve("/ready", readinessEndpoint(node), ...splitAddress(ready_address)),
+      serve("/metrics", metrics, ip, metrics_port),
+    ]);
+  }
+
+  #onResponseAbandoned(host: string, reason: string): void {
+    this.#node?.metrics.recordAbandonedResponse();
+    this.#log.warn("response_abandoned", { host, reason });
   }
 
   /** Logs an error that nothing caught, and returns whether the process ends. */
@@ -170,7 +203,7 @@
     this.#node.withdraw();
     await sleep(this.#timers, ACCEPT_WHILE_STOPPING_MS);
     this.#node.relay.refuseNewRequests();
-    this.#relayServer?.drainConnections();
+    this.#relayServer.drainConnections();
     // Refuses late requests for 1.2 s even when none is in flight, unless the
     // timeout passes first.
     while (this.#timers.now() - startedAt < timeoutMs) {
@@ -185,6 +218,15 @@
   }
 }
 
+function serve(
+  path: string,
+  endpoint: Endpoint,
+  ip: string,
+  port: number,
+): Promise<void> {
+  return new EndpointServer({ [path]: endpoint }).listen(ip, port);
+}
+
 function splitAddress(address: string): [string, number] {
   const at = address.lastIndexOf(":");
   return [address.slice(0, at), Number(address.slice(at + 1))];
