Take no head for an answer whose status or version is none

Cause: the parser of undici accepts every status of three digits, versions 0.9 and 2.0 and other protocols' names, and hides the version; nothing after it looked. So 600, 999, HTTP/2.0, HTTP/0.9 and RTSP/1.0 were forwarded, and taken as reports, replies to commands and answers of the store; a 600 or HTTP/2.0 head that said "not run" was believed, and an order ran twice. A write that the store answered with 600 counted as not carried out.

Status 000 and 099 didn't reach a caller: they end in an assertion of undici. Ruled out in a trial on undici alone, 37 heads with and without a body: an uncaught exception (0), a connection that is used again after the assertion, and a request that is queued behind it or follows and isn't served. But the attempt counted as a reset, which is evidence that its request crashes hosts. Nodes send no health probes of their own; they request reports.

The first twelve bytes of each head are now checked before they are parsed, also after interim heads; an unasked 100 or 101 is refused there as well. Checking the status after the parser was ruled out: the version isn't known there, and a response that ends with its head has freed its connection by then.

--- a/src/platform/http_host_control.ts
+++ b/src/platform/http_host_control.ts
@@ -3,9 +3,13 @@
  *
  * @module
  */
-import { Agent } from "undici";
+import { Agent, buildConnector } from "undici";
 import type { Outcome } from "../base/outcome.ts";
 import { failure, success } from "../base/outcome.ts";
+import {
+  FALSE_HEAD_CODE,
+  guardConnections,
+} from "../base/status_line_guard.ts";
 import type { Timers } from "../base/timers.ts";
 import { sleep } from "../base/timers.ts";
 import type {
@@ -47,7 +51,7 @@
   readonly #timers: Timers;
   readonly #agent = new Agent({
     connections: 4,
-    connectTimeout: CONNECT_TIMEOUT_MS,
+    connect: guardConnections(buildConnector({ timeout: CONNECT_TIMEOUT_MS })),
     pipelining: 1,
     maxHeaderSize: MAX_HEAD_BYTES,
     maxResponseSize: MAX_CONTROL_BODY_BYTES,
@@ -151,6 +155,9 @@
 function toHostControlError(
   res: JsonRequestResult & { detail: string },
 ): HostControlError {
+  if (res.detail === FALSE_HEAD_CODE) {
+    return { kind: "malformed", detail: res.detail };
+  }
   const isRefused = res.detail === "ECONNREFUSED" ||
     res.detail === "ECONNRESET";
   return { kind: isRefused ? "refused" : "silent", detail: res.detail };
--- a/src/platform/platform_store.ts
+++ b/src/platform/platform_store.ts
@@ -4,10 +4,11 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { Agent } from "undici";
+import { Agent, buildConnector } from "undici";
 import { z } from "zod";
 import type { Outcome } from "../base/outcome.ts";
 import { failure, success } from "../base/outcome.ts";
+import { guardConnections } from "../base/status_line_guard.ts";
 import type { Timers } from "../base/timers.ts";
 import type {
   Condition,
@@ -230,7 +231,7 @@
     pipelining: 1,
     maxHeaderSize: MAX_HEAD_BYTES,
     maxResponseSize: MAX_STORE_BODY_BYTES,
-    connectTimeout: CONNECT_TIMEOUT_MS,
+    connect: guardConnections(buildConnector({ timeout: CONNECT_TIMEOUT_MS })),
     keepAliveTimeout: 10_000,
   });
 }
--- a/src/platform/relay_exchange.ts
+++ b/src/platform/relay_exchange.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Dispatcher } from "undici";
+import { FALSE_HEAD_CODE } from "../base/status_line_guard.ts";
 import type { Timer, Timers } from "../base/timers.ts";
 import type {
   RelayEnd,
@@ -24,8 +25,9 @@
 
 const EVENT_STREAM_TYPE = "text/event-stream";
 
-/** undici's codes of errors with which it reports a response that is not HTTP. */
+/** Codes of errors of a response that is not HTTP. */
 const MALFORMED_CODES: ReadonlySet<string> = new Set([
+  FALSE_HEAD_CODE,
   UNPARSED_BYTES_CODE,
   "UND_ERR_HEADERS_OVERFLOW",
   // A path or header that can't be sent is not a failure of the host.
--- a/src/platform/upstream_connector.ts
+++ b/src/platform/upstream_connector.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { buildConnector } from "undici";
+import { guardConnections } from "../base/status_line_guard.ts";
 import type { ConnectionObserver } from "./connection_observer.ts";
 import type { WaitingRequests } from "./waiting_requests.ts";
 
@@ -23,7 +24,9 @@
   observer: ConnectionObserver,
   waiting: WaitingRequests,
 ): ReturnType<typeof buildConnector> {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  const connect = guardConnections(
+    buildConnector({ timeout: CONNECT_TIMEOUT_MS }),
+  );
   return (options, callback) => {
     const { protocol, host } = options;
     if (waiting.of(`${protocol}//${host}`) === 0) {
--- a/tools/fuzz/fuzz_relay.ts
+++ b/tools/fuzz/fuzz_relay.ts
@@ -11,7 +11,9 @@
 import { ReplicaView } from "../../src/core/fleet/replica_view.ts";
 import { SuspicionTracker } from "../../src/core/fleet/suspicion_tracker.ts";
 import { Relay } from "../../src/core/relay/relay.ts";
+import type { RelayRequest } from "../../src/core/relay/relay_request.ts";
 import { HttpRelayClient } from "../../src/platform/http_relay_client.ts";
+import { RelayServer } from "../../src/platform/relay_server.ts";
 import { exampleCatalog } from "../../src/standins/fleet/example_catalog.ts";
 import type { Catalog } from "../../src/world/catalog.ts";
 import { CallerResult } from "./caller_result.ts";
@@ -19,11 +21,19 @@
 
 /** Keeps hosts in use however many of their responses fail. */
 const GOAL_MS = 60_000;
+const STREAM_ATTEMPTS = 3;
+const GROUP_MODEL = "small";
+const GROUP_SIZE = 3;
 
-/** Sends requests through a {@linkcode Relay} to hosts of a plain service. */
+/**
+ * Sends requests through a {@linkcode Relay} to hosts of a plain service, each of
+ * which heads a group of engines, too.
+ */
 export class FuzzRelay {
   readonly timers = new SystemTimers();
   readonly abandoned: string[] = [];
+  /** Outcomes of all attempts, in the order in which they ended. */
+  readonly attemptOutcomes: string[] = [];
   readonly #relay: Relay;
 
   constructor(hosts: readonly RawHost[], seed: number) {
@@ -47,6 +57,7 @@
         models: [],
         membership: undefined,
       }, timers.now());
+      announceGroup(registry, host, timers.now());
     }
     this.#relay = new Relay({
       timers,
@@ -60,7 +71,11 @@
       view: new ReplicaView(registry, catalog, new Set()),
       suspicions: new SuspicionTracker(),
       observer: {
-        onEvent() {},
+        onEvent: (_run, { event, outcome }) => {
+          if (event === "attempt_ended") {
+            this.attemptOutcomes.push(String(outcome));
+          }
+        },
         onRefused() {},
         onCrashVerdict() {},
         onPartQuarantined() {},
@@ -88,6 +103,15 @@
     return this.#relay.loads.localLoad(host.id).inFlight;
   }
 
+  /** Starts a server for callers' requests on loopback. */
+  async serve(): Promise<RelayServer> {
+    const server = new RelayServer((request: RelayRequest, response) =>
+      this.#relay.handle(request, response)
+    );
+    await server.listen("127.0.0.1", 0);
+    return server;
+  }
+
   /** Sends a request; resolves when its response has ended. */
   send(requestId: string, isRepeatable: boolean): Promise<CallerResult> {
     return new Promise((resolve) => {
@@ -117,9 +141,38 @@
   }
 }
 
+/** Announces an open group with `host` as its head. */
+function announceGroup(registry: HostRegistry, host: RawHost, now: number) {
+  for (let rank = 0; rank < GROUP_SIZE; rank++) {
+    registry.announce({
+      id: `${host.id}-${rank}`,
+      address: host.address,
+      service: "pool",
+      zone: "zone-0",
+      slots: 6,
+      draining: false,
+      coldLeftMs: 0,
+      born: 1,
+      domain: `domain-${host.id}`,
+      staged: [],
+      models: [GROUP_MODEL],
+      membership: {
+        group: `g-${host.id}`,
+        epoch: 1,
+        rank,
+        state: rank === 0 ? "open" : "ready",
+      },
+    }, now);
+  }
+}
+
 /** The example catalog with goals that failing hosts still meet. */
 function createCatalog(): Catalog {
   const catalog = exampleCatalog(1);
-  const routes = catalog.routes.map((route) => ({ ...route, goalMs: GOAL_MS }));
+  const routes = catalog.routes.map((route) => ({
+    ...route,
+    goalMs: GOAL_MS,
+    attempts: route.kind === "streaming" ? STREAM_ATTEMPTS : route.attempts,
+  }));
   return { ...catalog, routes };
 }
--- a/tools/fuzz/raw_host.ts
+++ b/tools/fuzz/raw_host.ts
@@ -20,12 +20,16 @@
   readonly previous: ReceivedRequest | undefined;
   /** Monotonic time at which the request was received, in milliseconds. */
   readonly at: number;
+  /** Whether its connection is open. */
+  readonly isOpen: () => boolean;
 }
 
 /** Listens on loopback and responds to each request as chosen by its caller. */
 export class RawHost {
   readonly id: string;
   readonly received: ReceivedRequest[] = [];
+  /** Whether it responds before it has read the body of a request. */
+  respondsEarly = false;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   readonly #timers: Timers;
@@ -76,18 +80,37 @@
     socket.on("error", () => {});
     let text = "";
     let previous: ReceivedRequest | undefined;
+    let hasResponded = false;
     socket.on("data", (data) => {
       text += data.toString("latin1");
       const requestId = /attempt-id: (\S+)\r\n/i.exec(text)?.[1];
-      if (requestId === undefined || !text.endsWith("end of body")) return;
+      const isWhole = text.endsWith("end of body");
+      if (hasResponded) {
+        text = isWhole ? "" : text.slice(-"end of body".length);
+        hasResponded = !isWhole;
+        return;
+      }
+      if (requestId === undefined || !isWhole && !this.respondsEarly) return;
+      hasResponded = !isWhole;
+      const isStream = /^POST \/(draft|once)\//.test(text);
+      const lastEventId = Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? 0);
       text = "";
       const response = this.#choose(requestId);
       const at = this.#timers.now();
-      previous = { requestId, hostId: this.id, response, previous, at };
+      previous = {
+        requestId,
+        hostId: this.id,
+        response,
+        previous,
+        at,
+        isOpen: () => !socket.destroyed,
+      };
       this.received.push(previous);
       response.write({
         socket,
         requestId,
+        isStream,
+        lastEventId,
         timers: this.#timers,
         random: this.#random,
       });
--- a/tools/fuzz/raw_responses.ts
+++ b/tools/fuzz/raw_responses.ts
@@ -12,6 +12,9 @@
 export interface ResponseContext {
   readonly socket: Socket;
   readonly requestId: string;
+  readonly isStream: boolean;
+  /** Id of the last event that the caller of a stream has; 0 if none. */
+  readonly lastEventId: number;
   readonly timers: Timers;
   readonly random: Random;
 }
@@ -28,6 +31,9 @@
 
 const MAX_PIECE_PAUSE_MS = 20;
 const LATE_COPY_MS = 15;
+const LAST_CHUNK = "0\r\n\r\n";
+/** Number of events of a complete stream. */
+export const EVENTS_PER_STREAM = 10;
 const ENDLESS_CHUNK = Buffer.alloc(16_384, "x");
 
 /**
@@ -59,6 +65,33 @@
   return head(status, id, `Content-Length: ${body.length}`, ...lines) + body;
 }
 
+function wholeStream(
+  { requestId, lastEventId }: ResponseContext,
+  last: number,
+  ...lines: string[]
+): string {
+  const type = "Content-Type: text/event-stream";
+  const framing = "Transfer-Encoding: chunked";
+  let bytes = head(200, requestId, type, framing, ...lines);
+  for (let id = lastEventId + 1; id <= last; id++) {
+    const event = `id: ${id}\ndata: ${id}\n\n`;
+    bytes += `${event.length.toString(16)}\r\n${event}\r\n`;
+  }
+  return `${bytes}${LAST_CHUNK}`;
+}
+
+/** A complete success but for its status line. */
+function withStatusLine(
+  context: ResponseContext,
+  line: string,
+  ...more: string[]
+): string {
+  const bytes = context.isStream
+    ? wholeStream(context, EVENTS_PER_STREAM, ...more)
+    : whole(200, context.requestId, ...more);
+  return line + bytes.slice(bytes.indexOf("\r\n"));
+}
+
 function chunked(id: string): string {
   const body = bodyOf(id);
   return head(200, id, "Transfer-Encoding: chunked") +
@@ -99,6 +132,7 @@
   );
 }
 
+const EARLY_HINTS = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n";
 const NOT_RUN = "Oleanderarch-Not-Executed: 1";
 
 /**
@@ -139,6 +173,118 @@
   });
 }
 
+/**
+ * A stream of the events after the last one that the caller has, up to `last`,
+ * which then ends, or whose connection is reset.
+ *
+ * @example
+ * ```ts
+ * eventsUpTo(10, "ends").write(context);
+ * ```
+ */
+export function eventsUpTo(last: number, then: "ends" | "resets"): RawResponse {
+  return response("events", { status: 200 }, (context) => {
+    const { socket, timers } = context;
+    const bytes = wholeStream(context, last);
+    if (then === "ends") {
+      socket.write(bytes);
+      return;
+    }
+    socket.write(bytes.slice(0, -LAST_CHUNK.length));
+    timers.after(LATE_COPY_MS, () => socket.resetAndDestroy());
+  });
+}
+
+/** Status lines that begin no answer, by name. */
+export const FALSE_STATUS_LINES: ReadonlyMap<string, string> = new Map([
+  ["status 000", "HTTP/1.1 000 Status"],
+  ["status 099", "HTTP/1.1 099 Status"],
+  ["status 0", "HTTP/1.1 0 Status"],
+  ["status 20", "HTTP/1.1 20 Status"],
+  ["status 600", "HTTP/1.1 600 Status"],
+  ["status 999", "HTTP/1.1 999 Status"],
+  ["status 1000", "HTTP/1.1 1000 Status"],
+  ["status 2000", "HTTP/1.1 2000 Status"],
+  ["status of letters", "HTTP/1.1 abc Status"],
+  ["no status", "HTTP/1.1 Status"],
+  ["nothing but a version", "HTTP/1.1"],
+  ["version 0.9", "HTTP/0.9 200 Status"],
+  ["version 1.2", "HTTP/1.2 200 Status"],
+  ["version 2", "HTTP/2 200 Status"],
+  ["version 2.0", "HTTP/2.0 200 Status"],
+  ["another protocol", "RTSP/1.0 200 Status"],
+  ["no version", "200 Status"],
+  ["status 100", "HTTP/1.1 100 Continue"],
+  ["status 101", "HTTP/1.1 101 Switching Protocols"],
+  [
+    "an upgrade",
+    "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x",
+  ],
+]);
+
+/** Responses whose heads are no answer; all have the headers of a sound one. */
+export const FALSE_HEADS: readonly RawResponse[] = [
+  ...[...FALSE_STATUS_LINES].map(([name, line]) =>
+    response(name, {}, (context) => {
+      context.socket.write(withStatusLine(context, line));
+    })
+  ),
+  ...["status 000", "status 600", "version 2.0"].map((name) =>
+    response(`${name}, not run`, {}, (context) => {
+      const line = FALSE_STATUS_LINES.get(name) ?? "";
+      context.socket.write(withStatusLine(context, line, NOT_RUN));
+    })
+  ),
+  response("status 999 in pieces", {}, (context) => {
+    writeInPieces(context, withStatusLine(context, "HTTP/1.1 999 Status"));
+  }),
+  response("status 000 after an interim head", {}, (context) => {
+    const bytes = withStatusLine(context, "HTTP/1.1 000 Status");
+    context.socket.write(`${EARLY_HINTS}${bytes}`);
+  }),
+  response("status 999 after interim heads", {}, (context) => {
+    const bytes = withStatusLine(context, "HTTP/1.1 999 Status");
+    writeInPieces(context, `${EARLY_HINTS.repeat(2)}${bytes}`);
+  }),
+  ...["status 100", "status 101", "an upgrade"].map((name) =>
+    response(`${name}, alone`, {}, ({ socket }) => {
+      socket.write(`${FALSE_STATUS_LINES.get(name)}\r\n\r\n`);
+    })
+  ),
+  response("status 100 before an answer", {}, ({ socket, requestId }) => {
+    socket.write(`HTTP/1.1 100 Continue\r\n\r\n${whole(200, requestId)}`);
+  }),
+  response("status 000 before an answer", {}, ({ socket, requestId }) => {
+    socket.write(`HTTP/1.1 000 Status\r\n\r\n${whole(200, requestId)}`);
+  }),
+];
+
+/** A sound response with a head that few hosts send. */
+export const UNUSUAL_ANSWER = response(
+  "an unusual answer",
+  { status: 200 },
+  (context) => {
+    const bytes = withStatusLine(context, "HTTP/1.0 200 ");
+    context.socket.write(`\r\n\r\n${EARLY_HINTS}${bytes}`);
+  },
+);
+
+/** An answer of which half is sent before the host reads the rest of the request. */
+export const EARLY_ANSWER = response(
+  "an early answer",
+  { status: 200 },
+  ({ socket, requestId, timers }) => {
+    const bytes = whole(200, requestId);
+    const half = bytes.length - bodyOf(requestId).length / 2;
+    socket.pause();
+    socket.write(bytes.slice(0, half));
+    timers.after(LATE_COPY_MS, () => {
+      socket.resume();
+      timers.after(LATE_COPY_MS, () => socket.write(bytes.slice(half)));
+    });
+  },
+);
+
 /** Complete responses of sound hosts. */
 export const SOUND_RESPONSES: readonly RawResponse[] = [
   response("whole", { status: 200 }, ({ socket, requestId }) => {
@@ -155,7 +301,7 @@
     socket.end(lines + bodyOf(requestId));
   }),
   response("after interim heads", { status: 200 }, ({ socket, requestId }) => {
-    socket.write("HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n".repeat(3));
+    socket.write(EARLY_HINTS.repeat(3));
     socket.write(whole(200, requestId));
   }),
   response("not found", { status: 404 }, ({ socket, requestId }) => {
@@ -249,7 +395,7 @@
     socket.write(head(503, requestId, NOT_RUN, "Content-Length: 9") + "part");
   }),
   response("endless interim heads", {}, ({ socket }) => {
-    const heads = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n".repeat(100);
+    const heads = EARLY_HINTS.repeat(100);
     writeEndlessly(socket, heads);
   }),
   response("endless head", {}, ({ socket }) => {
--- a/tools/fuzz/response_fuzz.ts
+++ b/tools/fuzz/response_fuzz.ts
@@ -12,10 +12,16 @@
 import { FuzzRelay } from "./fuzz_relay.ts";
 import type { ReceivedRequest } from "./raw_host.ts";
 import { RawHost } from "./raw_host.ts";
-import { bodyOf, FAULTY_RESPONSES, SOUND_RESPONSES } from "./raw_responses.ts";
+import {
+  bodyOf,
+  FALSE_HEADS,
+  FAULTY_RESPONSES,
+  SOUND_RESPONSES,
+} from "./raw_responses.ts";
 
 const HOSTS = 3;
 const FAULTY_SHARE = 0.5;
+const FALSE_HEAD_SHARE = 0.15;
 /** Timeout of the example catalog's plain routes. */
 const ROUTE_TIMEOUT_MS = 800;
 const TIMEOUT_SLACK_MS = 300;
@@ -45,10 +51,13 @@
 ): Promise<FuzzResult> {
   const random = new Random(seed);
   const timers = new SystemTimers();
-  const choose = () =>
-    random.pick(
-      random.float() < FAULTY_SHARE ? FAULTY_RESPONSES : SOUND_RESPONSES,
+  const choose = () => {
+    const at = random.float();
+    if (at < FAULTY_SHARE) return random.pick(FAULTY_RESPONSES);
+    return random.pick(
+      at < FAULTY_SHARE + FALSE_HEAD_SHARE ? FALSE_HEADS : SOUND_RESPONSES,
     );
+  };
   const hosts = Array.from(
     { length: HOSTS },
     (_, i) => new RawHost(`host-${i}`, timers, random, choose),
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -745,6 +745,86 @@
       replace: "if (true)",
     }],
   },
+  {
+    promise: 5,
+    tag: "@false_heads",
+    mechanism: "A head with another status or version is no answer",
+    edits: [{
+      file: "../base/status_line_guard.js",
+      find: "if (!HEAD_START[at].includes(char))",
+      replace: "if (false)",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@false_heads",
+    mechanism: "An interim head that nobody asked for is no answer",
+    edits: [{
+      file: "../base/status_line_guard.js",
+      find: "return !UNASKED_STATUSES.has(status);",
+      replace: "return true;",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@false_heads",
+    mechanism: "The heads after interim heads are checked",
+    edits: [{
+      file: "../base/status_line_guard.js",
+      find: 'this.#awaitsHead = status.startsWith("1");',
+      replace: "this.#awaitsHead = false;",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@false_heads",
+    mechanism: "The head of each response on a connection is checked",
+    edits: [{
+      file: "../base/status_line_guard.js",
+      find: "if (bytesWritten !== this.#sentBytes)",
+      replace: "if (this.#sentBytes === 0)",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@false_heads",
+    mechanism: "A head is checked once for each request",
+    edits: [{
+      file: "../base/status_line_guard.js",
+      find: "this.#sentBytes = bytesWritten;",
+      replace: "",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@false_heads",
+    mechanism: "A false head is no reset, which would suspect the request",
+    edits: [{
+      file: "../platform/relay_exchange.js",
+      find: "    FALSE_HEAD_CODE,\n",
+      replace: "",
+    }],
+  },
+  {
+    promise: 7,
+    tag: "@false_heads",
+    mechanism: "Connections to the store are checked",
+    edits: [{
+      file: "../platform/platform_store.js",
+      find: "connect: guardConnections(",
+      replace: "connect: (",
+    }],
+  },
+  {
+    promise: 2,
+    tag: "@false_heads",
+    mechanism: "Connections for commands and reports are checked",
+    edits: [{
+      file: "../platform/http_host_control.js",
+      find: "connect: guardConnections(",
+      replace: "connect: (",
+    }],
+  },
   {
     promise: 5,
     tag: "@responses",
