Check heads on the connections of gateways and controllers, too

Cause: their clients use the same parser without the guard. Status 000 and 1000 ended as broken before (ruled out); 600, 999, HTTP/2.0 and RTSP/1.0 were passed on, and the connection was used again for the first two. Not changed: etcd and the host list, which may be reached over TLS, where the guard wasn't tried.

--- a/features/false_heads.feature
+++ b/features/false_heads.feature
@@ -150,6 +150,36 @@
       | "no status"                        |
       | "status 101"                       |
 
+  Scenario Outline: should take no answer from <head> to an attempt of a gateway
+    Given a server that responds with <head> to the first request on each path
+    When a gateway sends an attempt
+    Then the call fails as "broken"
+    And every connection with that head is closed
+    And the same calls succeed afterwards
+
+    Examples:
+      | head               |
+      | "status 000"       |
+      | "status 600"       |
+      | "status 999"       |
+      | "status 1000"      |
+      | "version 2.0"      |
+      | "another protocol" |
+
+  Scenario Outline: should take no status of an engine from <head>
+    Given a server that responds with <head> to the first request on each path
+    When a controller requests the status of an engine
+    Then the call fails as "unreachable"
+    And every connection with that head is closed
+    And the same calls succeed afterwards
+
+    Examples:
+      | head               |
+      | "status 000"       |
+      | "status 600"       |
+      | "version 2.0"      |
+      | "another protocol" |
+
   Scenario Outline: should not know from <head> whether the store has carried out a call
     Given a server that responds with <head> to the first request on each path
     When keys are listed and written, and a lease is granted and ended
--- a/features/steps/false_head_control_steps.ts
+++ b/features/steps/false_head_control_steps.ts
@@ -9,8 +9,15 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { SystemTimers } from "../../src/base/system_timers.ts";
 import { sleep } from "../../src/base/timers.ts";
+import { HttpEngineControl } from "../../src/adapters/http_engine_control.ts";
+import { UndiciUpstreamClient } from "../../src/adapters/undici_upstream_client.ts";
 import { HttpHostControl } from "../../src/platform/http_host_control.ts";
 import { PlatformStore } from "../../src/platform/platform_store.ts";
+import type {
+  AttemptEnd,
+  ResponseHead,
+} from "../../src/ports/upstream_client.ts";
+import type { Upstream } from "../../src/world/upstream.ts";
 import { FALSE_STATUS_LINES } from "../../tools/fuzz/raw_responses.ts";
 
 const timers = new SystemTimers();
@@ -26,6 +33,18 @@
   "/kv-txn": { rev: 8 },
   "/kv-lease": { lease: 4, ttl_ms: 5_000 },
   "/kv-lease-end": {},
+  "/chat": {},
+  "/engine": {
+    hostId: "h-1",
+    bootId: "b-1",
+    phase: "idle",
+    groupId: "",
+    epoch: 0,
+    running: 0,
+    completed: 0,
+    capacity: 4,
+    weights: [],
+  },
 };
 
 type Call = () => Promise<{ ok: boolean; err?: { kind: string } }>;
@@ -92,6 +111,31 @@
   return /^\S+ (\/[^\s/?]*)/.exec(text)?.[1];
 }
 
+/** Sends one attempt of a gateway. */
+function sendAttempt(
+  client: UndiciUpstreamClient,
+  address: string,
+): ReturnType<Call> {
+  return new Promise((resolve) => {
+    let head: ResponseHead | undefined;
+    const onEnd = ({ kind }: AttemptEnd) => {
+      const ok = kind === "ended" && head?.status === 200;
+      // A head that was passed on before its attempt broke would be a fault, too.
+      const failure = head === undefined ? kind : `${kind} after a head`;
+      resolve(ok ? { ok } : { ok, err: { kind: failure } });
+    };
+    client.send({ address, epoch: 1 } as Upstream, {
+      attemptId: "a-1",
+      method: "POST",
+      path: "/chat",
+      headers: {},
+      body: new Uint8Array(1),
+      resumeAfter: 0,
+      streaming: false,
+    }, { onHead: (received) => head = received, onData() {}, onEnd });
+  });
+}
+
 /** Makes calls one after the other; returns how each failed, if it did. */
 async function makeCalls(
   world: FalseHeadControlWorld,
@@ -118,6 +162,22 @@
   },
 );
 
+When("a gateway sends an attempt", async function (
+  this: FalseHeadControlWorld,
+) {
+  const client = new UndiciUpstreamClient();
+  this.calls = [() => sendAttempt(client, this.address)];
+  this.failures = await makeCalls(this);
+});
+
+When("a controller requests the status of an engine", async function (
+  this: FalseHeadControlWorld,
+) {
+  const control = new HttpEngineControl();
+  this.calls = [() => control.status(this.address)];
+  this.failures = await makeCalls(this);
+});
+
 When(
   "keys are listed and written, and a lease is granted and ended",
   async function (this: FalseHeadControlWorld) {
@@ -133,7 +193,7 @@
 );
 
 Then(
-  /^(?:both|all) calls fail as "([^"]+)"$/,
+  /^(?:both calls|all calls|the call) fails? as "([^"]+)"$/,
   function (this: FalseHeadControlWorld, kind: string) {
     assert.deepEqual(this.failures, this.calls.map(() => kind));
   },
--- a/src/adapters/http_engine_control.ts
+++ b/src/adapters/http_engine_control.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
-import { Agent } from "undici";
+import { Agent, buildConnector } from "undici";
 import { z } from "zod";
 import type { Outcome } from "../base/outcome.ts";
 import { failure, success } from "../base/outcome.ts";
+import { guardConnections } from "../base/status_line_guard.ts";
 import type {
   EngineControl,
   EngineError,
@@ -15,6 +16,7 @@
 } from "../ports/engine_control.ts";
 import { requestJson } from "./http_json.ts";
 
+const CONNECT_TIMEOUT_MS = 10_000;
 const STATUS_TIMEOUT_MS = 1_000;
 
 const StatusSchema = z.object({
@@ -31,7 +33,11 @@
 
 /** {@linkcode EngineControl} over `GET /engine/status` and `POST /engine/command`. */
 export class HttpEngineControl implements EngineControl {
-  readonly #agent = new Agent({ connections: 2, keepAliveTimeout: 10_000 });
+  readonly #agent = new Agent({
+    connections: 2,
+    connect: guardConnections(buildConnector({ timeout: CONNECT_TIMEOUT_MS })),
+    keepAliveTimeout: 10_000,
+  });
 
   async status(address: string): Promise<Outcome<EngineStatus, EngineError>> {
     const res = await requestJson(`http://${address}/engine/status`, {
--- a/src/adapters/undici_upstream_client.ts
+++ b/src/adapters/undici_upstream_client.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { Dispatcher } from "undici";
-import { Agent } from "undici";
+import { Agent, buildConnector } from "undici";
+import { guardConnections } from "../base/status_line_guard.ts";
 import type {
   Attempt,
   AttemptEnd,
@@ -27,7 +28,7 @@
   readonly #agent = new Agent({
     connections: 8_192,
     pipelining: 1,
-    connectTimeout: CONNECT_TIMEOUT_MS,
+    connect: guardConnections(buildConnector({ timeout: CONNECT_TIMEOUT_MS })),
     headersTimeout: RESPONSE_TIMEOUT_MS,
     bodyTimeout: RESPONSE_TIMEOUT_MS,
   });
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -815,6 +815,16 @@
       replace: "connect: (",
     }],
   },
+  {
+    promise: 2,
+    tag: "@false_heads",
+    mechanism: "Connections of gateways are checked",
+    edits: [{
+      file: "../adapters/undici_upstream_client.js",
+      find: "connect: guardConnections(",
+      replace: "connect: (",
+    }],
+  },
   {
     promise: 2,
     tag: "@false_heads",
