Search bodies for late heads of any version and status

Cause: a body was searched for status lines of HTTP/1.1 with three digits, so a late response with HTTP/2.0 or status 0 that filled up the body of the next one was delivered as its end. Ruled out: the guard of heads, which sees only the start of a response.

--- a/features/responses.feature
+++ b/features/responses.feature
@@ -52,6 +52,10 @@
       | copy    | 200    | upstream_failed |
       | refusal | 500    | upstream_failed |
       | refusal | 200    | upstream_failed |
+      | version | 500    | upstream_failed |
+      | version | 200    | upstream_failed |
+      | status  | 500    | upstream_failed |
+      | status  | 200    | upstream_failed |
 
   Scenario Outline: should show callers only what a host completed for their request, seed <seed>
     When 4 callers send 12 requests each to hosts with the responses of seed <seed>
--- a/features/steps/response_steps.ts
+++ b/features/steps/response_steps.ts
@@ -12,7 +12,10 @@
 import type { CallerResult } from "../../tools/fuzz/caller_result.ts";
 import { FuzzRelay } from "../../tools/fuzz/fuzz_relay.ts";
 import { RawHost } from "../../tools/fuzz/raw_host.ts";
-import type { RawResponse } from "../../tools/fuzz/raw_responses.ts";
+import type {
+  LateWriteKind,
+  RawResponse,
+} from "../../tools/fuzz/raw_responses.ts";
 import {
   bodyOf,
   FAULTY_RESPONSES,
@@ -83,8 +86,8 @@
 });
 
 Given(
-  /^the host writes a late (copy|refusal) (\d+) milliseconds after its first response$/,
-  function (this: ResponseWorld, kind: "copy" | "refusal", ms: number) {
+  /^the host writes a late (copy|refusal|version|status) (\d+) milliseconds after its first response$/,
+  function (this: ResponseWorld, kind: LateWriteKind, ms: number) {
     this.script.push(lateWrite(kind, Number(ms)));
   },
 );
--- a/src/platform/foreign_head_detector.ts
+++ b/src/platform/foreign_head_detector.ts
@@ -5,10 +5,13 @@
  */
 import { Buffer } from "node:buffer";
 
-const STATUS_LINE_START = Buffer.from("HTTP/1.1 ");
-/** A status line, and a first or later header that only hosts send. */
+const STATUS_LINE_START = Buffer.from("HTTP/");
+/**
+ * A status line, of whatever version and status, and a first or later header that
+ * only hosts send.
+ */
 const HEAD_PATTERN =
-  /^HTTP\/1\.1 \d{3} [^\r\n]*\r\n(?:[^\r\n]+\r\n)*oleanderarch-/i;
+  /^HTTP\/[\d.]+(?: [^\r\n]*)?\r\n(?:[^\r\n]+\r\n)*oleanderarch-/i;
 /** Bytes of a head that are searched for such a header. */
 const MAX_HEAD_BYTES = 2_048;
 /** Bytes of earlier chunks that are searched again with the next one. */
--- a/tools/fuzz/raw_responses.ts
+++ b/tools/fuzz/raw_responses.ts
@@ -135,23 +135,30 @@
 const EARLY_HINTS = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n";
 const NOT_RUN = "Oleanderarch-Not-Executed: 1";
 
+/** What is written late: heads with a false version or status are no answers. */
+export type LateWriteKind = "copy" | "refusal" | "version" | "status";
+
 /**
- * A complete response, and after `ms` a copy of it or a refusal without an id on
- * the same connection, whatever it is used for by then.
+ * A complete response, and after `ms` a copy of it, also with a false head, or a
+ * refusal without an id on the same connection, whatever it is used for by then.
  *
  * @example
  * ```ts
  * lateWrite("copy", 15).write(context);
  * ```
  */
-export function lateWrite(kind: "copy" | "refusal", ms: number): RawResponse {
+export function lateWrite(kind: LateWriteKind, ms: number): RawResponse {
   return response(
     `late ${kind}`,
     { status: 200 },
-    ({ socket, requestId, timers }) => {
-      const late = kind === "copy"
-        ? whole(200, requestId)
-        : head(503, undefined, NOT_RUN, "Content-Length: 0");
+    (context) => {
+      const { socket, requestId, timers } = context;
+      const late = {
+        copy: whole(200, requestId),
+        refusal: head(503, undefined, NOT_RUN, "Content-Length: 0"),
+        version: withStatusLine(context, "HTTP/2.0 200 Status"),
+        status: withStatusLine(context, "HTTP/1.1 0 Status"),
+      }[kind];
       socket.write(whole(200, requestId));
       timers.after(ms, () => socket.write(late));
     },
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -725,6 +725,16 @@
       replace: "if (false)",
     }],
   },
+  {
+    promise: 5,
+    tag: "@responses",
+    mechanism: "A body is searched for heads of any version",
+    edits: [{
+      file: "../platform/foreign_head_detector.js",
+      find: 'Buffer.from("HTTP/")',
+      replace: 'Buffer.from("HTTP/1.1 ")',
+    }],
+  },
   {
     promise: 5,
     tag: "@responses",
