Follow the review of forecasts, unlisted members and held requests

After a second in which all replicas were late, every replica counted as slow and no request was placed for up to 9 s: a replica's slowness is now compared with the lowest of its model's. 2. Error responses counted as first events, and one early sample at the begin of a batch set the constant time to 0: 2xx responses alone count, and a batch from four samples on. A loop that is behind takes no samples. 3. Events in peers' statuses were dated by the arrival of the status, not by its age. 4. The least time to a first event left out the learnt time, so a large request that couldn't be in time held up smaller ones. 5. Time held at the start was not taken off the route's timeout. 6. The gate of a starting node opened on a peer's host change, before a listing. 7. A node stopped learning models after 32 that it had ever seen. Not changed: a SIGTERM before the node exists (window of the UDP bind), a refusal by the head of a kept group, whole-quota placement until the first status of a peer.

The callers of the load table are patient until the time at which they were told to return; before, some gave up while they waited for it.

A scenario of recovery.feature takes the time held off itself, as the request carries it apart now.

--- a/features/outlook.feature
+++ b/features/outlook.feature
@@ -63,6 +63,19 @@
     And 500 models have 12 requests each
     Then it shares at most 32 estimates
     And it uses at most 32 peers
+    And it learns another model once the others have had no requests for 11 seconds
+
+  Scenario: should still place requests after a second in which all replicas were late
+    Given an outlook of 6 replicas of "small"
+    When 40 requests take 93 milliseconds longer than computed, and 0 in 100 of them 400 more
+    And all replicas answer 3 times 1000 milliseconds late within a second
+    Then a replica's first event is forecast within 150 milliseconds
+
+  Scenario: should not forget the constant time when a few responses come sooner
+    Given an outlook of 6 replicas of "small"
+    When 40 requests take 93 milliseconds longer than computed, and 0 in 100 of them 400 more
+    And 2 of 9 responses come 30 milliseconds sooner than computed
+    Then a forecast is between 90 and 96 milliseconds above the computed time
 
   Scenario: should place requests where no stream gets a gap over the limit
     Given a placer before a cross-domain group that is idle and others that are busy
--- a/features/steps/entry_host.ts
+++ b/features/steps/entry_host.ts
@@ -171,6 +171,7 @@
       body: new Uint8Array(),
       apiKey: API_KEY,
       deadlineMs: 800,
+      heldMs: 0,
       lastEventId: undefined,
       model: undefined,
       promptTokens: 0,
--- a/features/steps/fleet_state_fixture.ts
+++ b/features/steps/fleet_state_fixture.ts
@@ -6,6 +6,7 @@
   zonesChanged() {},
   nodesChanged() {},
   leaderChanged() {},
+  hostsListed() {},
   hostListOutdated() {},
   hostLeft() {},
   feedLost() {},
--- a/features/steps/outlook_steps.ts
+++ b/features/steps/outlook_steps.ts
@@ -69,7 +69,12 @@
 
 /** The forecast for a request to an idle replica, by its parts. */
 function forecast(world: OutlookWorld, replica: Replica) {
-  const model = world.outlook.of(world.service, "small", 6, world.now);
+  const model = world.outlook.of(
+    world.service,
+    "small",
+    world.replicas,
+    world.now,
+  );
   assert(model !== undefined);
   return model.forecast(replica, IDLE, PROMPT_TOKENS, world.now);
 }
@@ -146,7 +151,12 @@
 Then(
   "a forecast is between {int} and {int} milliseconds above the computed time",
   function (this: OutlookWorld, lowest: number, highest: number) {
-    const model = this.outlook.of(this.service, "small", 6, this.now);
+    const model = this.outlook.of(
+      this.service,
+      "small",
+      this.replicas,
+      this.now,
+    );
     const [replica] = this.replicas;
     const { constantMs, computedMs, firstEventMs } = forecast(this, replica);
     assert(model !== undefined);
@@ -217,6 +227,47 @@
   },
 );
 
+Then(
+  "it learns another model once the others have had no requests for {int} seconds",
+  function (this: OutlookWorld, seconds: number) {
+    this.now += seconds * 1_000;
+    this.calibration.expire(this.now);
+    this.calibration.record("pool/another", 150, 50, this.now);
+    const { constantMs } = this.calibration.residual("pool/another", this.now);
+    assert.equal(constantMs, 100);
+  },
+);
+
+When(
+  "all replicas answer {int} times {int} milliseconds late within a second",
+  function (this: OutlookWorld, times: number, ms: number) {
+    const startedAt = this.now;
+    for (let i = 0; i < times * this.replicas.length; i++) {
+      serve(this, i % this.replicas.length, ms);
+      this.now = startedAt + 1_000 * i / (times * this.replicas.length);
+    }
+  },
+);
+
+When(
+  "{int} of {int} responses come {int} milliseconds sooner than computed",
+  function (this: OutlookWorld, early: number, all: number, ms: number) {
+    for (let i = 0; i < all; i++) {
+      serve(this, i % this.replicas.length, i < early ? -ms : 93);
+    }
+  },
+);
+
+Then(
+  "a replica's first event is forecast within {int} milliseconds",
+  function (this: OutlookWorld, most: number) {
+    const times = this.replicas.map((replica) =>
+      forecast(this, replica).firstEventMs
+    );
+    assert(Math.min(...times) <= most, `${Math.min(...times)}`);
+  },
+);
+
 Then("it uses at most {int} peers", function (this: OutlookWorld, most) {
   assert(this.calibration.peerCount <= most);
 });
--- a/features/steps/recovery_steps.ts
+++ b/features/steps/recovery_steps.ts
@@ -215,7 +215,7 @@
     const [{ request, at }] = this.handled;
     const afterMs = at - this.sentAt;
     assert.ok(afterMs >= from && afterMs <= to, `after ${afterMs} ms`);
-    const leftMs = request.deadlineMs ?? NaN;
+    const leftMs = (request.deadlineMs ?? NaN) - request.heldMs;
     assert.ok(leftMs >= leastLeft && leftMs <= mostLeft, `${leftMs} ms left`);
   },
 );
--- a/features/steps/relay_fixture.ts
+++ b/features/steps/relay_fixture.ts
@@ -247,6 +247,7 @@
       body: Buffer.from(body),
       apiKey,
       deadlineMs: 8_000,
+      heldMs: 0,
       lastEventId: undefined,
       model: isStream ? model : undefined,
       promptTokens: isStream ? 600 : 0,
--- a/src/core/fleet/fleet_state.ts
+++ b/src/core/fleet/fleet_state.ts
@@ -59,6 +59,8 @@
   zonesChanged(out: readonly string[]): void;
   nodesChanged(internalAddresses: readonly string[]): void;
   leaderChanged(nodeId: string | undefined): void;
+  /** Called after each listing of the hosts by this process. */
+  hostsListed(): void;
   /** Called when the list of hosts has become too old and is polled. */
   hostListOutdated(ageMs: number): void;
   /** Called when this process learns that a host leaves or has left. */
@@ -117,6 +119,7 @@
       lapseAfterMs: deps.lapseAfterMs,
       drainWithinMs: deps.drainWithinMs,
       onOutdated: (ageMs) => listener.hostListOutdated(ageMs),
+      onListed: () => listener.hostsListed(),
       onHostLeft: (departure) => listener.hostLeft(departure),
     });
     this.#documents = this.#createOperatorDocuments();
--- a/src/core/fleet/host_list.ts
+++ b/src/core/fleet/host_list.ts
@@ -94,6 +94,8 @@
   readonly drainWithinMs: () => number;
   /** Called when the list has become too old and is polled. */
   readonly onOutdated: (ageMs: number) => void;
+  /** Called after each listing of the hosts by this process. */
+  readonly onListed: () => void;
   /** Called when this process learns that a host leaves or has left. */
   readonly onHostLeft: (departure: HostDeparture) => void;
 }
@@ -351,6 +353,7 @@
     const now = timers.now();
     const serving = [...hosts.hosts()].filter(({ draining }) => !draining);
     hosts.replaceAll(listed, now, this.#mayHaveLapsed, unchanged);
+    this.#deps.onListed();
     const listedIds = new Set(listed.map(({ id }) => id));
     for (const { id } of serving) {
       if (unchanged.has(id)) continue;
--- a/src/core/outlook/engine_outlook.ts
+++ b/src/core/outlook/engine_outlook.ts
@@ -82,7 +82,7 @@
   of(
     service: ServiceSpec,
     model: string | undefined,
-    replicas: number,
+    replicas: readonly Replica[],
     now: number,
   ): ModelOutlook | undefined {
     const models = this.#models.of(service, model);
@@ -91,12 +91,15 @@
     const { constantMs, spreadMs } = this.#calibration.residual(key, now);
     const { oneDomain } = models;
     const unreported = this.#unreported(model, oneDomain) /
-      Math.max(1, replicas);
+      Math.max(1, replicas.length);
+    // What slows all of them for a moment, such as this node's own link, doesn't
+    // make any of them a worse choice, and must not have all requests refused.
+    const commonSlowness = this.#slowness.lowest(replicas, now);
     return {
       unreportedMs: unreported * oneDomain.usualPrefillMs,
       forecast: (replica, load, promptTokens, at) => {
         const engine = modelOf(models, replica);
-        const slowness = this.slowness(replica.key, at);
+        const slowness = this.slowness(replica.key, at) / commonSlowness;
         const { inFlight, pendingPromptTokens } = load;
         const computedMs = engine.firstEventMs(
           inFlight,
@@ -125,6 +128,11 @@
     return perSecond * this.#deps.statusLagMs() / 1_000;
   }
 
+  /** What the configuration leaves out of a model's time to the first event. */
+  constantMs(service: string, model: string, now: number): number {
+    return this.#calibration.residual(modelKey(service, model), now).constantMs;
+  }
+
   /** How many times slower a replica is than expected; at least 1. */
   slowness(replicaKey: string, now: number): number {
     return this.#slowness.factor(replicaKey, now);
--- a/src/core/outlook/first_event_calibration.ts
+++ b/src/core/outlook/first_event_calibration.ts
@@ -135,6 +135,9 @@
       this.#peers.delete(nodeId);
       this.#fleet.clear();
     }
+    for (const [model, window] of this.#windows) {
+      if (window.count(now) === 0) this.#windows.delete(model);
+    }
   }
 
   #fleetResidual(model: string): FirstEventResidual | undefined {
--- a/src/core/outlook/replica_slowness.ts
+++ b/src/core/outlook/replica_slowness.ts
@@ -36,6 +36,16 @@
     return average === undefined ? 1 : Math.max(1, decay(average, now));
   }
 
+  /** The lowest factor of some replicas; 1 if there are none. */
+  lowest(replicas: readonly { readonly key: string }[], now: number): number {
+    let lowest = Infinity;
+    for (const { key } of replicas) {
+      lowest = Math.min(lowest, this.factor(key, now));
+      if (lowest === 1) return 1;
+    }
+    return Number.isFinite(lowest) ? lowest : 1;
+  }
+
   /** Drops replicas without recent samples. */
   expire(now: number): void {
     for (const [key, { updatedAt }] of this.#averages) {
--- a/src/core/outlook/residual_window.ts
+++ b/src/core/outlook/residual_window.ts
@@ -6,6 +6,8 @@
 
 /** Number of successive samples of which a quantile is kept. */
 const BATCH_SIZE = 8;
+/** Number of samples from which the quantile of an incomplete batch counts. */
+const MIN_BATCH_SIZE = 4;
 /** Number of batches that are kept. */
 const MAX_BATCHES = 8;
 /** Age from which a batch is ignored, in milliseconds. */
@@ -51,12 +53,17 @@
   }
 
   /**
-   * Returns the lowest of the batches' quantiles; undefined without samples. The
-   * quantile of an incomplete batch is its smallest sample.
+   * Returns the lowest of the batches' quantiles; undefined without samples. Batches
+   * of a few samples count only while there are no others.
    */
   lowest(share: number, now: number): number | undefined {
-    const quantiles = this.#recent(now).map(({ values }) =>
-      values[values.length < BATCH_SIZE ? 0 : Math.floor(share * BATCH_SIZE)]
+    const recent = this.#recent(now);
+    const large = recent.filter(({ values }) =>
+      values.length >= MIN_BATCH_SIZE
+    );
+    const batches = large.length > 0 ? large : recent;
+    const quantiles = batches.map(({ values }) =>
+      values[Math.floor(share * values.length)]
     );
     return quantiles.length === 0 ? undefined : Math.min(...quantiles);
   }
--- a/src/core/relay/load_tracker.ts
+++ b/src/core/relay/load_tracker.ts
@@ -91,7 +91,7 @@
     );
     for (const { key, silentMs } of loads) {
       if (silentMs < 0) continue;
-      const at = receivedAt - silentMs;
+      const at = sentAt - silentMs;
       if (at > (this.#peerEventAt.get(key) ?? -Infinity)) {
         this.#peerEventAt.set(key, at);
       }
--- a/src/core/relay/placer.ts
+++ b/src/core/relay/placer.ts
@@ -139,7 +139,7 @@
     const model = outlook.of(
       query.service,
       query.model,
-      candidates.length,
+      candidates,
       now,
     );
     let considered = 0;
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -185,10 +185,14 @@
       fleetSize: deps.fleetSize,
       fleetRank: deps.fleetRank,
     });
-    const costs = new RequestCosts(deps.view, deps.suspicions);
+    const costs = new RequestCosts(
+      deps.view,
+      deps.suspicions,
+      this.outlook,
+    );
     this.#queue = new RequestQueue({
       place: (query, now) => placer.place(query, now),
-      costOf: (query) => costs.of(query),
+      costOf: (query) => costs.of(query, this.#deps.timers.now()),
       rateOf: (query) => costs.rateOf(query),
       position: () => ({ size: deps.fleetSize(), rank: deps.fleetRank() }),
       onReturned: (result) => deps.observer.onReturned(result),
@@ -253,7 +257,7 @@
       this.#runDependencies,
       request,
       response,
-      new RequestContract(route, request, now - lateMs),
+      new RequestContract(route, request, now - lateMs - request.heldMs),
       service,
       customer,
       fingerprint,
@@ -449,17 +453,23 @@
       0,
       load.pendingPromptTokens - run.promptTokens,
     );
-    load.lastEventAt = now;
-    const { replica, forecast, load: loadAtStart, startedAt } = attempt;
-    const computedMs = forecast?.computedMs ??
-      plainRequestMs(loadAtStart.inFlight, replica.host.slots);
-    this.outlook.recordFirstEvent(replica, computedMs, now - startedAt, now);
-    this.#deps.observer.onFirstByte(run, attempt, now - startedAt);
+    if (isSuccess(attempt)) this.#recordFirstEvent(run, attempt, now);
     if (this.#deps.suspicions.isSuspected(key)) {
       this.#deps.suspicions.clear(key, now, "own");
     }
   }
 
+  #recordFirstEvent(run: RelayRun, attempt: RunningAttempt, now: number): void {
+    const { replica, forecast, load, startedAt } = attempt;
+    this.loads.localLoad(replica.key).lastEventAt = now;
+    // A loop that is behind reads events late.
+    if (this.#lateMs(now) > 0) return;
+    const computedMs = forecast?.computedMs ??
+      plainRequestMs(load.inFlight, replica.host.slots);
+    this.outlook.recordFirstEvent(replica, computedMs, now - startedAt, now);
+    this.#deps.observer.onFirstByte(run, attempt, now - startedAt);
+  }
+
   #onContinued(run: RelayRun, attempt: RunningAttempt): void {
     const now = this.#deps.timers.now();
     const begunAt = attempt.firstProgressAt ?? now;
@@ -490,8 +500,8 @@
         load.pendingPromptTokens - run.promptTokens,
       );
     } else if (
-      load.lastEventAt === undefined ||
-      attempt.lastProgressAt > load.lastEventAt
+      isSuccess(attempt) &&
+      attempt.lastProgressAt > (load.lastEventAt ?? -Infinity)
     ) {
       load.lastEventAt = attempt.lastProgressAt;
     }
@@ -571,6 +581,11 @@
   }
 }
 
+/** Whether an attempt's response has a 2xx status; others tell nothing of engines. */
+function isSuccess({ head }: RunningAttempt): boolean {
+  return head !== undefined && head.status >= 200 && head.status < 300;
+}
+
 /** Whether a response has not begun, or so recently that it may crash its host. */
 function hasJustBegun(attempt: RunningAttempt, now: number): boolean {
   const { firstProgressAt, hasContinued } = attempt;
--- a/src/core/relay/relay_request.ts
+++ b/src/core/relay/relay_request.ts
@@ -17,6 +17,8 @@
   readonly apiKey: string | undefined;
   /** The caller's deadline, in milliseconds from arrival. */
   readonly deadlineMs: number | undefined;
+  /** Time for which this process has held the request already, in milliseconds. */
+  readonly heldMs: number;
   /** Id of the last event that the caller received. */
   readonly lastEventId: string | undefined;
   readonly model: string | undefined;
--- a/src/core/relay/request_costs.ts
+++ b/src/core/relay/request_costs.ts
@@ -6,6 +6,7 @@
 import type { ServiceSpec } from "../../world/catalog.ts";
 import type { ReplicaView } from "../fleet/replica_view.ts";
 import type { SuspicionTracker } from "../fleet/suspicion_tracker.ts";
+import type { EngineOutlook } from "../outlook/mod.ts";
 import { LatencyModelCache } from "../outlook/latency_model_cache.ts";
 
 /** Assumed time of a request to a host without an engine. */
@@ -32,21 +33,31 @@
   readonly #suspicions: SuspicionTracker;
   readonly #latencyModels = new LatencyModelCache();
 
-  constructor(view: ReplicaView, suspicions: SuspicionTracker) {
+  readonly #outlook: EngineOutlook;
+
+  constructor(
+    view: ReplicaView,
+    suspicions: SuspicionTracker,
+    outlook: EngineOutlook,
+  ) {
     this.#view = view;
     this.#suspicions = suspicions;
+    this.#outlook = outlook;
   }
 
   /** Returns what a request takes of an upstream. */
-  of({ service, model, promptTokens }: CostQuery): RequestCost {
+  of({ service, model, promptTokens }: CostQuery, now: number): RequestCost {
     const { engine } = service;
     const latencyModel = this.#latencyModels.of(service, model)?.oneDomain;
-    if (engine === undefined || latencyModel === undefined) {
+    if (
+      engine === undefined || latencyModel === undefined || model === undefined
+    ) {
       return { engineMs: PLAIN_REQUEST_MS, leastMs: 0 };
     }
     return {
       engineMs: latencyModel.requestMs(promptTokens, engine.usual.answer),
-      leastMs: latencyModel.firstEventMs(0, 0, promptTokens),
+      leastMs: latencyModel.firstEventMs(0, 0, promptTokens) +
+        this.#outlook.constantMs(service.name, model, now),
     };
   }
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -303,7 +303,6 @@
     this.#catalog.onFirstConfirmed(() =>
       this.#startReport.mark("catalogConfirmed")
     );
-    this.#hosts.onChange(() => this.#startReport.mark("hostsListed"));
     this.#pauseDetector.start();
     this.#loopMonitor.start();
     this.#fleetState.start();
@@ -479,6 +478,7 @@
             era: this.#storeEra.newest,
           });
         },
+        hostsListed: () => this.#startReport.mark("hostsListed"),
         hostListOutdated: (ageMs) =>
           log.info("host_list_outdated", { ageMs: finiteOrUndefined(ageMs) }),
         hostLeft: ({ hostId, how, from, listAgeMs }) =>
--- a/tools/bench_decisions.ts
+++ b/tools/bench_decisions.ts
@@ -221,11 +221,15 @@
 
   constructor(fleet: DecisionFleet, waiting: number) {
     this.#fleet = fleet;
-    const costs = new RequestCosts(fleet.view, new SuspicionTracker());
+    const costs = new RequestCosts(
+      fleet.view,
+      new SuspicionTracker(),
+      new EngineOutlook({ fleetDemand: () => new Map(), statusLagMs: () => 0 }),
+    );
     this.#queue = new RequestQueue({
       // What the placer costs is measured apart.
       place: () => ({ kind: "full", expectedMs: 2_000 }),
-      costOf: (query) => costs.of(query),
+      costOf: (query) => costs.of(query, 0),
       rateOf: (query) => costs.rateOf(query),
       position: () => ({ size: 36, rank: 0 }),
       onReturned: () => {},
--- a/tools/fuzz/fuzz_relay.ts
+++ b/tools/fuzz/fuzz_relay.ts
@@ -133,6 +133,7 @@
         body: Buffer.from("end of body"),
         apiKey: "bindery-key",
         deadlineMs: 8_000,
+        heldMs: 0,
         lastEventId: undefined,
         model: undefined,
         promptTokens: 0,
--- a/tools/load/load_caller.ts
+++ b/tools/load/load_caller.ts
@@ -45,6 +45,8 @@
   #eventCount = 0;
   #firstEventMs: number | undefined;
   #lastEventAt: number;
+  /** Time of the last event, or of the last attempt if that is later. */
+  #patientFrom = 0;
   #longestGapMs = 0;
   #refusedAfterMs: number | undefined;
   #prediction: (Prediction & { readonly inFlight: number }) | undefined;
@@ -87,6 +89,8 @@
 
   #send(): void {
     if (this.#isDone) return;
+    // A caller that was told when to return is patient until then.
+    this.#patientFrom = this.#deps.timers.now();
     this.#attempt += 1;
     this.#node = this.#deps.pickNode(this.offered);
     if (this.#node === undefined) {
@@ -113,6 +117,7 @@
       body: Buffer.from(`request ${index}`),
       apiKey: `key of ${customer}`,
       deadlineMs: kind.timeoutMs - elapsedMs,
+      heldMs: 0,
       lastEventId: this.#eventCount > 0 ? String(this.#eventCount) : undefined,
       model: kind.model,
       promptTokens,
@@ -158,6 +163,7 @@
       this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
     }
     this.#lastEventAt = now;
+    this.#patientFrom = now;
   }
 
   #onComplete(): void {
@@ -200,13 +206,13 @@
       kind.gapMs * 8,
     );
     const until = Math.min(
-      this.#lastEventAt + patienceMs,
+      this.#patientFrom + patienceMs,
       this.#startedAt + kind.timeoutMs,
     );
     timers.after(until - timers.now(), () => {
       if (this.#isDone) return;
       const isOver = timers.now() >= this.#startedAt + kind.timeoutMs ||
-        timers.now() >= this.#lastEventAt + patienceMs;
+        timers.now() >= this.#patientFrom + patienceMs;
       if (isOver) this.#giveUp("failed");
       else this.#watchPatience();
     });
