--- a/review/lib-2/nodes.mjs
+++ b/review/lib-2/nodes.mjs
@@ -8,6 +8,21 @@
 
 export const ROOT = new URL("../../", import.meta.url).pathname;
 
+/** A script that takes longer couldn't run; it may take 120 s. */
+const MAX_MS = 112000;
+/** Processes that run. */
+const running = new Set();
+
+// However the script ends, its processes end with it.
+process.on("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+for (const name of ["SIGTERM", "SIGINT", "SIGHUP"]) process.on(name, () => process.exit(2));
+setTimeout(() => {
+  console.log(`not ended after ${MAX_MS} ms`);
+  process.exit(2);
+}, MAX_MS).unref();
+
 function deployRole() {
   const text = readFileSync(join(ROOT, "deploy/system.toml"), "utf8");
   const run = /^run = "(.*)"$/m.exec(text)[1].split(" ");
@@ -90,6 +105,7 @@
   }
 
   start() {
+    if (this.isStopped) return;
     const log = createWriteStream(this.log, { flags: "a" });
     this.asked = undefined;
     const child = spawn(this.command[0], this.command.slice(1), {
@@ -105,7 +121,9 @@
     child.stdout.pipe(log);
     child.stderr.pipe(log, { end: false });
     this.child = child;
+    running.add(child);
     child.on("exit", (code, signal) => {
+      running.delete(child);
       this.ends.push({ at: Date.now(), code, signal, asked: this.asked });
       if (this.child === child) this.child = undefined;
       this.onEnd?.(this.ends.at(-1));
@@ -119,6 +137,7 @@
 
   /** Ends the process and waits for it. */
   async stop() {
+    this.isStopped = true;
     const child = this.child;
     this.onEnd = undefined;
     if (child !== undefined) {
