Say what is wrong with a stream that can't be forwarded

A spoiled stream ended its attempt with "event order" or with no detail at all, which does not tell a wrong byte from a lost event, an event over the limit or a response that ended early. The end of the attempt now says the kind and both ids, and oleander_stream_faults_total counts the kinds. No stream is handled otherwise than before.

Test: streams.feature, "should log and count why a stream can't be forwarded any further"; the log line and the counter did not exist before. @streams, @relay, @responses: 90 passed, 0 failed.

--- a/features/steps/relay_component_steps.ts
+++ b/features/steps/relay_component_steps.ts
@@ -206,7 +206,7 @@
   for (const bytes of attempts) {
     for (let at = 0; at < bytes.length; at += size) {
       const next = stream.push(bytes.subarray(at, at + size));
-      if (next === undefined) return undefined;
+      if (next.fault !== undefined) return undefined;
       for (const chunk of next.chunks) output += Buffer.from(chunk).toString();
     }
     stream.discardPartial();
--- a/src/core/relay/relay_response_writer.ts
+++ b/src/core/relay/relay_response_writer.ts
@@ -5,6 +5,7 @@
  */
 import type { RelayHead } from "../../ports/relay_client.ts";
 import type { RelayResponse } from "./relay_request.ts";
+import type { StreamFault } from "./stream_fault.ts";
 import { StreamSplice } from "./stream_splice.ts";
 
 /** Largest response that is buffered until it is complete, in bytes. */
@@ -20,7 +21,7 @@
     readonly isWritable: boolean;
   }
   /** The upstream's response can't be forwarded. */
-  | { readonly kind: "malformed"; readonly detail: string };
+  | { readonly kind: "malformed"; readonly fault: StreamFault };
 
 /** Writes the response, which may span several attempts. */
 export interface RelayResponseWriter {
@@ -41,10 +42,10 @@
   /** Writes or buffers bytes of the current attempt's response. */
   write(chunk: Uint8Array): WriteResult;
   /**
-   * Ends the response, or returns false if its last event is incomplete or it is
+   * Ends the response, or returns a fault if its last event is incomplete or it is
    * a stream without events.
    */
-  finish(): boolean;
+  finish(): StreamFault | undefined;
   /** Discards unwritten data of an attempt that ended. */
   discardPartial(): void;
 }
@@ -88,10 +89,9 @@
     return this.#flush();
   }
 
-  finish(): boolean {
+  finish(): undefined {
     if (!this.#started) this.#flush();
     this.#response.end();
-    return true;
   }
 
   discardPartial(): void {
@@ -102,7 +102,8 @@
 
   #flush(): WriteResult {
     if (this.#head === undefined) {
-      return { kind: "malformed", detail: "no head" };
+      const fault: StreamFault = { kind: "incomplete", detail: "no head" };
+      return { kind: "malformed", fault };
     }
     this.#started = true;
     this.#response.writeHead(this.#head.status, this.#head.headers);
@@ -150,24 +151,26 @@
   }
 
   write(chunk: Uint8Array): WriteResult {
-    const spliced = this.#splice.push(chunk);
-    if (spliced === undefined) {
-      return { kind: "malformed", detail: "event order" };
-    }
-    if (spliced.chunks.length === 0) return written(false, true);
+    const { chunks, eventCount, fault } = this.#splice.push(chunk);
+    if (fault !== undefined) return { kind: "malformed", fault };
+    if (chunks.length === 0) return written(false, true);
     this.#writeHead();
     let isWritable = true;
-    for (const part of spliced.chunks) isWritable = this.#response.write(part);
-    return written(spliced.eventCount > 0, isWritable);
+    for (const part of chunks) isWritable = this.#response.write(part);
+    return written(eventCount > 0, isWritable);
   }
 
-  finish(): boolean {
-    if (this.#splice.hasPartialEvent) return false;
+  finish(): StreamFault | undefined {
+    if (this.#splice.hasPartialEvent) {
+      return { kind: "incomplete", detail: "ended within an event" };
+    }
     // Only a caller that resumes may have had all events before.
-    if (!this.#started && this.#callerLastEventId === undefined) return false;
+    if (!this.#started && this.#callerLastEventId === undefined) {
+      return { kind: "incomplete", detail: "ended before the first event" };
+    }
     this.#writeHead();
     this.#response.end();
-    return true;
+    return undefined;
   }
 
   discardPartial(): void {
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -30,6 +30,7 @@
 import { FailedResponse } from "./failed_response.ts";
 import type { RequestContract } from "./request_contract.ts";
 import type { AttemptOutcome, RunningAttempt } from "./running_attempt.ts";
+import type { StreamFault, StreamFaultKind } from "./stream_fault.ts";
 
 /**
  * Maximum queueing time, as a share of the route's goal: its target for the time
@@ -75,6 +76,8 @@
   readonly event: "sent" | "attempt_ended" | "ended";
   readonly outcome?: AttemptOutcome | RunOutcome;
   readonly detail?: string;
+  /** What was wrong with the stream of the attempt. */
+  readonly fault?: StreamFaultKind;
   readonly replica?: Replica;
   /** Expected time to the first byte. */
   readonly expectedMs?: number;
@@ -278,6 +281,7 @@
       load: { ...load },
       handle: undefined,
       head: undefined,
+      fault: undefined,
       firstProgressAt: undefined,
       hasContinued: false,
       lastProgressAt: undefined,
@@ -413,7 +417,7 @@
     }
     const result = this.#writer.write(chunk);
     if (result.kind === "malformed") {
-      return this.#abandon(attempt, result.detail);
+      return this.#onFault(attempt, result.fault);
     }
     if (result.hasProgress) {
       this.#recordProgress(attempt);
@@ -437,6 +441,12 @@
     this.#deps.onContinued(this, attempt);
   }
 
+  /** Ends an attempt whose response can't be forwarded any further. */
+  #onFault(attempt: RunningAttempt, fault: StreamFault): void {
+    attempt.fault = fault.kind;
+    this.#abandon(attempt, describe(fault));
+  }
+
   /** Closes the connection of a response that can't be forwarded. */
   #abandon(attempt: RunningAttempt, detail: string): void {
     attempt.handle?.cancel();
@@ -489,12 +499,15 @@
     if (this.#failedResponse?.head === head) {
       return this.#onFailedStatus(attempt, head);
     }
-    const isComplete = this.#writer.finish();
-    if (isComplete) this.#recordContinued(attempt);
-    this.#endAttempt(attempt, isComplete ? "answered" : "malformed", "");
-    if (!isComplete) {
-      return this.#onError(attempt, "ended within or before an event");
+    const fault = this.#writer.finish();
+    if (fault !== undefined) {
+      attempt.fault = fault.kind;
+      const detail = describe(fault);
+      this.#endAttempt(attempt, "malformed", detail);
+      return this.#onError(attempt, detail);
     }
+    this.#recordContinued(attempt);
+    this.#endAttempt(attempt, "answered", "");
     this.#finish("answered");
   }
 
@@ -606,6 +619,7 @@
       event: "attempt_ended",
       outcome,
       detail,
+      fault: attempt.fault,
       replica,
       silentMs: lastProgressAt && this.#deps.timers.now() - lastProgressAt,
     });
@@ -627,3 +641,7 @@
     this.#deps.onEnded(this, outcome);
   }
 }
+
+function describe({ kind, detail }: StreamFault): string {
+  return `${kind}: ${detail}`;
+}
--- a/src/core/relay/running_attempt.ts
+++ b/src/core/relay/running_attempt.ts
@@ -7,6 +7,7 @@
 import type { Replica } from "../fleet/replica.ts";
 import type { EngineForecast } from "../outlook/mod.ts";
 import type { TotalLoad } from "./load_tracker.ts";
+import type { StreamFaultKind } from "./stream_fault.ts";
 
 /** How an attempt ended, for logs and metrics. */
 export type AttemptOutcome =
@@ -44,6 +45,8 @@
   readonly load: TotalLoad;
   handle: RelayHandle | undefined;
   head: RelayHead | undefined;
+  /** What was wrong with its stream. */
+  fault: StreamFaultKind | undefined;
   /** Monotonic time of the first progress. */
   firstProgressAt: number | undefined;
   /** Whether there was progress after the first, or the end of the response. */
--- a/src/core/relay/stream_splice.ts
+++ b/src/core/relay/stream_splice.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
+import type { StreamFault } from "./stream_fault.ts";
 
 const LINE_FEED = 0x0a;
 const COLON = 0x3a;
@@ -17,6 +18,8 @@
   readonly chunks: readonly Uint8Array[];
   /** Number of events, without comments, which only keep a connection open. */
   readonly eventCount: number;
+  /** Why nothing more of the attempt can be forwarded. */
+  readonly fault: StreamFault | undefined;
 }
 
 /**
@@ -57,9 +60,9 @@
 
   /**
    * Adds bytes of the current attempt and returns the new events that they
-   * complete; undefined if an event is missing or too large.
+   * complete; none, but a fault, if an event is missing or too large.
    */
-  push(chunk: Uint8Array): SplicedEvents | undefined {
+  push(chunk: Uint8Array): SplicedEvents {
     const bytes = this.#prependPartial(chunk);
     const chunks: Uint8Array[] = [];
     let eventCount = 0;
@@ -70,7 +73,7 @@
         const event = bytes.subarray(start, lineEnd + 2);
         start = lineEnd + 2;
         const outcome = this.#acceptEvent(event);
-        if (outcome === "gap") return undefined;
+        if (typeof outcome === "object") return failed(outcome);
         if (outcome === "new") {
           chunks.push(event);
           if (!isComment(event)) eventCount += 1;
@@ -80,20 +83,25 @@
         lineEnd = bytes.indexOf(LINE_FEED, lineEnd + 1);
       }
     }
-    if (bytes.length - start > MAX_EVENT_BYTES) return undefined;
+    if (bytes.length - start > MAX_EVENT_BYTES) {
+      const detail = `an event of over ${MAX_EVENT_BYTES} bytes`;
+      return failed({ kind: "too_large", detail });
+    }
     this.#partialEvent = start < bytes.length
       ? bytes.subarray(start)
       : undefined;
     this.#scannedBytes = Math.max(0, bytes.length - start - 1);
-    return { chunks: joinAdjacent(chunks), eventCount };
+    return { chunks: joinAdjacent(chunks), eventCount, fault: undefined };
   }
 
-  #acceptEvent(event: Buffer): "new" | "duplicate" | "gap" {
+  #acceptEvent(event: Buffer): "new" | "duplicate" | StreamFault {
     const id = parseEventId(event);
     if (id === undefined) return "new";
     if (this.#lastId !== undefined) {
       if (id <= this.#lastId) return "duplicate";
-      if (id > this.#lastId + 1) return "gap";
+      if (id > this.#lastId + 1) {
+        return { kind: "gap", detail: `id ${id} after ${this.#lastId}` };
+      }
     }
     this.#lastId = id;
     return "new";
@@ -113,6 +121,10 @@
   }
 }
 
+function failed(fault: StreamFault): SplicedEvents {
+  return { chunks: [], eventCount: 0, fault };
+}
+
 /** Whether no line of the event has a field. */
 function isComment(event: Buffer): boolean {
   let at = 0;
--- a/src/node/node_metrics.ts
+++ b/src/node/node_metrics.ts
@@ -49,6 +49,7 @@
   readonly #forecastError: Histogram;
   readonly #gapError: Histogram;
   readonly #late: Counter;
+  readonly #streamFaults: Counter;
   readonly #storeCalls: Counter;
   readonly #abandonedResponses: Counter;
   readonly #crashes: Counter;
@@ -108,6 +109,12 @@
       labelNames: ["route", "cause"],
       registers,
     });
+    this.#streamFaults = new Counter({
+      name: "oleander_stream_faults_total",
+      help: "Attempts that ended as their event stream could not be forwarded",
+      labelNames: ["route", "fault"],
+      registers,
+    });
     this.#storeCalls = new Counter({
       name: "oleander_store_calls_total",
       help: "Calls to the store, by kind and by the prefix that they read",
@@ -233,6 +240,8 @@
     const route = run.contract.route.name;
     const outcome = event.outcome ?? "";
     if (event.event === "attempt_ended") this.#attempts.inc({ outcome });
+    const { fault } = event;
+    if (fault !== undefined) this.#streamFaults.inc({ route, fault });
     if (event.event !== "ended") return;
     this.#requests.inc({ route, outcome });
     this.#duration.observe({ route }, elapsedMs / 1_000);
--- a/src/standins/fleet/scripted_upstreams.ts
+++ b/src/standins/fleet/scripted_upstreams.ts
@@ -48,6 +48,11 @@
    * the connection.
    */
   | { readonly kind: "reset_after"; readonly events: number }
+  /** Sends these chunks of the stream that begins with event `firstId`. */
+  | {
+    readonly kind: "chunks";
+    readonly chunksFrom: (firstId: number) => readonly Uint8Array[];
+  }
   /** Sends the events up to id `events`, then ends the response. */
   | { readonly kind: "end_after"; readonly events: number }
   /** Resets the connection before the response. */
@@ -213,6 +218,8 @@
           listener.onEnd({ kind: "reset", detail: "scripted" });
         });
         return;
+      case "chunks":
+        return this.#sendChunks(request, script);
       case "first_pauses_after":
         this.#scripts.delete(request.host.id);
         return this.#stream(request, script);
@@ -242,6 +249,25 @@
     });
   }
 
+  #sendChunks(
+    request: ActiveRequest,
+    { chunksFrom }: UpstreamScript & { kind: "chunks" },
+  ): void {
+    const { listener, attempt, host } = request;
+    const chunks = chunksFrom(Number(attempt.lastEventId ?? 0) + 1);
+    const send = (index: number) => {
+      if (index === 0) listener.onHead(toHead(200, { host: host.id }));
+      if (index < chunks.length) {
+        listener.onData(chunks[index]);
+        this.#schedule(request, EVENT_INTERVAL_MS, () => send(index + 1));
+        return;
+      }
+      this.#end(request);
+      listener.onEnd({ kind: "ended" });
+    };
+    this.#schedule(request, FIRST_EVENT_MS, () => send(0));
+  }
+
   #stream(request: ActiveRequest, script: UpstreamScript): void {
     const { listener, attempt } = request;
     const firstId = Number(attempt.lastEventId ?? 0) + 1;
