Write the events before a spoiled one to the caller

Cause: StreamSplice moved the place at which the stream is continued with each event that it parsed, but returned none of them when a later event of the chunk was at fault. The retry then asked for what comes after events that were never written. Evidence: the second run of a spoiled request was asked to go on after 9, and the caller had no byte of event 9. Ruled out: the upstream's part (the request's record shows that it wrote event 9 whole) and the retry (it delivered all from 10 on).

Why this works: events and fault are returned together, the writer writes the events first, so the place moves exactly with what is handed over. The same holds for an event over the limit.

--- a/features/steps/stream_steps.ts
+++ b/features/steps/stream_steps.ts
@@ -39,6 +39,37 @@
   },
 );
 
+Given(
+  "the first group sends an event of {int} bytes as event {int}, after event {int} in the same write",
+  function (this: StreamWorld, bytes: number, id: number, before: number) {
+    const large = `id: ${id}\ndata: ${"x".repeat(bytes)}`;
+    this.fixture.upstreams.setNextScript({
+      kind: "chunks",
+      chunksFrom: (firstId) => [
+        ...writeEvents(firstId, before - 1, 1, String),
+        Buffer.from(streamEvent(before) + large),
+      ],
+    });
+  },
+);
+
+Then(
+  "the caller has pieces {int} to {int} in a complete response after {int} attempt(s)",
+  function (this: StreamWorld, from: number, to: number, attempts: number) {
+    assert.ok(this.response.isComplete, "the response is not complete");
+    assert.deepEqual(pieces(this.response), range(from, to));
+    assert.equal(this.fixture.upstreams.attempts.length, attempts);
+  },
+);
+
+Then(
+  "the retry asked for the events after {int}",
+  function (this: StreamWorld, id: number) {
+    const { attempt } = this.fixture.upstreams.attempts[1];
+    assert.equal(attempt.lastEventId, String(id));
+  },
+);
+
 Then(
   "the attempt's end is logged with {string}",
   function (this: StreamWorld, detail: string) {
@@ -60,6 +91,16 @@
   },
 );
 
+/** Returns the numbers in the data of the events, whatever their ids are. */
+function pieces(response: RecordedResponse): number[] {
+  return [...response.body.matchAll(/^data: piece (\d+)\r?$/gm)]
+    .map(([, piece]) => Number(piece));
+}
+
+function range(from: number, to: number): number[] {
+  return Array.from({ length: to - from + 1 }, (_, i) => from + i);
+}
+
 /** Replaces the escape sequences of line ends. */
 function unescape(text: string): string {
   return text.replaceAll("\\n", "\n").replaceAll("\\r", "\r");
--- a/src/core/relay/relay_response_writer.ts
+++ b/src/core/relay/relay_response_writer.ts
@@ -12,16 +12,14 @@
 const MAX_BUFFERED_BYTES = 262_144;
 
 /** Result of writing bytes from an upstream. */
-export type WriteResult =
-  | {
-    readonly kind: "written";
-    /** Whether the bytes bring the response forward: a new event in a stream. */
-    readonly hasProgress: boolean;
-    /** Whether the caller is ready for more bytes. */
-    readonly isWritable: boolean;
-  }
-  /** The upstream's response can't be forwarded. */
-  | { readonly kind: "malformed"; readonly fault: StreamFault };
+export interface WriteResult {
+  /** Whether the bytes bring the response forward: a new event in a stream. */
+  readonly hasProgress: boolean;
+  /** Whether the caller is ready for more bytes. */
+  readonly isWritable: boolean;
+  /** Why the rest of the upstream's response can't be forwarded. */
+  readonly fault?: StreamFault;
+}
 
 /** Writes the response, which may span several attempts. */
 export interface RelayResponseWriter {
@@ -39,7 +37,10 @@
    * events keeps the head that it began with.
    */
   setHead(head: RelayHead): void;
-  /** Writes or buffers bytes of the current attempt's response. */
+  /**
+   * Writes or buffers bytes of the current attempt's response. What precedes a
+   * fault has been written.
+   */
   write(chunk: Uint8Array): WriteResult;
   /**
    * Ends the response, or returns a fault if its last event is incomplete or it is
@@ -85,7 +86,9 @@
     if (this.#started) return this.#forward(chunk);
     this.#buffered.push(chunk);
     this.#bufferedBytes += chunk.byteLength;
-    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES) return written(true, true);
+    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES) {
+      return { hasProgress: true, isWritable: true };
+    }
     return this.#flush();
   }
 
@@ -103,18 +106,18 @@
   #flush(): WriteResult {
     if (this.#head === undefined) {
       const fault: StreamFault = { kind: "incomplete", detail: "no head" };
-      return { kind: "malformed", fault };
+      return { hasProgress: false, isWritable: true, fault };
     }
     this.#started = true;
     this.#response.writeHead(this.#head.status, this.#head.headers);
-    let result = written(true, true);
+    let result: WriteResult = { hasProgress: true, isWritable: true };
     for (const chunk of this.#buffered) result = this.#forward(chunk);
     this.#buffered = [];
     return result;
   }
 
   #forward(chunk: Uint8Array): WriteResult {
-    return written(true, this.#response.write(chunk));
+    return { hasProgress: true, isWritable: this.#response.write(chunk) };
   }
 }
 
@@ -152,12 +155,10 @@
 
   write(chunk: Uint8Array): WriteResult {
     const { chunks, eventCount, fault } = this.#splice.push(chunk);
-    if (fault !== undefined) return { kind: "malformed", fault };
-    if (chunks.length === 0) return written(false, true);
-    this.#writeHead();
     let isWritable = true;
+    if (chunks.length > 0) this.#writeHead();
     for (const part of chunks) isWritable = this.#response.write(part);
-    return written(eventCount > 0, isWritable);
+    return { hasProgress: eventCount > 0, isWritable, fault };
   }
 
   finish(): StreamFault | undefined {
@@ -184,7 +185,3 @@
     this.#response.writeHead(this.#head.status, this.#head.headers);
   }
 }
-
-function written(hasProgress: boolean, isWritable: boolean): WriteResult {
-  return { kind: "written", hasProgress, isWritable };
-}
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -415,15 +415,13 @@
       }
       return;
     }
-    const result = this.#writer.write(chunk);
-    if (result.kind === "malformed") {
-      return this.#onFault(attempt, result.fault);
-    }
-    if (result.hasProgress) {
+    const { hasProgress, isWritable, fault } = this.#writer.write(chunk);
+    if (hasProgress) {
       this.#recordProgress(attempt);
       this.#recordGap(this.#deps.timers.now());
     }
-    if (!result.isWritable) this.#pauseUntilDrained(attempt);
+    if (fault !== undefined) return this.#onFault(attempt, fault);
+    if (!isWritable) this.#pauseUntilDrained(attempt);
   }
 
   #recordProgress(attempt: RunningAttempt): void {
--- a/src/core/relay/stream_splice.ts
+++ b/src/core/relay/stream_splice.ts
@@ -40,8 +40,8 @@
   }
 
   /**
-   * Id of the last event that was extracted, or else of the last one that the
-   * caller received before; undefined if neither has a numeric id.
+   * Id of the last event that {@linkcode push} returned, or else of the last one
+   * that the caller received before; undefined if neither has a numeric id.
    */
   get lastId(): number | undefined {
     return this.#lastId;
@@ -60,38 +60,39 @@
 
   /**
    * Adds bytes of the current attempt and returns the new events that they
-   * complete; none, but a fault, if an event is missing or too large.
+   * complete, up to the first fault. {@linkcode lastId} includes all of them, so
+   * they must be written to the caller even if there is a fault.
    */
   push(chunk: Uint8Array): SplicedEvents {
     const bytes = this.#prependPartial(chunk);
     const chunks: Uint8Array[] = [];
     let eventCount = 0;
+    let fault: StreamFault | undefined;
     let start = 0;
     let lineEnd = bytes.indexOf(LINE_FEED, this.#scannedBytes);
-    while (lineEnd >= 0) {
+    while (lineEnd >= 0 && fault === undefined) {
       if (bytes[lineEnd + 1] === LINE_FEED) {
         const event = bytes.subarray(start, lineEnd + 2);
         start = lineEnd + 2;
         const outcome = this.#acceptEvent(event);
-        if (typeof outcome === "object") return failed(outcome);
         if (outcome === "new") {
           chunks.push(event);
           if (!isComment(event)) eventCount += 1;
-        }
+        } else if (outcome !== "duplicate") fault = outcome;
         lineEnd = bytes.indexOf(LINE_FEED, start);
       } else {
         lineEnd = bytes.indexOf(LINE_FEED, lineEnd + 1);
       }
     }
-    if (bytes.length - start > MAX_EVENT_BYTES) {
+    if (fault === undefined && bytes.length - start > MAX_EVENT_BYTES) {
       const detail = `an event of over ${MAX_EVENT_BYTES} bytes`;
-      return failed({ kind: "too_large", detail });
+      fault = { kind: "too_large", detail };
     }
     this.#partialEvent = start < bytes.length
       ? bytes.subarray(start)
       : undefined;
     this.#scannedBytes = Math.max(0, bytes.length - start - 1);
-    return { chunks: joinAdjacent(chunks), eventCount, fault: undefined };
+    return { chunks: joinAdjacent(chunks), eventCount, fault };
   }
 
   #acceptEvent(event: Buffer): "new" | "duplicate" | StreamFault {
@@ -121,10 +122,6 @@
   }
 }
 
-function failed(fault: StreamFault): SplicedEvents {
-  return { chunks: [], eventCount: 0, fault };
-}
-
 /** Whether no line of the event has a field. */
 function isComment(event: Buffer): boolean {
   let at = 0;
