Forward only events of which it can be told which they are

Cause: each id was trusted by itself. Any first id was accepted, every id that was not above the last one was taken for a copy of an event that the caller has, and an event without a readable id was passed on without moving the place at which a retry goes on. Ruled out: the server (its record shows all pieces sent), the retry (there was none), the caller's own Last-Event-Id (none was sent).

Why this works: the place in a stream moves only with events whose id two facts confirm, and an attempt of which the identity of an event is in doubt ends before that event is written. Where a doubt comes too late, nothing continues the response, so it can't end as complete. The splice moves to core/streams: reading blocks, what a block contains, and the position.

Two mutations name the new modules.

--- a/features/steps/relay_component_steps.ts
+++ b/features/steps/relay_component_steps.ts
@@ -16,7 +16,7 @@
   coldHostQuota,
 } from "../../src/core/relay/cold_host_limiter.ts";
 import { FleetRetryBudget } from "../../src/core/relay/fleet_retry_budget.ts";
-import { StreamSplice } from "../../src/core/relay/stream_splice.ts";
+import { StreamSplice } from "../../src/core/streams/mod.ts";
 import { LineBuffer } from "../../src/logging/line_buffer.ts";
 import { exampleCatalog } from "../../src/standins/fleet/example_catalog.ts";
 import { streamEvent } from "../../src/standins/fleet/scripted_upstreams.ts";
@@ -201,7 +201,10 @@
 );
 
 function splice(attempts: readonly Buffer[], size: number): string | undefined {
-  const stream = new StreamSplice(undefined);
+  const stream = new StreamSplice({
+    lastEventId: undefined,
+    isResumable: true,
+  });
   let output = "";
   for (const bytes of attempts) {
     for (let at = 0; at < bytes.length; at += size) {
@@ -209,7 +212,7 @@
       if (next.fault !== undefined) return undefined;
       for (const chunk of next.chunks) output += Buffer.from(chunk).toString();
     }
-    stream.discardPartial();
+    stream.beginAttempt();
   }
   return output;
 }
--- a/features/steps/stream_steps.ts
+++ b/features/steps/stream_steps.ts
@@ -1,8 +1,19 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
-import { Given, Then } from "@cucumber/cucumber";
+import process from "node:process";
+import { Given, Then, When } from "@cucumber/cucumber";
+import fc from "fast-check";
 import { streamEvent } from "../../src/standins/fleet/scripted_upstreams.ts";
 import type { RecordedResponse, RelayFixture } from "./relay_fixture.ts";
+import {
+  anySpoiledStream,
+  expectedValues,
+  splice,
+  spoiledThenSound,
+} from "./spoiled_streams.ts";
+
+const SEED = Number(process.env.OLEANDER_STREAM_SEED ?? 51);
+const RUNS = Number(process.env.OLEANDER_STREAM_RUNS ?? 5_000);
 
 interface StreamWorld {
   fixture: RelayFixture;
@@ -53,6 +64,30 @@
   },
 );
 
+When(
+  "a stream of {int} events that must not run twice is requested",
+  async function (this: StreamWorld, events: number) {
+    this.fixture.upstreams.eventsPerStream = events;
+    this.response = this.fixture.sendRequest("/once/");
+    await this.fixture.timers.run(3_000);
+  },
+);
+
+Then(
+  "the response is broken off after piece {int}",
+  function (this: StreamWorld, last: number) {
+    assert.ok(this.response.isAborted, "the response is not broken off");
+    assert.deepEqual(pieces(this.response), range(1, last));
+  },
+);
+
+Then(
+  "the response contains {string}",
+  function (this: StreamWorld, text: string) {
+    assert.ok(this.response.body.includes(unescape(text)));
+  },
+);
+
 Then(
   "the caller has pieces {int} to {int} in a complete response after {int} attempt(s)",
   function (this: StreamWorld, from: number, to: number, attempts: number) {
@@ -70,6 +105,33 @@
   },
 );
 
+Then(
+  "any streams with one wrong byte outside their data keep it, whatever their chunks, overlaps and cuts are",
+  function () {
+    fc.assert(
+      fc.property(anySpoiledStream, (stream) => {
+        const { isComplete, values } = splice(stream);
+        if (isComplete) assert.deepEqual(values, expectedValues(stream));
+      }),
+      { seed: SEED, numRuns: RUNS },
+    );
+  },
+);
+
+Then(
+  "any stream with one wrong byte outside its data is complete after a sound attempt",
+  function () {
+    fc.assert(
+      fc.property(spoiledThenSound, (stream) => {
+        const { isComplete, values } = splice(stream);
+        assert.ok(isComplete, "the response is not complete");
+        assert.deepEqual(values, expectedValues(stream));
+      }),
+      { seed: SEED, numRuns: RUNS },
+    );
+  },
+);
+
 Then(
   "the attempt's end is logged with {string}",
   function (this: StreamWorld, detail: string) {
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -26,3 +26,79 @@
     When a stream of 10 events is requested
     Then the caller has pieces 1 to 10 in a complete response after 2 attempts
     And the retry asked for the events after 9
+
+  Scenario: should not take the first id of a stream for granted
+    Guards against events that are dropped as duplicates of ones that never came.
+    Given a relay with 2 replica groups of "small"
+    And the first group sends "id: 7\n" in place of "id: 1\n", 1 event a write
+    When a stream of 10 events is requested
+    Then the caller has pieces 1 to 10 in a complete response after 2 attempts
+
+  Scenario Outline: should continue a stream elsewhere after <what>
+    Guards against an event that is forwarded although it can't be told which one
+    it is, so that the retry repeats it or leaves others out.
+    Given a relay with 2 replica groups of "small"
+    And the first group sends "<sent>" in place of "<text>", <events> events a write
+    When a stream of 10 events is requested
+    Then the caller has pieces 1 to 10 in a complete response after 2 attempts
+
+    Examples:
+      | what                                     | text             | sent             | events |
+      | a first id that is not a number          | id: 1\n          | id: x\n          | 1      |
+      | a first id of 0                          | id: 1\n          | id: 0\n          | 1      |
+      | a spoiled name of the first id           | id: 1\n          | ie: 1\n          | 1      |
+      | an id that is not a number               | id: 5\n          | id: x\n          | 1      |
+      | an id that is not a number, in one write | id: 5\n          | id: x\n          | 10     |
+      | an id that came before                   | id: 5\n          | id: 3\n          | 1      |
+      | the same id twice                        | id: 5\n          | id: 4\n          | 1      |
+      | a last id that came before               | id: 10\n         | id: 1x\n         | 1      |
+      | an empty id                              | id: 5\n          | id: \n\n         | 1      |
+      | a spoiled name of an id                  | id: 5\n          | ix: 5\n          | 1      |
+      | an id whose line became a comment        | id: 5\n          | :d: 5\n          | 1      |
+      | an id without a colon                    | id: 5\n          | id; 5\n          | 1      |
+      | a spoiled name of data                   | data: piece 5\n  | dbta: piece 5\n  | 1      |
+      | data that became a comment               | data: piece 5\n  | :ata: piece 5\n  | 1      |
+      | data without a colon                     | data: piece 5\n  | data; piece 5\n  | 1      |
+      | a line end within the name of data       | data: piece 5\n  | da\na: piece 5\n | 1      |
+      | a spoiled line end                       | piece 5\n        | piece 5 x        | 1      |
+      | a spoiled line end before a comment sign | piece 5\n\n      | piece 5\n:       | 1      |
+      | a spoiled end of an event                | piece 5\n\n      | piece 5\nx       | 1      |
+      | a spoiled end of an event, in one write  | piece 5\n\n      | piece 5\nx       | 10     |
+      | a carriage return for an event's end     | piece 5\n\n      | piece 5\r\n      | 10     |
+      | a spoiled end of the last event          | piece 10\n\n     | piece 10\nx      | 1      |
+      | a comment for the first of two lines     | id: 5\ndata: p   | :ata: p\nid: 5\ndata: p  | 1 |
+      | a colon in the name of one of two lines  | data: piece 5\n  | da:a: p\ndata: piece 5\n | 1 |
+      | no colon after the name of one of two    | data: piece 5\n  | data0a: p\ndata: piece 5\n | 1 |
+      | a spoiled carriage return                | id: 5\ndata: piece 5\n\n | id: 5\r\ndata: piece 5\n\r\n | 1 |
+
+  Scenario: should break off a stream that can't be continued when its ids contradict each other
+    Given a relay with 2 replica groups of "small"
+    And the first group sends "id: 7\n" in place of "id: 1\n", 1 event a write
+    When a stream of 10 events that must not run twice is requested
+    Then the response is broken off after piece 1
+
+  Scenario Outline: should pass on <what> of a sound stream
+    Given a relay with 1 replica group of "small"
+    And the first group sends "<sent>" in place of "<text>", 1 event a write
+    When a stream of 10 events is requested
+    Then the caller has pieces 1 to 10 in a complete response after 1 attempt
+    And the response contains "<sent>"
+
+    Examples:
+      | what                      | text             | sent                           |
+      | a comment before an event | id: 5\n          | : still there\nid: 5\n         |
+      | a separate comment        | id: 5\n          | :\n\nid: 5\n                   |
+      | an extension field        | id: 5\n          | weight-versions: 7\nid: 5\n    |
+      | an event's name           | id: 5\n          | event: delta\nid: 5\n          |
+      | a retry time              | id: 1\n          | retry: 500\n\nid: 1\n          |
+      | an end marker             | data: piece 10\n | data: piece 10\n\ndata: [DONE]\n |
+      | data of several lines     | data: piece 5\n  | data: piece 5\ndata\ndata:x\n  |
+      | an id without a space     | id: 5\n          | id:5\n                         |
+      | an id after the data      | id: 5\ndata: piece 5\n | data: piece 5\nid: 5\n   |
+      | lines with CR LF          | id: 5\ndata: piece 5\n\n | id: 5\r\ndata: piece 5\r\n\r\n |
+
+  Scenario: should hold each event once, in order, in a response that ends as complete
+    Then any streams with one wrong byte outside their data keep it, whatever their chunks, overlaps and cuts are
+
+  Scenario: should complete a stream with one wrong byte when another attempt is sound
+    Then any stream with one wrong byte outside its data is complete after a sound attempt
--- a/src/core/relay/relay_response_writer.ts
+++ b/src/core/relay/relay_response_writer.ts
@@ -5,8 +5,8 @@
  */
 import type { RelayHead } from "../../ports/relay_client.ts";
 import type { RelayResponse } from "./relay_request.ts";
-import type { StreamFault } from "./stream_fault.ts";
-import { StreamSplice } from "./stream_splice.ts";
+import type { StreamFault } from "../streams/mod.ts";
+import { StreamSplice } from "../streams/mod.ts";
 
 /** Largest response that is buffered until it is complete, in bytes. */
 const MAX_BUFFERED_BYTES = 262_144;
@@ -43,8 +43,8 @@
    */
   write(chunk: Uint8Array): WriteResult;
   /**
-   * Ends the response, or returns a fault if its last event is incomplete or it is
-   * a stream without events.
+   * Ends the response, or returns why the attempt's end is not the end of it, such
+   * as a stream that ended within an event or without one.
    */
   finish(): StreamFault | undefined;
   /** Discards unwritten data of an attempt that ended. */
@@ -129,10 +129,15 @@
   #head: RelayHead | undefined;
   #started = false;
 
-  constructor(response: RelayResponse, lastEventId: string | undefined) {
+  /** Creates a writer for a caller that has the events up to `lastEventId`. */
+  constructor(
+    response: RelayResponse,
+    lastEventId: string | undefined,
+    isResumable: boolean,
+  ) {
     this.#response = response;
     this.#callerLastEventId = lastEventId;
-    this.#splice = new StreamSplice(lastEventId);
+    this.#splice = new StreamSplice({ lastEventId, isResumable });
   }
 
   get started(): boolean {
@@ -140,13 +145,11 @@
   }
 
   get canContinue(): boolean {
-    return true;
+    return this.#splice.canContinue;
   }
 
   get lastEventId(): string | undefined {
-    return this.#splice.lastId === undefined
-      ? this.#callerLastEventId
-      : String(this.#splice.lastId);
+    return this.#splice.lastEventId;
   }
 
   setHead(head: RelayHead): void {
@@ -162,9 +165,8 @@
   }
 
   finish(): StreamFault | undefined {
-    if (this.#splice.hasPartialEvent) {
-      return { kind: "incomplete", detail: "ended within an event" };
-    }
+    const fault = this.#splice.checkEnd();
+    if (fault !== undefined) return fault;
     // Only a caller that resumes may have had all events before.
     if (!this.#started && this.#callerLastEventId === undefined) {
       return { kind: "incomplete", detail: "ended before the first event" };
@@ -175,7 +177,7 @@
   }
 
   discardPartial(): void {
-    this.#splice.discardPartial();
+    this.#splice.beginAttempt();
     if (!this.#started) this.#head = undefined;
   }
 
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -30,7 +30,7 @@
 import { FailedResponse } from "./failed_response.ts";
 import type { RequestContract } from "./request_contract.ts";
 import type { AttemptOutcome, RunningAttempt } from "./running_attempt.ts";
-import type { StreamFault, StreamFaultKind } from "./stream_fault.ts";
+import type { StreamFault, StreamFaultKind } from "../streams/mod.ts";
 
 /**
  * Maximum queueing time, as a share of the route's goal: its target for the time
@@ -168,7 +168,11 @@
     this.#queueDeadline = this.arrivedAt +
       contract.route.goalMs * MAX_QUEUE_TIME_GOAL_SHARE;
     this.#writer = contract.route.kind === "streaming"
-      ? new StreamResponseWriter(response, request.lastEventId)
+      ? new StreamResponseWriter(
+        response,
+        request.lastEventId,
+        contract.repeatable,
+      )
       : new BufferedResponseWriter(response);
     const remainingMs = Math.max(0, contract.remainingMs(this.arrivedAt));
     this.#deadlineTimer = deps.timers.after(
@@ -341,8 +345,10 @@
   retryElsewhere(detail: string): void {
     const attempt = this.#attempt;
     if (attempt === undefined || !this.contract.repeatable) return;
-    // The last allowed attempt is kept, as the suspicion may be wrong.
-    if (!this.contract.allowsAnotherAttempt) return;
+    // The last possible attempt is kept, as the suspicion may be wrong.
+    if (!this.contract.allowsAnotherAttempt || !this.#writer.canContinue) {
+      return;
+    }
     this.#endAttempt(attempt, "stalled", detail);
     this.#mayHaveRun = true;
     this.#retry(attempt, "may_have_run", detail);
--- a/src/core/relay/running_attempt.ts
+++ b/src/core/relay/running_attempt.ts
@@ -7,7 +7,7 @@
 import type { Replica } from "../fleet/replica.ts";
 import type { EngineForecast } from "../outlook/mod.ts";
 import type { TotalLoad } from "./load_tracker.ts";
-import type { StreamFaultKind } from "./stream_fault.ts";
+import type { StreamFaultKind } from "../streams/mod.ts";
 
 /** How an attempt ended, for logs and metrics. */
 export type AttemptOutcome =
--- a/src/core/relay/stream_fault.ts
+++ b/src/core/streams/stream_fault.ts
@@ -6,8 +6,12 @@
 
 /** What is wrong with a stream, for logs and metrics. */
 export type StreamFaultKind =
-  /** An id is higher than the one that follows the event before. */
+  /** An id is higher than the one that must come next. */
   | "gap"
+  /** An id is lower than the one that must come next. */
+  | "order"
+  /** It can't be told which event it is, or whether it is one event. */
+  | "unreadable"
   /** An event exceeds the size limit. */
   | "too_large"
   /** The response ended where a stream can't end. */
--- /dev/null
+++ b/src/core/streams/stream_splice.ts
@@ -0,0 +1,129 @@
+/**
+ * Splices the event streams of several attempts into one.
+ *
+ * @module
+ */
+import { parseEventBlock } from "./event_block.ts";
+import { EventReader } from "./event_reader.ts";
+import type { StreamFault } from "./stream_fault.ts";
+import type { StreamPositionOptions } from "./stream_position.ts";
+import { StreamPosition } from "./stream_position.ts";
+
+/** Maximum size of an event, in bytes. */
+export const MAX_EVENT_BYTES = 1_048_576;
+
+/** Events that the caller does not have yet. */
+export interface SplicedEvents {
+  /** Bytes of the events, where possible of several in one chunk. */
+  readonly chunks: readonly Uint8Array[];
+  /** Number of events, without comments, which only keep a connection open. */
+  readonly eventCount: number;
+  /** Why nothing more of the attempt can be forwarded. */
+  readonly fault: StreamFault | undefined;
+}
+
+/** What a {@linkcode StreamSplice} is told about its stream. */
+export type SpliceOptions = StreamPositionOptions;
+
+/**
+ * Extracts complete events from the bytes of successive attempts and leaves out
+ * those that the caller has, so that a response that ends as complete holds each
+ * event once, in order.
+ *
+ * @example
+ * ```ts
+ * const { chunks, fault } = splice.push(bytes);
+ * for (const chunk of chunks) response.write(chunk);
+ * if (fault !== undefined) splice.beginAttempt();
+ * ```
+ */
+export class StreamSplice {
+  readonly #reader = new EventReader();
+  readonly #position: StreamPosition;
+
+  constructor(options: SpliceOptions) {
+    this.#position = new StreamPosition(options);
+  }
+
+  /** Id after which another attempt must go on; undefined for the beginning. */
+  get lastEventId(): string | undefined {
+    return this.#position.lastEventId;
+  }
+
+  /** Whether another attempt can continue the stream. */
+  get canContinue(): boolean {
+    return this.#position.canContinue;
+  }
+
+  /** Discards the incomplete event of an attempt that ended. */
+  beginAttempt(): void {
+    this.#reader.discard();
+    this.#position.beginAttempt();
+  }
+
+  /**
+   * Adds bytes of the current attempt and returns the new events that they
+   * complete, up to the first fault. {@linkcode lastEventId} includes all of them,
+   * so they must be written to the caller even if there is a fault.
+   */
+  push(chunk: Uint8Array): SplicedEvents {
+    const reader = this.#reader;
+    const chunks: Uint8Array[] = [];
+    let eventCount = 0;
+    reader.append(chunk);
+    for (let bytes = reader.next(); bytes; bytes = reader.next()) {
+      const block = parseEventBlock(bytes);
+      const outcome = this.#position.accept(block);
+      if (typeof outcome === "object") {
+        return { chunks: joinAdjacent(chunks), eventCount, fault: outcome };
+      }
+      if (outcome === "duplicate") continue;
+      chunks.push(bytes);
+      if (block.kind === "event") eventCount += 1;
+    }
+    const fault = reader.pendingBytes > MAX_EVENT_BYTES
+      ? tooLarge()
+      : undefined;
+    return { chunks: joinAdjacent(chunks), eventCount, fault };
+  }
+
+  /**
+   * Returns why the current attempt's end is not the end of the stream; undefined
+   * if it may be.
+   */
+  checkEnd(): StreamFault | undefined {
+    if (this.#reader.pendingBytes > 0) {
+      return { kind: "incomplete", detail: "ended within an event" };
+    }
+    return this.#position.checkEnd();
+  }
+}
+
+function tooLarge(): StreamFault {
+  return {
+    kind: "too_large",
+    detail: `an event of over ${MAX_EVENT_BYTES} bytes`,
+  };
+}
+
+/** Merges events that are adjacent in memory, to write them at once. */
+function joinAdjacent(chunks: Uint8Array[]): Uint8Array[] {
+  if (chunks.length < 2) return chunks;
+  const joined: Uint8Array[] = [];
+  for (const chunk of chunks) {
+    const last = joined.at(-1);
+    const adjacent = last !== undefined && last.buffer === chunk.buffer &&
+      last.byteOffset + last.byteLength === chunk.byteOffset;
+    if (!adjacent) {
+      joined.push(chunk);
+      continue;
+    }
+    const length = last.byteLength + chunk.byteLength;
+    joined[joined.length - 1] = new Uint8Array(
+      last.buffer,
+      last.byteOffset,
+      length,
+    );
+  }
+  return joined;
+}
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -312,9 +312,9 @@
     tag: "@relay",
     mechanism: "An event that the caller has received is not forwarded again",
     edits: [{
-      file: "relay/stream_splice.js",
-      find: "if (id <= this.#lastId)",
-      replace: "if (id <= -1)",
+      file: "streams/stream_position.js",
+      find: "id <= this.#lastId",
+      replace: "id <= -1",
     }],
   },
   {
@@ -700,8 +700,8 @@
     tag: "@responses",
     mechanism: "A comment is no progress of a stream",
     edits: [{
-      file: "relay/stream_splice.js",
-      find: "if (!isComment(event))",
+      file: "streams/stream_splice.js",
+      find: 'if (block.kind === "event")',
       replace: "",
     }],
   },
