Serve streams whose ids are not consecutive

A service that leaves numbers out, begins at another number than 1 or sends no ids was broken off after its first event, or, since events of unknown identity are not forwarded, refused. The platform promises increasing ids only.

Cause: the rule that finds wrong bytes wants consecutive ids, and one wrong byte looks like such a service at first. What tells them apart is a second upstream: the same deviation at the same place is the service's own. Such a stream is forwarded from one attempt and never continued, and a complete one is remembered for the service (event_numbering_learned), so that later streams need one attempt. A stream from 1 without gaps takes that back. Ruled out: learning over requests, as upstreams that spoil the same byte now and then would agree.

--- a/features/steps/relay_component_steps.ts
+++ b/features/steps/relay_component_steps.ts
@@ -204,6 +204,7 @@
   const stream = new StreamSplice({
     lastEventId: undefined,
     isResumable: true,
+    numbering: "consecutive",
   });
   let output = "";
   for (const bytes of attempts) {
--- a/features/steps/spoiled_streams.ts
+++ b/features/steps/spoiled_streams.ts
@@ -5,6 +5,7 @@
 import { Buffer } from "node:buffer";
 import fc from "fast-check";
 import type { RelayResponse } from "../../src/core/relay/relay_request.ts";
+import type { EventNumbering } from "../../src/core/streams/mod.ts";
 import { StreamResponseWriter } from "../../src/core/relay/relay_response_writer.ts";
 
 const LAST_ID = 12;
@@ -45,6 +46,8 @@
   readonly wrongByte: number;
   /** Number of events that the caller had before; 0 if it does not resume. */
   readonly callerEvents: number;
+  /** What the service's streams showed before. */
+  readonly numbering: EventNumbering;
 }
 
 /** What the caller got. */
@@ -52,7 +55,6 @@
   readonly isComplete: boolean;
   /** Data of the events. */
   readonly values: readonly string[];
-  readonly attempts: number;
 }
 
 const prefix = fc.constantFrom(
@@ -103,6 +105,7 @@
   position: fc.double({ min: 0, max: 0.9999, noNaN: true }),
   wrongByte,
   callerEvents: fc.constantFrom(0, 0, 3, LAST_ID),
+  numbering: fc.constantFrom("consecutive", "increasing", "opaque"),
 });
 
 /** A first attempt with a wrong byte, and a sound one after it. */
@@ -120,6 +123,7 @@
   position: fc.double({ min: 0, max: 0.9999, noNaN: true }),
   wrongByte,
   callerEvents: fc.constant(0),
+  numbering: fc.constant("consecutive"),
 });
 
 /** Data of all events that the caller does not have. */
@@ -136,7 +140,11 @@
   const callerLastId = stream.callerEvents > 0
     ? String(stream.callerEvents)
     : undefined;
-  const writer = new StreamResponseWriter(response, callerLastId, true);
+  const writer = new StreamResponseWriter(response, {
+    lastEventId: callerLastId,
+    isResumable: true,
+    numbering: stream.numbering,
+  });
   for (const [index, plan] of stream.attempts.entries()) {
     if (!writer.canContinue) break;
     const bytes = attemptBytes(stream, index, Number(writer.lastEventId ?? 0));
@@ -151,7 +159,6 @@
   return {
     isComplete: response.isComplete,
     values: readValues(response.text),
-    attempts: stream.attempts.length,
   };
 }
 
--- a/features/steps/stream_steps.ts
+++ b/features/steps/stream_steps.ts
@@ -18,6 +18,8 @@
 interface StreamWorld {
   fixture: RelayFixture;
   response: RecordedResponse;
+  /** How the groups write an event. */
+  format: (event: string) => string;
 }
 
 /** Returns events as an upstream writes them, `perWrite` in each chunk. */
@@ -50,6 +52,51 @@
   },
 );
 
+Given(
+  "every group sends {string} in place of {string}",
+  function (this: StreamWorld, sent: string, pattern: string) {
+    const expression = new RegExp(pattern, "m");
+    this.format = (event) => event.replace(expression, unescape(sent));
+    setStream(this.fixture, this.format, Infinity);
+  },
+);
+
+Given(
+  "every group resets the connection after {int} events",
+  function (this: StreamWorld, events: number) {
+    setStream(this.fixture, this.format, events);
+  },
+);
+
+Given(
+  "the next group resets the connection within event {int}",
+  function (this: StreamWorld, id: number) {
+    const { upstreams } = this.fixture;
+    upstreams.setNextScript({ kind: "reset_after", events: id - 1 });
+  },
+);
+
+/** Lets all groups send formatted events, and break off after some. */
+function setStream(
+  { upstreams }: RelayFixture,
+  format: (event: string) => string,
+  lastId: number,
+): void {
+  for (const head of ["i-0-0", "i-1-0", "i-2-0"]) {
+    upstreams.setScript(head, {
+      kind: "chunks",
+      chunksFrom: (firstId) =>
+        writeEvents(
+          firstId,
+          Math.min(lastId, upstreams.eventsPerStream),
+          1,
+          format,
+        ),
+      isReset: lastId < Infinity,
+    });
+  }
+}
+
 Given(
   "the first group sends an event of {int} bytes as event {int}, after event {int} in the same write",
   function (this: StreamWorld, bytes: number, id: number, before: number) {
@@ -64,6 +111,19 @@
   },
 );
 
+When(
+  "a stream of {int} events is requested again",
+  async function (this: StreamWorld, events: number) {
+    this.fixture.upstreams.eventsPerStream = events;
+    // Only the attempts of this request are counted.
+    this.fixture.upstreams.attempts.length = 0;
+    const { catalog } = this.fixture;
+    catalog.recordConfirmation(catalog.version, catalog.readClocks());
+    this.response = this.fixture.sendRequest("/draft/");
+    await this.fixture.timers.run(3_000);
+  },
+);
+
 When(
   "a stream of {int} events that must not run twice is requested",
   async function (this: StreamWorld, events: number) {
@@ -141,6 +201,18 @@
   },
 );
 
+Then(
+  "the service's numbering {string} is logged",
+  function (this: StreamWorld, numbering: string) {
+    const last = this.fixture.log.named("event_numbering_learned").at(-1);
+    assert.deepEqual(last, { service: "pool", numbering });
+  },
+);
+
+Then("no numbering is logged", function (this: StreamWorld) {
+  assert.deepEqual(this.fixture.log.named("event_numbering_learned"), []);
+});
+
 Then(
   "{int} stream fault(s) of the kind {string} is/are counted",
   async function (this: StreamWorld, count: number, kind: string) {
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -102,3 +102,65 @@
 
   Scenario: should complete a stream with one wrong byte when another attempt is sound
     Then any stream with one wrong byte outside its data is complete after a sound attempt
+
+  Scenario Outline: should serve a service that <numbers>
+    Given a relay with 3 replica groups of "small"
+    And every group sends "<sent>" in place of "<text>"
+    When a stream of 10 events is requested
+    Then the caller has pieces 1 to 10 in a complete response after 2 attempts
+    And the service's numbering "<numbering>" is logged
+    When a stream of 10 events is requested again
+    Then the caller has pieces 1 to 10 in a complete response after 1 attempt
+
+    Examples:
+      | numbers                        | text         | sent          | numbering  |
+      | leaves numbers out             | id: (\d+)    | id: $10       | increasing |
+      | begins at another number       | id: (\d+)    | id: 10$1      | increasing |
+      | leaves one number out          | id: ([5-9]\|10)$ | id: 1$1       | increasing |
+      | sends no ids                   | id: (\d+)\n  |               | opaque     |
+      | sends ids that are not numbers | id: (\d+)    | id: piece-$1  | opaque     |
+      | sends empty ids                | id: (\d+)    | id:           | opaque     |
+
+  Scenario Outline: should not continue a stream <where>
+    Given a relay with 3 replica groups of "small"
+    And every group sends "<sent>" in place of "id: (\d+)\n"
+    And a stream of 10 events is requested
+    And every group resets the connection after 4 events
+    When a stream of 10 events is requested again
+    Then the response is broken off after piece 4
+
+    Examples:
+      | where                                          | sent       |
+      | whose ids leave numbers out                    | id: $10\n  |
+      | without ids                                    |            |
+
+  Scenario: should continue streams again once a service numbers its events from 1
+    Given a relay with 3 replica groups of "small"
+    And every group sends "id: $10" in place of "id: (\d+)"
+    And a stream of 10 events is requested
+    But every group sends "id: $1" in place of "id: (\d+)"
+    When a stream of 10 events is requested again
+    Then the service's numbering "consecutive" is logged
+    When the next group resets the connection within event 5
+    When a stream of 10 events is requested again
+    Then the caller has pieces 1 to 10 in a complete response after 2 attempts
+
+  Scenario: should break off a stream of which two upstreams spoil the same id
+    Given a relay with 3 replica groups of "small"
+    And every group sends "id: 7" in place of "id: 1$"
+    When a stream of 10 events is requested
+    Then the response is broken off after piece 1
+    And no numbering is logged
+
+  Scenario: should not take one upstream's wrong id for the service's numbering
+    Given a relay with 2 replica groups of "small"
+    And the first group sends "id: 90" in place of "id: 5", 1 events a write
+    When a stream of 10 events is requested
+    Then the caller has pieces 1 to 10 in a complete response after 2 attempts
+    And no numbering is logged
+
+  Scenario: should serve a service without ids where a request must not run twice
+    Given a relay with 2 replica groups of "small"
+    And every group sends "" in place of "id: (\d+)\n"
+    When a stream of 10 events that must not run twice is requested
+    Then the caller has pieces 1 to 10 in a complete response after 1 attempt
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -28,6 +28,8 @@
 import { PromptPartTracker } from "../retries/prompt_part_tracker.ts";
 import type { SuspectPart } from "../retries/suspect_part.ts";
 import { SuspectRequestTracker } from "../retries/suspect_request_tracker.ts";
+import type { EventNumbering } from "../streams/mod.ts";
+import { EventNumberings } from "../streams/mod.ts";
 import { ColdHostLimiter } from "./cold_host_limiter.ts";
 import type { CrashVerdict } from "./crash_detector.ts";
 import { CrashDetector } from "./crash_detector.ts";
@@ -93,6 +95,8 @@
    * placed or refused again.
    */
   onReturned(result: "placed" | "refused"): void;
+  /** Called when a service numbers the events of its streams another way. */
+  onNumberingLearned(service: string, numbering: EventNumbering): void;
 }
 
 /** Dependencies and settings of a {@linkcode Relay}. */
@@ -135,6 +139,7 @@
   readonly outlook: EngineOutlook;
   readonly #deps: RelayDependencies;
   readonly #failures = new ReplicaFailures();
+  readonly #numberings = new EventNumberings();
   readonly #coldHostLimiter = new ColdHostLimiter();
   readonly #crashDetector: CrashDetector;
   readonly #retryBudget: FleetRetryBudget;
@@ -381,6 +386,11 @@
       onContinued: (run, attempt) => this.#onContinued(run, attempt),
       crashesUpstreams: (run) => this.#crashesUpstreams(run),
       mayReceive: (replica) => this.#deps.view.isAnnounced(replica),
+      numberings: this.#numberings,
+      onNumbering: (service, numbering) => {
+        if (!this.#numberings.learn(service, numbering)) return;
+        this.#deps.observer.onNumberingLearned(service, numbering);
+      },
       onEvent: (run, event) => this.#deps.observer.onEvent(run, event),
       onEnded: (run) => this.#onEnded(run),
     };
--- a/src/core/relay/relay_response_writer.ts
+++ b/src/core/relay/relay_response_writer.ts
@@ -5,7 +5,11 @@
  */
 import type { RelayHead } from "../../ports/relay_client.ts";
 import type { RelayResponse } from "./relay_request.ts";
-import type { StreamFault } from "../streams/mod.ts";
+import type {
+  EventNumbering,
+  SpliceOptions,
+  StreamFault,
+} from "../streams/mod.ts";
 import { StreamSplice } from "../streams/mod.ts";
 
 /** Largest response that is buffered until it is complete, in bytes. */
@@ -32,6 +36,11 @@
    * response is not a stream.
    */
   readonly lastEventId: string | undefined;
+  /**
+   * How the service numbers its events, if a complete stream shows another way
+   * than was expected.
+   */
+  readonly observedNumbering: EventNumbering | undefined;
   /**
    * Sets the head of the current attempt's response. A stream that has sent
    * events keeps the head that it began with.
@@ -78,6 +87,10 @@
     return undefined;
   }
 
+  get observedNumbering(): undefined {
+    return undefined;
+  }
+
   setHead(head: RelayHead): void {
     this.#head = head;
   }
@@ -129,15 +142,10 @@
   #head: RelayHead | undefined;
   #started = false;
 
-  /** Creates a writer for a caller that has the events up to `lastEventId`. */
-  constructor(
-    response: RelayResponse,
-    lastEventId: string | undefined,
-    isResumable: boolean,
-  ) {
+  constructor(response: RelayResponse, options: SpliceOptions) {
     this.#response = response;
-    this.#callerLastEventId = lastEventId;
-    this.#splice = new StreamSplice({ lastEventId, isResumable });
+    this.#callerLastEventId = options.lastEventId;
+    this.#splice = new StreamSplice(options);
   }
 
   get started(): boolean {
@@ -152,6 +160,10 @@
     return this.#splice.lastEventId;
   }
 
+  get observedNumbering(): EventNumbering | undefined {
+    return this.#splice.observedNumbering;
+  }
+
   setHead(head: RelayHead): void {
     this.#head ??= head;
   }
--- a/src/core/relay/relay_run.ts
+++ b/src/core/relay/relay_run.ts
@@ -30,7 +30,12 @@
 import { FailedResponse } from "./failed_response.ts";
 import type { RequestContract } from "./request_contract.ts";
 import type { AttemptOutcome, RunningAttempt } from "./running_attempt.ts";
-import type { StreamFault, StreamFaultKind } from "../streams/mod.ts";
+import type {
+  EventNumbering,
+  EventNumberings,
+  StreamFault,
+  StreamFaultKind,
+} from "../streams/mod.ts";
 
 /**
  * Maximum queueing time, as a share of the route's goal: its target for the time
@@ -118,6 +123,10 @@
   crashesUpstreams(run: RelayRun): boolean;
   /** Whether requests may still be sent to the upstream. */
   mayReceive(replica: Replica): boolean;
+  /** How services number the events of their streams. */
+  readonly numberings: EventNumberings;
+  /** Called when a complete stream shows another numbering than expected. */
+  onNumbering(service: string, numbering: EventNumbering): void;
   onEvent(run: RelayRun, event: RunEvent): void;
   onEnded(run: RelayRun, outcome: RunOutcome): void;
 }
@@ -168,11 +177,11 @@
     this.#queueDeadline = this.arrivedAt +
       contract.route.goalMs * MAX_QUEUE_TIME_GOAL_SHARE;
     this.#writer = contract.route.kind === "streaming"
-      ? new StreamResponseWriter(
-        response,
-        request.lastEventId,
-        contract.repeatable,
-      )
+      ? new StreamResponseWriter(response, {
+        lastEventId: request.lastEventId,
+        isResumable: contract.repeatable,
+        numbering: deps.numberings.of(service.name),
+      })
       : new BufferedResponseWriter(response);
     const remainingMs = Math.max(0, contract.remainingMs(this.arrivedAt));
     this.#deadlineTimer = deps.timers.after(
@@ -510,6 +519,10 @@
       this.#endAttempt(attempt, "malformed", detail);
       return this.#onError(attempt, detail);
     }
+    const { observedNumbering } = this.#writer;
+    if (observedNumbering !== undefined) {
+      this.#deps.onNumbering(this.service.name, observedNumbering);
+    }
     this.#recordContinued(attempt);
     this.#endAttempt(attempt, "answered", "");
     this.#finish("answered");
--- a/src/core/streams/stream_position.ts
+++ b/src/core/streams/stream_position.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { EventBlock } from "./event_block.ts";
-import type { StreamFault } from "./stream_fault.ts";
+import type { EventNumbering } from "./event_numbering.ts";
+import type { StreamFault, StreamFaultKind } from "./stream_fault.ts";
 
 const FIRST_ID = 1;
 
@@ -14,19 +15,33 @@
   readonly lastEventId: string | undefined;
   /** Whether another attempt may continue the stream. */
   readonly isResumable: boolean;
+  /** What the service's streams have shown so far. */
+  readonly numbering: EventNumbering;
 }
 
 /**
- * Checks the ids of successive attempts. Ids are consecutive within an attempt.
- * A stream that may be resumed begins with id 1; an attempt that continues one
- * begins with the next event, or with events that the caller has already.
+ * Checks the ids of successive attempts.
+ *
+ * Ids are consecutive within an attempt. A stream that may be resumed begins with
+ * id 1; an attempt that continues one begins with the next event, or with events
+ * that the caller has already. What deviates from that is a fault, unless the
+ * attempt before, at another upstream, ended at the same place with the same
+ * deviation: then the service numbers its events that way. Such a stream is
+ * forwarded from one attempt, and never continued.
  */
 export class StreamPosition {
   readonly #options: StreamPositionOptions;
+  #numbering: EventNumbering;
   #lastId: number | undefined;
-  #hasNewEvents = false;
+  /** Number of events that the caller got from this response. */
+  #newEvents = 0;
   /** Whether the last new event's id was confirmed by a second fact. */
   #isConfirmed = true;
+  /** Whether all new events are numbered from 1, without gaps. */
+  #isDense = true;
+  /** Place and deviation at which the attempt before ended. */
+  #doubt: string | undefined;
+  #hasAgreement = false;
   /** Id of the last event of the current attempt. */
   #shownId: number | undefined;
   #shownEvents = 0;
@@ -35,6 +50,11 @@
   constructor(options: StreamPositionOptions) {
     this.#options = options;
     this.#lastId = parseLastEventId(options.lastEventId);
+    // A caller that names an id has seen events with ids.
+    const hasIds = this.#lastId !== undefined;
+    this.#numbering = hasIds && options.numbering === "opaque"
+      ? "consecutive"
+      : options.numbering;
   }
 
   /** Id after which another attempt must go on; undefined for the beginning. */
@@ -50,7 +70,21 @@
    * event of an attempt alone may be wrong.
    */
   get canContinue(): boolean {
-    return !this.#hasNewEvents || this.#isConfirmed;
+    if (this.#newEvents === 0) return true;
+    return this.#numbering === "consecutive" && this.#isConfirmed;
+  }
+
+  /**
+   * What a complete response shows of its service; undefined if nothing else than
+   * was expected.
+   */
+  get observedNumbering(): EventNumbering | undefined {
+    if (this.#hasAgreement) return this.#numbering;
+    const isFresh = this.#options.lastEventId === undefined;
+    return this.#options.numbering !== "consecutive" && isFresh &&
+        this.#isDense && this.#newEvents > 1
+      ? "consecutive"
+      : undefined;
   }
 
   /** Forgets what the current attempt has shown. */
@@ -67,9 +101,20 @@
   accept(block: EventBlock): "new" | "duplicate" | StreamFault {
     if (block.kind === "control" || block.kind === "end_marker") return "new";
     if (block.kind === "unreadable") {
-      return this.#fault("unreadable", block.detail);
+      return this.#acceptUnreadable(block.detail);
+    }
+    const { id } = block;
+    if (this.#numbering === "opaque") {
+      if (this.#newEvents > 0) return this.#fault("order", `id ${id}`);
+      this.#numbering = "consecutive";
     }
-    return this.#checkId(block.id) ?? this.#record(block.id);
+    const kind = this.#findDeviation(id);
+    if (kind !== undefined) {
+      const detail = `id ${id}`;
+      if (!this.#isAgreed(kind, detail)) return this.#fault(kind, detail);
+      this.#numbering = "increasing";
+    }
+    return this.#record(id);
   }
 
   /**
@@ -84,19 +129,37 @@
     const isUncertain = this.#newEventsOfAttempt === 0 &&
       this.#shownEvents === 1;
     if (this.#shownId >= this.#lastId && !isUncertain) return undefined;
-    const detail = `ended with id ${this.#shownId}`;
-    return this.#fault("incomplete", detail);
+    return this.#fault("incomplete", `ended with id ${this.#shownId}`);
   }
 
-  #checkId(id: number): StreamFault | undefined {
+  /** Accepts an event without a readable id in a stream that has no others. */
+  #acceptUnreadable(detail: string): "new" | StreamFault {
+    const isFirst = this.#newEvents === 0 && this.#shownEvents === 0 &&
+      this.#lastId === undefined;
+    const mayBegin = this.#numbering === "opaque" ||
+      !this.#options.isResumable || this.#isAgreed("unreadable", "");
+    const isAllowed = isFirst ? mayBegin : this.#numbering === "opaque";
+    if (!isAllowed) return this.#fault("unreadable", detail);
+    this.#numbering = "opaque";
+    this.#isDense = false;
+    this.#newEvents += 1;
+    return "new";
+  }
+
+  /** Returns how an id deviates from what must come next. */
+  #findDeviation(id: number): "gap" | "order" | undefined {
+    const isFirst = this.#shownId === undefined;
+    if (this.#numbering === "increasing") {
+      const floor = this.#shownId ?? this.#lastId;
+      return floor === undefined || id > floor ? undefined : "order";
+    }
     const expected = this.#shownId === undefined
       ? this.#expectedFirstId()
       : this.#shownId + 1;
     if (expected === undefined || id === expected) return undefined;
-    if (id > expected) return this.#fault("gap", `id ${id}`);
-    const isRepetition = this.#shownId === undefined &&
-      this.#lastId !== undefined;
-    return isRepetition ? undefined : this.#fault("order", `id ${id}`);
+    if (id > expected) return "gap";
+    // An attempt may begin with events that the caller has.
+    return isFirst && this.#lastId !== undefined ? undefined : "order";
   }
 
   /** Returns the id of an attempt's first event; undefined for any. */
@@ -106,6 +169,18 @@
     return isResumable && lastEventId === undefined ? FIRST_ID : undefined;
   }
 
+  /**
+   * Whether the attempt before ended with the same deviation at the same place,
+   * with which the current one begins.
+   */
+  #isAgreed(kind: StreamFaultKind, detail: string): boolean {
+    const doubt = `${this.#lastId} ${kind} ${detail}`;
+    const isAgreed = this.#shownEvents === 0 && this.#doubt === doubt;
+    this.#doubt = doubt;
+    this.#hasAgreement ||= isAgreed;
+    return isAgreed;
+  }
+
   #record(id: number): "new" | "duplicate" {
     const isFirst = this.#shownEvents === 0;
     this.#shownId = id;
@@ -114,13 +189,14 @@
     const isBeginning = this.#lastId === undefined &&
       this.#options.lastEventId === undefined && id === FIRST_ID;
     this.#isConfirmed = !isFirst || isBeginning;
-    this.#hasNewEvents = true;
+    this.#newEvents += 1;
+    this.#isDense &&= id === this.#newEvents;
     this.#newEventsOfAttempt += 1;
     this.#lastId = id;
     return "new";
   }
 
-  #fault(kind: StreamFault["kind"], detail: string): StreamFault {
+  #fault(kind: StreamFaultKind, detail: string): StreamFault {
     const after = this.#shownId ?? this.#lastId;
     const place = after === undefined ? "as the first event" : `after ${after}`;
     return { kind, detail: `${detail} ${place}` };
--- a/src/core/streams/stream_splice.ts
+++ b/src/core/streams/stream_splice.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
+import type { EventBlock } from "./event_block.ts";
 import { parseEventBlock } from "./event_block.ts";
+import type { EventNumbering } from "./event_numbering.ts";
 import { EventReader } from "./event_reader.ts";
 import type { StreamFault } from "./stream_fault.ts";
 import type { StreamPositionOptions } from "./stream_position.ts";
@@ -55,6 +57,14 @@
     return this.#position.canContinue;
   }
 
+  /**
+   * What a complete response shows of its service; undefined if nothing else than
+   * was expected.
+   */
+  get observedNumbering(): EventNumbering | undefined {
+    return this.#position.observedNumbering;
+  }
+
   /** Discards the incomplete event of an attempt that ended. */
   beginAttempt(): void {
     this.#reader.discard();
@@ -79,7 +89,7 @@
       }
       if (outcome === "duplicate") continue;
       chunks.push(bytes);
-      if (block.kind === "event") eventCount += 1;
+      if (isEvent(block)) eventCount += 1;
     }
     const fault = reader.pendingBytes > MAX_EVENT_BYTES
       ? tooLarge()
@@ -99,6 +109,10 @@
   }
 }
 
+function isEvent({ kind }: EventBlock): boolean {
+  return kind === "event" || kind === "unreadable";
+}
+
 function tooLarge(): StreamFault {
   return {
     kind: "too_large",
--- a/src/node/request_log.ts
+++ b/src/node/request_log.ts
@@ -9,6 +9,7 @@
 import type { Refusal, RelayRequest } from "../core/relay/relay_request.ts";
 import type { RelayObserver } from "../core/relay/relay.ts";
 import type { RelayRun, RunEvent } from "../core/relay/relay_run.ts";
+import type { EventNumbering } from "../core/streams/mod.ts";
 import type { RunningAttempt } from "../core/relay/running_attempt.ts";
 import type { EventLog } from "../base/event_log.ts";
 import type { NodeMetrics } from "./node_metrics.ts";
@@ -144,6 +145,10 @@
     this.#metrics.recordReturnedCaller(result);
   }
 
+  onNumberingLearned(service: string, numbering: EventNumbering): void {
+    this.#log.info("event_numbering_learned", { service, numbering });
+  }
+
   onRefused(request: RelayRequest, refusal: Refusal, version: number): void {
     this.#startReport?.mark("firstRequestRead");
     this.#metrics.recordRefusal(refusal.kind);
--- a/src/standins/fleet/scripted_upstreams.ts
+++ b/src/standins/fleet/scripted_upstreams.ts
@@ -48,10 +48,12 @@
    * the connection.
    */
   | { readonly kind: "reset_after"; readonly events: number }
-  /** Sends these chunks of the stream that begins with event `firstId`. */
   | {
+    /** Sends these chunks of the stream that begins with event `firstId`. */
     readonly kind: "chunks";
     readonly chunksFrom: (firstId: number) => readonly Uint8Array[];
+    /** Whether the connection is reset after them. */
+    readonly isReset?: boolean;
   }
   /** Sends the events up to id `events`, then ends the response. */
   | { readonly kind: "end_after"; readonly events: number }
@@ -251,7 +253,7 @@
 
   #sendChunks(
     request: ActiveRequest,
-    { chunksFrom }: UpstreamScript & { kind: "chunks" },
+    { chunksFrom, isReset }: UpstreamScript & { kind: "chunks" },
   ): void {
     const { listener, attempt, host } = request;
     const chunks = chunksFrom(Number(attempt.lastEventId ?? 0) + 1);
@@ -263,7 +265,9 @@
         return;
       }
       this.#end(request);
-      listener.onEnd({ kind: "ended" });
+      listener.onEnd(
+        isReset ? { kind: "reset", detail: "scripted" } : { kind: "ended" },
+      );
     };
     this.#schedule(request, FIRST_EVENT_MS, () => send(0));
   }
--- a/tools/fuzz/fuzz_relay.ts
+++ b/tools/fuzz/fuzz_relay.ts
@@ -81,6 +81,7 @@
         onCrashVerdict() {},
         onPartQuarantined() {},
         onReturned() {},
+        onNumberingLearned() {},
         onRateLimitChanged() {},
         onMalformedRateLimit() {},
       },
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -701,7 +701,7 @@
     mechanism: "A comment is no progress of a stream",
     edits: [{
       file: "streams/stream_splice.js",
-      find: 'if (block.kind === "event")',
+      find: "if (isEvent(block))",
       replace: "",
     }],
   },
