Take no answer in a coding that is not decoded

Cause: undici decodes only "chunked" and hands on any other coding as it came; RelayExchange took every Transfer-Encoding for chunked and dropped the header. Evidence: the 53 bytes too many are the lengths of the chunks and their line ends. Ruled out: the search for late heads and the end of the connection, which such a body skips, but which find nothing wrong in it.

A head with another transfer coding than "chunked", or with a content coding, is malformed: the request goes elsewhere, or the caller gets 502. The same for the product's own gateways.

--- a/features/false_heads.feature
+++ b/features/false_heads.feature
@@ -2,8 +2,9 @@
 Feature: Heads that are no answer
 
   A status outside of 100 to 599, a version other than HTTP/1.0 and HTTP/1.1, a head
-  without a status, and an interim head that nobody asked for are no answers. The
-  connection on which they arrive is closed, and no other request uses it.
+  without a status, an interim head that nobody asked for, and a body in a coding
+  that is not decoded are no answers. The connection on which they arrive is closed,
+  and no other request uses it.
 
   Scenario Outline: should take no answer from <head> to a request that may run once
     Given callers of a relay before 2 hosts
@@ -47,6 +48,10 @@
       | "status 000 after an interim head"  |
       | "status 999 after interim heads"    |
       | "status 000 before an answer"       |
+      | "an unknown transfer coding" |
+      | "a second transfer coding" |
+      | "an empty transfer coding" |
+      | "a content coding" |
 
   Scenario Outline: should send a request elsewhere after <head> if it may run twice
     Given callers of a relay before 2 hosts
@@ -68,6 +73,10 @@
       | "status 101"                       |
       | "status 600, not run"              |
       | "status 999 after interim heads"   |
+      | "an unknown transfer coding" |
+      | "a second transfer coding" |
+      | "an empty transfer coding" |
+      | "a content coding" |
 
   Scenario Outline: should continue a stream elsewhere after <head>
     Given callers of a relay before 3 hosts
@@ -88,6 +97,10 @@
       | "another protocol"               |
       | "no status"                      |
       | "status 000 after an interim head" |
+      | "an unknown transfer coding" |
+      | "a second transfer coding" |
+      | "an empty transfer coding" |
+      | "a content coding" |
 
   Scenario Outline: should take no answer from <head> to a stream that may run once
     Given callers of a relay before 2 hosts
@@ -103,6 +116,10 @@
       | "status 600"  |
       | "status 999"  |
       | "version 2.0" |
+      | "an unknown transfer coding" |
+      | "a second transfer coding" |
+      | "an empty transfer coding" |
+      | "a content coding" |
 
   Scenario Outline: should take no answer from <head> to the second request on a connection
     Given callers of a relay before 1 host
@@ -165,6 +182,10 @@
       | "status 1000"      |
       | "version 2.0"      |
       | "another protocol" |
+      | "an unknown transfer coding" |
+      | "a second transfer coding" |
+      | "an empty transfer coding" |
+      | "a content coding" |
 
   Scenario Outline: should take no status of an engine from <head>
     Given a server that responds with <head> to the first request on each path
--- a/features/steps/false_head_control_steps.ts
+++ b/features/steps/false_head_control_steps.ts
@@ -18,7 +18,10 @@
   ResponseHead,
 } from "../../src/ports/upstream_client.ts";
 import type { Upstream } from "../../src/world/upstream.ts";
-import { FALSE_STATUS_LINES } from "../../tools/fuzz/raw_responses.ts";
+import {
+  FALSE_STATUS_LINES,
+  FOREIGN_CODINGS,
+} from "../../tools/fuzz/raw_responses.ts";
 
 const timers = new SystemTimers();
 const HOST_IP = "127.0.0.1";
@@ -69,7 +72,10 @@
 Given(
   "a server that responds with {string} to the first request on each path",
   async function (this: FalseHeadControlWorld, name: string) {
-    const line = FALSE_STATUS_LINES.get(name);
+    const coding = FOREIGN_CODINGS.get(name);
+    const line = coding === undefined
+      ? FALSE_STATUS_LINES.get(name)
+      : "HTTP/1.1 200 OK";
     assert.ok(line, name);
     this.serverSockets = new Set();
     this.headSockets = [];
@@ -91,6 +97,11 @@
         const body = JSON.stringify(BODIES[path]);
         const statusLine = isFirst ? line : "HTTP/1.1 200 OK";
         const length = `Content-Length: ${body.length}`;
+        if (isFirst && coding !== undefined) {
+          const chunk = `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
+          socket.end(`${line}\r\n${coding}\r\n\r\n${chunk}`);
+          return;
+        }
         socket.write(`${statusLine}\r\n${length}\r\n\r\n${body}`);
       });
     });
--- a/src/adapters/undici_upstream_client.ts
+++ b/src/adapters/undici_upstream_client.ts
@@ -14,6 +14,7 @@
   ResponseHead,
   UpstreamClient,
 } from "../ports/upstream_client.ts";
+import { findForeignCoding } from "../ports/response_coding.ts";
 import type { Upstream } from "../world/upstream.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -95,11 +96,16 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
     if (status < 200) return;
+    const coding = findForeignCoding(headers);
+    if (coding !== undefined) {
+      controller.abort(new Error(`The body has the ${coding}`));
+      return;
+    }
     this.#listener.onHead({
       status,
       headers: forwardedResponseHeaders(headers),
--- a/src/platform/relay_exchange.ts
+++ b/src/platform/relay_exchange.ts
@@ -12,6 +12,7 @@
   RelayHead,
   RelayListener,
 } from "../ports/relay_client.ts";
+import { findForeignCoding } from "../ports/response_coding.ts";
 import {
   MAX_DISCARD_MS,
   MAX_DISCARDED_BYTES,
@@ -229,7 +230,8 @@
     if (status < 300 && !headers[HEADER.stamp]) {
       return "The response is not signed";
     }
-    return undefined;
+    const coding = findForeignCoding(headers);
+    return coding && `The body has the ${coding}`;
   }
 
   #toRelayHead(status: number, headers: Headers): RelayHead {
--- a/tools/fuzz/raw_responses.ts
+++ b/tools/fuzz/raw_responses.ts
@@ -98,6 +98,14 @@
     `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
 }
 
+/** A complete success in chunks, with other headers of codings. */
+function withCoding(context: ResponseContext, headers: string): string {
+  const bytes = context.isStream
+    ? wholeStream(context, EVENTS_PER_STREAM)
+    : chunked(context.requestId);
+  return bytes.replace("Transfer-Encoding: chunked", headers);
+}
+
 /** Writes until the peer closes the connection. */
 function writeEndlessly(socket: Socket, chunk: Buffer | string): void {
   const writeMore = () => {
@@ -229,6 +237,17 @@
   ],
 ]);
 
+/** Headers of codings in which no body can be forwarded, by name. */
+export const FOREIGN_CODINGS: ReadonlyMap<string, string> = new Map([
+  ["an unknown transfer coding", "Transfer-Encoding: chunkad"],
+  ["a second transfer coding", "Transfer-Encoding: gzip, chunked"],
+  ["an empty transfer coding", "Transfer-Encoding:"],
+  [
+    "a content coding",
+    "Transfer-Encoding: chunked\r\nContent-Encoding: gzip",
+  ],
+]);
+
 /** Responses whose heads are no answer; all have the headers of a sound one. */
 export const FALSE_HEADS: readonly RawResponse[] = [
   ...[...FALSE_STATUS_LINES].map(([name, line]) =>
@@ -264,6 +283,12 @@
   response("status 000 before an answer", {}, ({ socket, requestId }) => {
     socket.write(`HTTP/1.1 000 Status\r\n\r\n${whole(200, requestId)}`);
   }),
+  ...[...FOREIGN_CODINGS].map(([name, line]) =>
+    response(name, {}, (context) => {
+      // The body's end is its connection's, as its framing is not known.
+      context.socket.end(withCoding(context, line));
+    })
+  ),
 ];
 
 /** A sound response with a head that few hosts send. */
