Continue streams of gateways after the events that callers have

Gateways counted every block as an event. An engine that sent a comment between two events, and broke off later, left the caller of a continued stream without one piece, in a response that ended as complete; so did a digit of an id that became a line end. A wrong byte in an event's end gave a piece twice.

Cause: EventFramer counts empty lines. Evidence, played on with a break after six events: the retry went on after 7 with a comment, and after 5 with a spoiled end. Ruled out: the relay, whose ids were checked by then, and plain responses, which are replaced.

Gateways use StreamSplice, as the relay does, with a numbering that is counted: engines begin where they are asked to and may have no ids; if they have, the ids are checked. The framer moves to the naive gateway, its only user.

--- a/features/steps/framer_steps.ts
+++ b/features/steps/framer_steps.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import { Given, Then, When } from "@cucumber/cucumber";
-import { EventFramer } from "../../src/core/gateway/event_framer.ts";
+import { EventFramer } from "../../src/naive/event_framer.ts";
 
 interface FramerWorld {
   stream: Buffer;
--- a/features/steps/spoiled_streams.ts
+++ b/features/steps/spoiled_streams.ts
@@ -4,6 +4,9 @@
  */
 import { Buffer } from "node:buffer";
 import fc from "fast-check";
+import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import type { CallerResponse } from "../../src/core/gateway/caller_request.ts";
+import { ResponseWriter } from "../../src/core/gateway/response_writer.ts";
 import type { RelayResponse } from "../../src/core/relay/relay_request.ts";
 import type { EventNumbering } from "../../src/core/streams/mod.ts";
 import { StreamResponseWriter } from "../../src/core/relay/relay_response_writer.ts";
@@ -19,6 +22,7 @@
   readonly lineEnd: "\n" | "\r\n";
   readonly separator: ": " | ":";
   readonly isIdFirst: boolean;
+  readonly hasIds: boolean;
   /** Lines or blocks before an event, by the event's id. */
   readonly prefixes: readonly ("" | "comment" | "extension" | "ping")[];
   /** Value of each event's data; the last line of an event with two differs. */
@@ -69,6 +73,7 @@
   lineEnd: fc.constantFrom("\n" as const, "\r\n" as const),
   separator: fc.constantFrom(": " as const, ":" as const),
   isIdFirst: fc.boolean(),
+  hasIds: fc.constant(true),
   prefixes: fc.array(prefix, { minLength: LAST_ID, maxLength: LAST_ID }),
   values: fc.array(
     fc.stringMatching(/^[a-z0-9:{}][a-z0-9:{} ]{0,6}$/),
@@ -126,6 +131,30 @@
   numbering: fc.constant("consecutive"),
 });
 
+/** A gateway's engines, which begin where they are asked to, also without ids. */
+export const anyEngineStream: fc.Arbitrary<SpoiledStream> = fc.record({
+  format: fc.tuple(format, fc.boolean()).map(([sound, hasIds]) => ({
+    ...sound,
+    hasIds,
+  })),
+  attempts: fc.array(
+    fc.record({
+      overlap: fc.constant(0),
+      cutShare: fc.oneof(
+        fc.constant(1),
+        fc.double({ min: 0, max: 1, noNaN: true }),
+      ),
+      chunkSizes,
+    }),
+    { minLength: 1, maxLength: 4 },
+  ),
+  spoiledAttempt: fc.integer({ min: 0, max: 3 }),
+  position: fc.double({ min: 0, max: 0.9999, noNaN: true }),
+  wrongByte,
+  callerEvents: fc.constantFrom(0, 0, 3),
+  numbering: fc.constant("counted" as const),
+});
+
 /** Data of all events that the caller does not have. */
 export function expectedValues(
   { format, callerEvents }: SpoiledStream,
@@ -162,6 +191,34 @@
   };
 }
 
+/** Plays a response's attempts as a gateway does: until one has its end marker. */
+export function spliceAtGateway(stream: SpoiledStream): SplicedResponse {
+  const response = new TextResponse();
+  const timers = new VirtualTimers();
+  const writer = new ResponseWriter(response, timers, stream.callerEvents);
+  for (const [index, plan] of stream.attempts.entries()) {
+    const bytes = attemptBytes(stream, index, writer.eventCount);
+    const sent = bytes.subarray(0, Math.floor(bytes.length * plan.cutShare));
+    let kind = "passed";
+    for (const chunk of cut(sent, plan.chunkSizes)) {
+      kind = writer.writeStream(GATEWAY_HEAD, chunk).kind;
+      if (kind !== "passed") break;
+    }
+    if (kind === "ended") {
+      writer.end();
+      break;
+    }
+    writer.reset();
+  }
+  const values = readValues(response.text);
+  return {
+    isComplete: response.isComplete,
+    values: values.at(-1) === END_MARKER ? values.slice(0, -1) : values,
+  };
+}
+
+const END_MARKER = "[DONE]";
+const GATEWAY_HEAD = { status: 200, headers: {} };
 const HEAD = {
   status: 200,
   headers: [],
@@ -172,7 +229,7 @@
   rateLimit: { kind: "unlimited" },
 } as const;
 
-class TextResponse implements RelayResponse {
+class TextResponse implements RelayResponse, CallerResponse {
   text = "";
   isComplete = false;
 
@@ -189,6 +246,8 @@
 
   refuse(): void {}
 
+  fail(): void {}
+
   abort(): void {}
 
   onDrain(): void {}
@@ -212,6 +271,14 @@
       text += part.text;
     }
   }
+  if (stream.numbering === "counted") {
+    const marker = `data: ${END_MARKER}${format.lineEnd.repeat(2)}`;
+    // Without ids, a spoiled marker is an event.
+    for (let i = 0; i < marker.length && format.hasIds; i++) {
+      outside.push(text.length + i);
+    }
+    text += marker;
+  }
   const bytes = Buffer.from(text, "latin1");
   if (index === spoiledAttempt && outside.length > 0) {
     bytes[outside[Math.floor(position * outside.length)]] = wrongByte;
@@ -230,10 +297,13 @@
 }
 
 function formatEvent(format: StreamFormat, id: number): TextPart[] {
-  const { lineEnd, separator, isIdFirst, prefixes, values } = format;
+  const { lineEnd, separator, isIdFirst, hasIds, prefixes, values } = format;
   const outside = (text: string) => ({ text, isData: false });
   const inside = (text: string) => ({ text, isData: true });
-  const idLine = outside(`id${separator}${id}${lineEnd}`);
+  const idLine = outside(hasIds ? `id${separator}${id}${lineEnd}` : "");
+  // Without ids, two events that a spoiled line end joins can't be told from one
+  // with two lines of data.
+  const lineEndPart = { text: lineEnd, isData: !hasIds };
   // The line end between two lines of data is part of the data.
   const space = separator.slice(1);
   const more = format.hasTwoLines
@@ -242,25 +312,27 @@
   const dataLine = [
     outside("data:"),
     inside(`${space}${values[id - 1]}${more}`),
-    outside(lineEnd),
+    lineEndPart,
   ];
   const lines = isIdFirst ? [idLine, ...dataLine] : [...dataLine, idLine];
-  return [formatPrefix(format, prefixes[id - 1]), ...lines, outside(lineEnd)];
+  return [formatPrefix(format, prefixes[id - 1]), ...lines, lineEndPart];
 }
 
 function formatPrefix(
-  { lineEnd, isIdFirst, hasTwoLines }: StreamFormat,
+  { lineEnd, isIdFirst, hasIds, hasTwoLines }: StreamFormat,
   kind: StreamFormat["prefixes"][number],
 ): TextPart {
-  // A comment that swallows the first of two lines of data can't be told from a
-  // longer comment.
-  const isAmbiguous = !isIdFirst && hasTwoLines;
-  const line = kind === "comment" ? ": working" : "weight-versions: 7";
-  if (kind === "ping") {
-    return { text: `: ping${lineEnd}${lineEnd}`, isData: isAmbiguous };
-  }
-  if (kind === "" || isAmbiguous) return { text: "", isData: false };
-  return { text: `${line}${lineEnd}`, isData: false };
+  // A comment that swallows a line of data can't be told from a longer comment,
+  // unless the event's id follows it or loses its data.
+  const isData = !hasIds || hasTwoLines && !isIdFirst;
+  const end = lineEnd;
+  const text = {
+    "": "",
+    comment: `: working${end}`,
+    extension: `weight-versions: 7${end}`,
+    ping: `: ping${end}${end}`,
+  }[kind];
+  return { text, isData };
 }
 
 function cut(bytes: Buffer, sizes: readonly number[]): Buffer[] {
--- a/features/steps/stream_steps.ts
+++ b/features/steps/stream_steps.ts
@@ -4,20 +4,28 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
 import { streamEvent } from "../../src/standins/fleet/scripted_upstreams.ts";
-import type { RecordedResponse, RelayFixture } from "./relay_fixture.ts";
+import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
+import { ResponseWriter } from "../../src/core/gateway/response_writer.ts";
+import type { RelayFixture } from "./relay_fixture.ts";
+import { RecordedResponse } from "./relay_fixture.ts";
 import {
+  anyEngineStream,
   anySpoiledStream,
   expectedValues,
   splice,
+  spliceAtGateway,
   spoiledThenSound,
 } from "./spoiled_streams.ts";
 
 const SEED = Number(process.env.OLEANDER_STREAM_SEED ?? 51);
 const RUNS = Number(process.env.OLEANDER_STREAM_RUNS ?? 5_000);
 
+const GATEWAY_HEAD = { status: 200, headers: {} };
+
 interface StreamWorld {
   fixture: RelayFixture;
   response: RecordedResponse;
+  writer: ResponseWriter;
   /** How the groups write an event. */
   format: (event: string) => string;
 }
@@ -178,6 +186,64 @@
   },
 );
 
+Then(
+  "any engines' streams with one wrong byte outside their data keep it at a gateway",
+  function () {
+    fc.assert(
+      fc.property(anyEngineStream, (stream) => {
+        const { isComplete, values } = spliceAtGateway(stream);
+        if (isComplete) assert.deepEqual(values, expectedValues(stream));
+      }),
+      { seed: SEED, numRuns: RUNS },
+    );
+  },
+);
+
+Given(
+  "an engine that sends {string} in place of {string} and breaks off after event {int}",
+  function (this: StreamWorld, sent: string, text: string, last: number) {
+    const edit = (chunk: string) =>
+      chunk.replace(unescape(text), unescape(sent));
+    const response = new RecordedResponse(() => 0);
+    this.response = response;
+    this.writer = new ResponseWriter(
+      {
+        writeHead: (status) => response.writeHead(status, []),
+        write: (chunk) => response.write(chunk),
+        end: () => response.end(),
+        fail() {},
+        onDrain() {},
+      },
+      new VirtualTimers(),
+      0,
+    );
+    for (const chunk of writeEvents(1, last, last, edit)) {
+      this.writer.writeStream(GATEWAY_HEAD, chunk);
+    }
+    this.writer.reset();
+  },
+);
+
+When(
+  "another engine continues the stream up to event {int}",
+  function (this: StreamWorld, last: number) {
+    const marker = Buffer.from("data: [DONE]\n\n");
+    const events = writeEvents(this.writer.eventCount + 1, last, 1, String);
+    for (const chunk of [...events, marker]) {
+      const { kind } = this.writer.writeStream(GATEWAY_HEAD, chunk);
+      if (kind === "ended") this.writer.end();
+    }
+  },
+);
+
+Then(
+  "the gateway's caller has pieces {int} to {int} in a complete response",
+  function (this: StreamWorld, from: number, to: number) {
+    assert.ok(this.response.isComplete, "the response is not complete");
+    assert.deepEqual(pieces(this.response), range(from, to));
+  },
+);
+
 Then(
   "any stream with one wrong byte outside its data is complete after a sound attempt",
   function () {
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -69,6 +69,7 @@
       | a comment for the first of two lines     | id: 5\ndata: p   | :ata: p\nid: 5\ndata: p  | 1 |
       | a colon in the name of one of two lines  | data: piece 5\n  | da:a: p\ndata: piece 5\n | 1 |
       | no colon after the name of one of two    | data: piece 5\n  | data0a: p\ndata: piece 5\n | 1 |
+      | a line end for the colon of data         | data: piece 5\n  | data\na:piece 5\n | 1 |
       | a spoiled carriage return                | id: 5\ndata: piece 5\n\n | id: 5\r\ndata: piece 5\n\r\n | 1 |
 
   Scenario: should break off a stream that can't be continued when its ids contradict each other
@@ -92,7 +93,7 @@
       | an event's name           | id: 5\n          | event: delta\nid: 5\n          |
       | a retry time              | id: 1\n          | retry: 500\n\nid: 1\n          |
       | an end marker             | data: piece 10\n | data: piece 10\n\ndata: [DONE]\n |
-      | data of several lines     | data: piece 5\n  | data: piece 5\ndata\ndata:x\n  |
+      | data of several lines     | data: piece 5\n  | data: piece 5\ndata:\ndata:x\n  |
       | an id without a space     | id: 5\n          | id:5\n                         |
       | an id after the data      | id: 5\ndata: piece 5\n | data: piece 5\nid: 5\n   |
       | lines with CR LF          | id: 5\ndata: piece 5\n\n | id: 5\r\ndata: piece 5\r\n\r\n |
@@ -164,3 +165,21 @@
     And every group sends "" in place of "id: (\d+)\n"
     When a stream of 10 events that must not run twice is requested
     Then the caller has pieces 1 to 10 in a complete response after 1 attempt
+
+  Scenario Outline: should continue a gateway's stream after the events that its caller has, with <what>
+    Guards against a count of events that is not what the caller got.
+    Given an engine that sends "<sent>" in place of "<text>" and breaks off after event 6
+    When another engine continues the stream up to event 10
+    Then the gateway's caller has pieces 1 to 10 in a complete response
+
+    Examples:
+      | what                          | text          | sent               |
+      | a comment                     | id: 3\n       | : ping\n\nid: 3\n |
+      | an id that became a line end  | id: 3\n       | id: \n\n           |
+      | a spoiled end of an event     | piece 3\n\n   | piece 3\nx         |
+      | a spoiled name of data        | data: piece 3 | dbta: piece 3      |
+      | a wrong id                    | id: 3\n       | id: 8\n            |
+      | lines with CR LF              | id: 3\ndata: piece 3\n\n | id: 3\r\ndata: piece 3\r\n\r\n |
+
+  Scenario: should hold each event of an engine once, in order, in a gateway's complete response
+    Then any engines' streams with one wrong byte outside their data keep it at a gateway
--- a/src/core/gateway/request_run.ts
+++ b/src/core/gateway/request_run.ts
@@ -124,7 +124,11 @@
     deps: RequestDependencies,
   ) {
     this.request = request;
-    this.#response = new ResponseWriter(response, deps.timers);
+    this.#response = new ResponseWriter(
+      response,
+      deps.timers,
+      request.resumeAfter,
+    );
     this.#failures = new FailureHistory(deps.timers);
     this.#deps = deps;
     this.#arrivedAt = deps.timers.now();
@@ -237,7 +241,7 @@
       path: this.request.path,
       headers: this.request.headers,
       body: this.request.body,
-      resumeAfter: this.request.resumeAfter + this.#response.sentEvents,
+      resumeAfter: this.#response.eventCount,
       streaming: this.request.streaming,
     });
   }
@@ -282,8 +286,8 @@
     const streams = this.request.streaming && attempt.head?.status === 200;
     if (!streams) return this.#bufferChunk(attempt, chunk);
     match(this.#response.writeStream(attempt.head, chunk))
-      .with({ kind: "too_long" }, () => {
-        this.#handleMalformed(attempt, "An event exceeds the bound");
+      .with({ kind: "malformed" }, ({ fault }) => {
+        this.#handleMalformed(attempt, `${fault.kind}: ${fault.detail}`);
       })
       .with({ kind: "ended" }, () => this.#completeStream(attempt))
       .with(
@@ -515,6 +519,7 @@
       return this.#failAsSuspect();
     }
     const allowed = this.#attemptCount < MAX_ATTEMPTS &&
+      this.#response.canContinue &&
       (isFree || this.#response.headSent || this.#deps.retryBudget.spend());
     if (!allowed) return this.onDropped("deadline", RESUME_WAIT_MS);
     if (this.#mayHaveRun) {
--- a/src/core/gateway/response_writer.ts
+++ b/src/core/gateway/response_writer.ts
@@ -7,7 +7,8 @@
 import type { Timers } from "../../base/timers.ts";
 import type { ResponseHead } from "../../ports/upstream_client.ts";
 import type { CallerResponse, Problem } from "./caller_request.ts";
-import { EventFramer } from "./event_framer.ts";
+import type { StreamFault } from "../streams/mod.ts";
+import { StreamSplice } from "../streams/mod.ts";
 
 /** Largest response that is buffered before it is sent, in bytes. */
 const MAX_BUFFERED_BYTES = 8 * 1_048_576;
@@ -16,7 +17,8 @@
 export type StreamResult =
   | { readonly kind: "passed"; readonly isWritable: boolean }
   | { readonly kind: "ended" }
-  | { readonly kind: "too_long" };
+  /** The rest of the attempt can't be forwarded; what precedes it was. */
+  | { readonly kind: "malformed"; readonly fault: StreamFault };
 
 /**
  * Buffers plain responses until they are complete; forwards streams event by
@@ -26,22 +28,32 @@
   readonly #response: CallerResponse;
   readonly #timers: Timers;
   readonly #startedAt: number;
-  #framer = new EventFramer();
+  readonly #splice: StreamSplice;
   #buffer: Uint8Array[] = [];
   #bufferedBytes = 0;
-  #sentEvents = 0;
   #headSent = false;
   #firstByteMs: number | undefined;
 
-  constructor(response: CallerResponse, timers: Timers) {
+  /** Creates a writer for a caller that has the first `resumeAfter` events. */
+  constructor(response: CallerResponse, timers: Timers, resumeAfter: number) {
     this.#response = response;
+    this.#splice = new StreamSplice({
+      lastEventId: resumeAfter > 0 ? String(resumeAfter) : undefined,
+      isResumable: true,
+      numbering: "counted",
+    });
     this.#timers = timers;
     this.#startedAt = timers.now();
   }
 
-  /** Number of events sent to the caller. */
-  get sentEvents(): number {
-    return this.#sentEvents;
+  /** Number of events that the caller has, also from earlier connections. */
+  get eventCount(): number {
+    return Number(this.#splice.lastEventId ?? 0);
+  }
+
+  /** Whether another attempt can continue what has been sent. */
+  get canContinue(): boolean {
+    return this.#splice.canContinue;
   }
 
   /** Whether the response head was sent. */
@@ -56,13 +68,12 @@
 
   /** Sends complete events and buffers the rest of the chunk for the next call. */
   writeStream(head: ResponseHead | undefined, chunk: Uint8Array): StreamResult {
-    const framed = this.#framer.push(chunk);
-    if (framed === undefined) return { kind: "too_long" };
-    if (framed.bytes.length === 0) return { kind: "passed", isWritable: true };
-    this.#sendHead(head);
-    this.#sentEvents += framed.events;
-    const isWritable = this.#response.write(framed.bytes);
-    return framed.ended ? { kind: "ended" } : { kind: "passed", isWritable };
+    const { chunks, hasEndMarker, fault } = this.#splice.push(chunk);
+    let isWritable = true;
+    if (chunks.length > 0) this.#sendHead(head);
+    for (const part of chunks) isWritable = this.#response.write(part);
+    if (fault !== undefined) return { kind: "malformed", fault };
+    return hasEndMarker ? { kind: "ended" } : { kind: "passed", isWritable };
   }
 
   /**
@@ -80,7 +91,7 @@
    * last event that the caller received.
    */
   reset(): void {
-    this.#framer = new EventFramer();
+    this.#splice.beginAttempt();
     this.#buffer = [];
     this.#bufferedBytes = 0;
   }
--- a/src/core/streams/event_block.ts
+++ b/src/core/streams/event_block.ts
@@ -5,8 +5,6 @@
  */
 import type { Buffer } from "node:buffer";
 
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
 const SPACE = 0x20;
 const ZERO = 0x30;
@@ -27,78 +25,133 @@
   /** `data: [DONE]`, which has no id. */
   | { readonly kind: "end_marker" }
   | { readonly kind: "event"; readonly id: number }
+  /** An event without an id, but otherwise sound. */
+  | { readonly kind: "unnumbered" }
   /** An event of which it can't be told which one it is, or whether it is one. */
   | { readonly kind: "unreadable"; readonly detail: string };
 
+const CONTROL: EventBlock = { kind: "control" };
+const END: EventBlock = { kind: "end_marker" };
+const UNNUMBERED: EventBlock = { kind: "unnumbered" };
+
 /**
- * Parses the fields of a block. Each event has data and one numeric id. Any byte
- * of a field's name, an id or a line end that is wrong makes it unreadable, or a
- * block with another id: a name that is one edit away from that of a standard
- * field, and a comment after a field, are not taken for an extension.
+ * Parses the lines of one block after the other. Each event has data, and one numeric
+ * id or none. Any byte of a field's name, an id or a line end that is wrong makes an
+ * event unreadable, or one with another id: a name that is one edit away from that of
+ * a standard field, and a comment after a field, are not taken for an extension.
  *
  * @example
  * ```ts
- * parseEventBlock(Buffer.from("id: 7\ndata: x\n\n")); // { kind: "event", id: 7 }
- * parseEventBlock(Buffer.from("id: 7\ndbta: x\n\n")).kind; // "unreadable"
+ * parser.addLine(Buffer.from("id: 7"), 0, 5, false);
+ * parser.addLine(Buffer.from("data: x"), 0, 7, false);
+ * parser.endBlock(false); // { kind: "event", id: 7 }
  * ```
  *
  * @see https://html.spec.whatwg.org/multipage/server-sent-events.html
  */
-export function parseEventBlock(bytes: Buffer): EventBlock {
-  let id: number | undefined;
-  let hasData = false;
-  let hasField = false;
-  const endsWithReturn = bytes[bytes.length - 2] === CARRIAGE_RETURN;
-  for (let at = 0; at < bytes.length;) {
-    const lineFeed = bytes.indexOf(LINE_FEED, at);
-    const end = lineFeed > at && bytes[lineFeed - 1] === CARRIAGE_RETURN
-      ? lineFeed - 1
-      : lineFeed;
-    // Otherwise a wrong byte in place of the carriage return would join the data.
-    if (endsWithReturn && end === lineFeed) {
-      return unreadable("mixed line ends");
-    }
+export class EventBlockParser {
+  #id: number | undefined;
+  #hasData = false;
+  #hasEndMarker = false;
+  /** Number of lines with a field. */
+  #fieldCount = 0;
+  /** Whether a line ended without a carriage return. */
+  #hasBareLine = false;
+  #defect: string | undefined;
+
+  /** Adds the line between two positions, which is not empty. */
+  addLine(bytes: Buffer, at: number, end: number, hasReturn: boolean): void {
+    if (!hasReturn) this.#hasBareLine = true;
     if (bytes[at] === COLON) {
-      if (hasField) return unreadable("a comment within an event");
-      if (isDamagedField(bytes, at, end)) {
-        return unreadable(`comment ${quote(bytes, at, end)}`);
-      }
-    } else if (startsWithData(bytes, at)) {
-      hasData = true;
-      hasField = true;
-    } else if (startsWithId(bytes, at)) {
-      if (id !== undefined) return unreadable("two ids");
-      id = parseId(bytes, at + 3, end);
-      if (id === undefined) {
-        return unreadable(`id ${quote(bytes, at + 3, end)}`);
-      }
-      hasField = true;
-    } else if (end > at) {
-      const name = fieldName(bytes, at, end);
-      if (name === undefined) return unreadable("a line without a field");
-      if (isDamaged(name)) {
-        return unreadable(`field ${quote(bytes, at, at + name.length)}`);
-      }
-      hasData ||= name === "data";
-      hasField = true;
+      this.#defect ??= this.#findDefectOfComment(bytes, at, end);
+      return;
     }
-    at = lineFeed + 1;
+    this.#fieldCount += 1;
+    if (startsWithData(bytes, at)) {
+      this.#hasData = true;
+      this.#hasEndMarker ||= isEndMarker(bytes, at, end);
+    } else if (startsWithId(bytes, at)) {
+      this.#addId(bytes, at + 3, end);
+    } else this.#defect ??= findDefectOfField(bytes, at, end);
   }
-  if (id !== undefined) {
-    return hasData
+
+  /** Returns the block that an empty line ends, and begins the next one. */
+  endBlock(hasReturn: boolean): EventBlock {
+    // Otherwise a wrong byte in place of the carriage return would join the data.
+    if (hasReturn && this.#hasBareLine) this.#defect ??= "mixed line ends";
+    const block = this.#toBlock();
+    this.reset();
+    return block;
+  }
+
+  /** Forgets the lines of a block that is not complete. */
+  reset(): void {
+    this.#id = undefined;
+    this.#hasData = false;
+    this.#hasEndMarker = false;
+    this.#fieldCount = 0;
+    this.#hasBareLine = false;
+    this.#defect = undefined;
+  }
+
+  #toBlock(): EventBlock {
+    const id = this.#id;
+    if (this.#defect !== undefined) return unreadable(this.#defect);
+    if (this.#hasEndMarker) {
+      // A spoiled line end joins it to the last event.
+      return this.#fieldCount === 1
+        ? END
+        : unreadable("an end marker within an event");
+    }
+    if (id === undefined) return this.#hasData ? UNNUMBERED : CONTROL;
+    return this.#hasData
       ? { kind: "event", id }
       : unreadable(`id ${id} without data`);
   }
-  if (!hasData) return { kind: "control" };
-  return bytes.toString("latin1").trim() === END_MARKER
-    ? { kind: "end_marker" }
-    : unreadable("an event without an id");
+
+  #addId(bytes: Buffer, at: number, end: number): void {
+    if (this.#id !== undefined) this.#defect ??= "two ids";
+    this.#id = parseId(bytes, at, end);
+    if (this.#id === undefined) this.#defect ??= `id ${quote(bytes, at, end)}`;
+  }
+
+  /** Returns what is wrong with a comment, which may precede the fields. */
+  #findDefectOfComment(
+    bytes: Buffer,
+    at: number,
+    end: number,
+  ): string | undefined {
+    if (this.#fieldCount > 0) return "a comment within an event";
+    // A standard field whose first byte became a colon.
+    const text = bytes.toString("latin1", at + 1, Math.min(end, at + 8));
+    return FIELD_NAMES.some((name) => text.startsWith(`${name.slice(1)}:`))
+      ? `comment ${quote(bytes, at, end)}`
+      : undefined;
+  }
 }
 
 function unreadable(detail: string): EventBlock {
   return { kind: "unreadable", detail };
 }
 
+/** Returns what is wrong with a line that is neither `data` nor `id`. */
+function findDefectOfField(
+  bytes: Buffer,
+  at: number,
+  end: number,
+): string | undefined {
+  const colon = bytes.indexOf(COLON, at);
+  if (colon < 0 || colon >= end) return "a line without a field";
+  return isDamaged(bytes.toString("latin1", at, colon))
+    ? `field ${quote(bytes, at, colon)}`
+    : undefined;
+}
+
+function isEndMarker(bytes: Buffer, at: number, end: number): boolean {
+  return end - at === END_MARKER.length &&
+    bytes.toString("latin1", at, end) === END_MARKER;
+}
+
 function startsWithData(bytes: Buffer, at: number): boolean {
   return bytes[at] === 0x64 && bytes[at + 1] === 0x61 &&
     bytes[at + 2] === 0x74 && bytes[at + 3] === 0x61 &&
@@ -124,23 +177,6 @@
   return id;
 }
 
-/**
- * Returns the name of a line's field; undefined if it has none. Only `data` may
- * have no colon, as its value may be empty.
- */
-function fieldName(bytes: Buffer, at: number, end: number): string | undefined {
-  const colon = bytes.indexOf(COLON, at);
-  const hasColon = colon >= 0 && colon < end;
-  const name = bytes.toString("latin1", at, hasColon ? colon : end);
-  return hasColon || name === "data" ? name : undefined;
-}
-
-/** Whether a comment is a standard field whose first byte became a colon. */
-function isDamagedField(bytes: Buffer, at: number, end: number): boolean {
-  const text = bytes.toString("latin1", at + 1, Math.min(end, at + 8));
-  return FIELD_NAMES.some((name) => text.startsWith(`${name.slice(1)}:`));
-}
-
 /**
  * Whether a name is no possible one, or may be a standard one with a wrong byte:
  * in its letters, or in place of the colon or with a colon before it.
--- a/src/core/streams/event_numbering.ts
+++ b/src/core/streams/event_numbering.ts
@@ -11,7 +11,12 @@
   /** Each id is higher than the one before; a missing event does not show. */
   | "increasing"
   /** No event has a numeric id. */
-  | "opaque";
+  | "opaque"
+  /**
+   * Events may have no ids. Every attempt begins where it was asked to, so that the
+   * number of events is the position.
+   */
+  | "counted";
 
 /**
  * Remembers the numbering of each service while the process runs; consecutive
--- a/src/core/streams/event_reader.ts
+++ b/src/core/streams/event_reader.ts
@@ -4,9 +4,14 @@
  * @module
  */
 import { Buffer } from "node:buffer";
+import type { EventBlock } from "./event_block.ts";
+import { EventBlockParser } from "./event_block.ts";
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const EMPTY: Buffer = Buffer.alloc(0);
+/** Number of bytes that a loop searches faster than a native call. */
+const SHORT_LINE_BYTES = 16;
 
 /**
  * Splits bytes at the empty line that ends each block. Lines end with a line feed,
@@ -16,21 +21,36 @@
  * ```ts
  * reader.append(chunk);
  * for (let block = reader.next(); block !== undefined; block = reader.next()) {
- *   forward(block);
+ *   handle(block, reader.slice(reader.blockStart, reader.blockEnd));
  * }
+ * reader.dropComplete();
  * ```
  */
 export class EventReader {
-  #bytes: Buffer = Buffer.alloc(0);
-  /** Number of bytes that were searched for the end of a block. */
-  #scannedBytes = 0;
+  readonly #parser = new EventBlockParser();
+  #bytes = EMPTY;
+  #blockStart = 0;
+  #blockEnd = 0;
+  #lineStart = 0;
+  /** Position up to which the current line was searched for its end. */
+  #scannedEnd = 0;
+
+  /** Position of the block that {@linkcode next} returned last. */
+  get blockStart(): number {
+    return this.#blockStart;
+  }
+
+  /** Position after the block that {@linkcode next} returned last. */
+  get blockEnd(): number {
+    return this.#blockEnd;
+  }
 
   /** Number of bytes that don't form a complete block yet. */
   get pendingBytes(): number {
-    return this.#bytes.length;
+    return this.#bytes.length - this.#blockEnd;
   }
 
-  /** Adds bytes; they must not change afterwards. */
+  /** Adds bytes, which must not change afterwards. */
   append(chunk: Uint8Array): void {
     const incoming = Buffer.from(
       chunk.buffer,
@@ -42,29 +62,64 @@
       : incoming;
   }
 
-  /** Removes and returns the next complete block, including its empty line. */
-  next(): Buffer | undefined {
+  /** Returns the next complete block. */
+  next(): EventBlock | undefined {
     const bytes = this.#bytes;
-    let lineEnd = bytes.indexOf(LINE_FEED, this.#scannedBytes);
-    while (lineEnd >= 0) {
-      const next = bytes[lineEnd + 1] === CARRIAGE_RETURN
-        ? lineEnd + 2
-        : lineEnd + 1;
-      if (bytes[next] === LINE_FEED) {
-        this.#bytes = bytes.subarray(next + 1);
-        this.#scannedBytes = 0;
-        return bytes.subarray(0, next + 1);
+    for (;;) {
+      const at = this.#lineStart;
+      const lineFeed = findLineFeed(bytes, this.#scannedEnd);
+      if (lineFeed < 0) {
+        this.#scannedEnd = bytes.length;
+        return undefined;
+      }
+      this.#lineStart = lineFeed + 1;
+      this.#scannedEnd = lineFeed + 1;
+      const hasReturn = lineFeed > at &&
+        bytes[lineFeed - 1] === CARRIAGE_RETURN;
+      const end = hasReturn ? lineFeed - 1 : lineFeed;
+      if (end > at) {
+        this.#parser.addLine(bytes, at, end, hasReturn);
+        continue;
       }
-      lineEnd = bytes.indexOf(LINE_FEED, lineEnd + 1);
+      this.#blockStart = this.#blockEnd;
+      this.#blockEnd = lineFeed + 1;
+      return this.#parser.endBlock(hasReturn);
     }
-    // The last two bytes may begin an empty line.
-    this.#scannedBytes = Math.max(0, bytes.length - 2);
-    return undefined;
+  }
+
+  /** Returns the bytes between two positions of blocks. */
+  slice(start: number, end: number): Uint8Array {
+    return start === 0 && end === this.#bytes.length
+      ? this.#bytes
+      : this.#bytes.subarray(start, end);
+  }
+
+  /** Drops complete blocks, whose positions are no longer valid. */
+  dropComplete(): void {
+    this.#bytes = this.pendingBytes > 0
+      ? this.#bytes.subarray(this.#blockEnd)
+      : EMPTY;
+    this.#lineStart -= this.#blockEnd;
+    this.#scannedEnd -= this.#blockEnd;
+    this.#blockStart = 0;
+    this.#blockEnd = 0;
   }
 
   /** Discards the incomplete block. */
   discard(): void {
-    this.#bytes = Buffer.alloc(0);
-    this.#scannedBytes = 0;
+    this.#bytes = EMPTY;
+    this.#blockStart = 0;
+    this.#blockEnd = 0;
+    this.#lineStart = 0;
+    this.#scannedEnd = 0;
+    this.#parser.reset();
+  }
+}
+
+function findLineFeed(bytes: Buffer, from: number): number {
+  const end = Math.min(bytes.length, from + SHORT_LINE_BYTES);
+  for (let at = from; at < end; at++) {
+    if (bytes[at] === LINE_FEED) return at;
   }
+  return end < bytes.length ? bytes.indexOf(LINE_FEED, end) : -1;
 }
--- a/src/core/streams/stream_position.ts
+++ b/src/core/streams/stream_position.ts
@@ -46,6 +46,10 @@
   #shownId: number | undefined;
   #shownEvents = 0;
   #newEventsOfAttempt = 0;
+  /** Whether counted events have ids; undefined before the first. */
+  #hasIds: boolean | undefined;
+  /** Whether the ids of the current attempt are the places of its events. */
+  #checksIds = false;
 
   constructor(options: StreamPositionOptions) {
     this.#options = options;
@@ -71,7 +75,8 @@
    */
   get canContinue(): boolean {
     if (this.#newEvents === 0) return true;
-    return this.#numbering === "consecutive" && this.#isConfirmed;
+    return this.#isConfirmed &&
+      (this.#numbering === "consecutive" || this.#numbering === "counted");
   }
 
   /**
@@ -103,7 +108,11 @@
     if (block.kind === "unreadable") {
       return this.#acceptUnreadable(block.detail);
     }
-    const { id } = block;
+    const id = block.kind === "event" ? block.id : undefined;
+    if (this.#numbering === "counted") return this.#count(id);
+    if (id === undefined) {
+      return this.#acceptUnreadable("an event without an id");
+    }
     if (this.#numbering === "opaque") {
       if (this.#newEvents > 0) return this.#fault("order", `id ${id}`);
       this.#numbering = "consecutive";
@@ -146,6 +155,31 @@
     return "new";
   }
 
+  /**
+   * Accepts an event of a stream whose events are counted. All have ids, or none
+   * has; they are checked if the first one of the attempt is its place.
+   */
+  #count(id: number | undefined): "new" | StreamFault {
+    const place = (this.#lastId ?? 0) + 1;
+    this.#hasIds ??= id !== undefined;
+    if (this.#hasIds !== (id !== undefined)) {
+      // The first event may be the one whose id was spoiled.
+      if (this.#newEvents === 1) this.#isConfirmed = false;
+      const detail = id === undefined ? "an event without an id" : `id ${id}`;
+      return this.#fault("unreadable", detail);
+    }
+    if (this.#shownEvents === 0) this.#checksIds = id === place;
+    if (id !== undefined && this.#checksIds && id !== place) {
+      return this.#fault(id > place ? "gap" : "order", `id ${id}`);
+    }
+    this.#shownId = place;
+    this.#shownEvents += 1;
+    this.#newEvents += 1;
+    this.#newEventsOfAttempt += 1;
+    this.#lastId = place;
+    return "new";
+  }
+
   /** Returns how an id deviates from what must come next. */
   #findDeviation(id: number): "gap" | "order" | undefined {
     const isFirst = this.#shownId === undefined;
--- a/src/core/streams/stream_splice.ts
+++ b/src/core/streams/stream_splice.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import type { EventBlock } from "./event_block.ts";
-import { parseEventBlock } from "./event_block.ts";
 import type { EventNumbering } from "./event_numbering.ts";
 import { EventReader } from "./event_reader.ts";
 import type { StreamFault } from "./stream_fault.ts";
@@ -14,12 +13,19 @@
 /** Maximum size of an event, in bytes. */
 export const MAX_EVENT_BYTES = 1_048_576;
 
+const TOO_LARGE: StreamFault = {
+  kind: "too_large",
+  detail: `an event of over ${MAX_EVENT_BYTES} bytes`,
+};
+
 /** Events that the caller does not have yet. */
 export interface SplicedEvents {
   /** Bytes of the events, where possible of several in one chunk. */
   readonly chunks: readonly Uint8Array[];
   /** Number of events, without comments, which only keep a connection open. */
   readonly eventCount: number;
+  /** Whether the last of them is followed by an end marker, which is included. */
+  readonly hasEndMarker: boolean;
   /** Why nothing more of the attempt can be forwarded. */
   readonly fault: StreamFault | undefined;
 }
@@ -80,21 +86,31 @@
     const reader = this.#reader;
     const chunks: Uint8Array[] = [];
     let eventCount = 0;
+    let hasEndMarker = false;
+    let fault: StreamFault | undefined;
     reader.append(chunk);
-    for (let bytes = reader.next(); bytes; bytes = reader.next()) {
-      const block = parseEventBlock(bytes);
+    /** Position of the first block that is not in `chunks` yet. */
+    let start = 0;
+    let end = 0;
+    for (let block = reader.next(); block; block = reader.next()) {
       const outcome = this.#position.accept(block);
       if (typeof outcome === "object") {
-        return { chunks: joinAdjacent(chunks), eventCount, fault: outcome };
+        fault = outcome;
+        break;
+      }
+      if (outcome === "duplicate") {
+        if (end > start) chunks.push(reader.slice(start, end));
+        start = reader.blockEnd;
+      } else {
+        if (isEvent(block)) eventCount += 1;
+        hasEndMarker = block.kind === "end_marker";
       }
-      if (outcome === "duplicate") continue;
-      chunks.push(bytes);
-      if (isEvent(block)) eventCount += 1;
+      end = reader.blockEnd;
     }
-    const fault = reader.pendingBytes > MAX_EVENT_BYTES
-      ? tooLarge()
-      : undefined;
-    return { chunks: joinAdjacent(chunks), eventCount, fault };
+    if (end > start) chunks.push(reader.slice(start, end));
+    reader.dropComplete();
+    if (reader.pendingBytes > MAX_EVENT_BYTES) fault ??= TOO_LARGE;
+    return { chunks, eventCount, hasEndMarker, fault };
   }
 
   /**
@@ -110,34 +126,5 @@
 }
 
 function isEvent({ kind }: EventBlock): boolean {
-  return kind === "event" || kind === "unreadable";
-}
-
-function tooLarge(): StreamFault {
-  return {
-    kind: "too_large",
-    detail: `an event of over ${MAX_EVENT_BYTES} bytes`,
-  };
-}
-
-/** Merges events that are adjacent in memory, to write them at once. */
-function joinAdjacent(chunks: Uint8Array[]): Uint8Array[] {
-  if (chunks.length < 2) return chunks;
-  const joined: Uint8Array[] = [];
-  for (const chunk of chunks) {
-    const last = joined.at(-1);
-    const adjacent = last !== undefined && last.buffer === chunk.buffer &&
-      last.byteOffset + last.byteLength === chunk.byteOffset;
-    if (!adjacent) {
-      joined.push(chunk);
-      continue;
-    }
-    const length = last.byteLength + chunk.byteLength;
-    joined[joined.length - 1] = new Uint8Array(
-      last.buffer,
-      last.byteOffset,
-      length,
-    );
-  }
-  return joined;
+  return kind !== "control" && kind !== "end_marker";
 }
--- a/src/naive/naive_gateway.ts
+++ b/src/naive/naive_gateway.ts
@@ -22,7 +22,7 @@
   AddressList,
   EntryGateway,
 } from "../core/gateway/entry_gateway.ts";
-import { EventFramer } from "../core/gateway/event_framer.ts";
+import { EventFramer } from "./event_framer.ts";
 import type { HostList } from "../ports/host_list.ts";
 import type { KeyValueStore } from "../ports/key_value_store.ts";
 import type {
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -120,8 +120,7 @@
     mechanism: "A stream resumes after the last event delivered",
     edits: [{
       file: "gateway/request_run.js",
-      find:
-        "resumeAfter: this.request.resumeAfter + this.#response.sentEvents,",
+      find: "resumeAfter: this.#response.eventCount,",
       replace: "resumeAfter: this.request.resumeAfter,",
     }],
   },
