Bound the memory that bodies of requests take together

Cause: a body was held twice, as its chunks and as their concatenation, and nothing bounded the sum, as each body was read before its request was admitted. Ruled out: the queue and the start gate, which hold the same bytes and are covered by the budget.

A body is copied to its place as it arrives. BodyBudget reserves its length before it is read and refuses what does not fit, truthfully as not run and with a time to return; it takes effect where the settings name the process's memory. A caller that stands still within its body for the idle timeout loses its connection.

Tests: two scenarios of platform.feature, in three examples, fail without the budget, as on the code before.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -16,6 +16,28 @@
       | bytes that are not HTTP       | 400    |
       | two Content-Length headers    | 400    |
 
+  Scenario Outline: should refuse a <kind> body that does not fit beside the others
+    # Guards against bodies that exceed the memory of the process together.
+    Given a relay server with a budget of 5000 bytes for bodies and an idle timeout of 5000 ms
+    When one caller sends a body of 3000 bytes
+    And another caller sends a <kind> body of 3000 bytes
+    Then the other caller is refused with 503 and a time to return, and nothing of it is relayed
+    And the other caller's connection serves its next request
+    When the response to the first caller ends
+    And another caller sends a <kind> body of 3000 bytes
+    Then the other caller's whole body is relayed
+
+    Examples:
+      | kind    |
+      | sized   |
+      | chunked |
+
+  Scenario: should close the connection of a caller that stands still within its body
+    Given a relay server with a budget of 5000 bytes for bodies and an idle timeout of 400 ms
+    When a caller stands still within a body of 3000 bytes
+    And another caller sends a sized body of 3000 bytes after 600 milliseconds
+    Then the other caller's whole body is relayed
+
   Scenario: should forward method, path, body and headers, but neither key nor tenant
     Given a relay server that responds to requests
     When a caller sends a request with a key, a tenant of its own and hop-by-hop headers
--- a/src/node/node_process.ts
+++ b/src/node/node_process.ts
@@ -11,6 +11,7 @@
 import { Random } from "../base/random.ts";
 import { SystemTimers } from "../base/system_timers.ts";
 import { sleep } from "../base/timers.ts";
+import { BodyBudget } from "../core/limits/body_budget.ts";
 import type { EventLog } from "../base/event_log.ts";
 import type {
   RelayRequest,
@@ -39,6 +40,12 @@
 import type { StartTimeline } from "./start_timeline.ts";
 
 /** Callers cache an address this long, and some of them three times as long. */
+const BYTES_PER_MEGABYTE = 1_048_576;
+/**
+ * Share of the process's memory that the bodies of requests may take. Its heap and
+ * what it holds for responses need the rest.
+ */
+const BODY_MEMORY_SHARE = 0.25;
 const ADDRESS_TTL_MS = 1_000;
 /** The process exits this long before the platform would kill it. */
 const KILL_MARGIN_MS = 900;
@@ -132,6 +139,19 @@
       (request, response) => this.#handle(request, response),
       undefined,
       gate,
+      this.#createBodyBudget(),
+    );
+  }
+
+  /** Undefined while the settings name no memory. */
+  #createBodyBudget(): BodyBudget | undefined {
+    const { memory } = this.#settings.node;
+    if (memory === undefined) return undefined;
+    return new BodyBudget(
+      memory * BYTES_PER_MEGABYTE * BODY_MEMORY_SHARE,
+      () => this.#timers.now(),
+      (bytes, heldBytes) =>
+        this.#log.info("body_refused", { bytes, heldBytes }),
     );
   }
 
--- a/src/platform/relay_server.ts
+++ b/src/platform/relay_server.ts
@@ -9,6 +9,10 @@
 import type { Socket } from "node:net";
 import type { ErrorReporter } from "../base/report_error.ts";
 import { reportError } from "../base/report_error.ts";
+import type {
+  BodyBudget,
+  BodyReservation,
+} from "../core/limits/body_budget.ts";
 import type { RawHeaders } from "../ports/relay_client.ts";
 import type { CallerLimits } from "../world/catalog.ts";
 import type {
@@ -17,6 +21,7 @@
   RelayRequest,
   RelayResponse,
 } from "../core/relay/relay_request.ts";
+import { BodyBuffer } from "./body_buffer.ts";
 import type { StartGate } from "./start_gate.ts";
 import { forwardedRequestHeaders, HEADER } from "./wire_names.ts";
 
@@ -60,18 +65,22 @@
   readonly #handle: RequestHandler;
   readonly #onError: ErrorReporter;
   readonly #gate: StartGate | undefined;
+  readonly #bodies: BodyBudget | undefined;
   #limits = INITIAL_LIMITS;
   #draining = false;
 
   /**
    * Creates a server. `onError` receives what `handle` throws. Requests that `gate`
-   * holds are handled later, with the rest of their time.
+   * holds are handled later, with the rest of their time. Those whose body does not
+   * fit into the budget `bodies` are refused before it is read.
    */
   constructor(
     handle: RequestHandler,
     onError: ErrorReporter = reportError,
     gate?: StartGate,
+    bodies?: BodyBudget,
   ) {
+    this.#bodies = bodies;
     this.#handle = handle;
     this.#onError = onError;
     this.#gate = gate;
@@ -134,7 +143,12 @@
     if (contentLength > this.#limits.maxBodyBytes) {
       return response.respond(413, "The body is too large");
     }
-    this.#readBody(req, response, (body, heldMs) => {
+    const reservation = this.#bodies?.reserve(contentLength);
+    if (this.#bodies !== undefined && reservation === undefined) {
+      return this.#refuseBody(req, response);
+    }
+    res.once("close", () => reservation?.release());
+    this.#readBody(req, response, reservation, (body, heldMs) => {
       const hasLeft = res.destroyed || req.socket.readableEnded;
       if (heldMs > 0 && hasLeft) return response.abort();
       const request = toRelayRequest(req, target, requestId, body, heldMs);
@@ -157,25 +171,43 @@
     });
   }
 
+  /** Refuses a request whose body does not fit, and discards the body. */
+  #refuseBody(req: IncomingMessage, response: HttpResponse): void {
+    response.refuse({
+      kind: "overloaded",
+      detail: "No memory is left for the body",
+      retryAfterMs: this.#bodies?.expectedReleaseMs,
+    });
+    req.removeAllListeners("data");
+    req.resume();
+  }
+
   #readBody(
     req: IncomingMessage,
     response: HttpResponse,
+    reservation: BodyReservation | undefined,
     onBody: (body: Uint8Array, heldMs: number) => void,
   ): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const declaredBytes = Number(req.headers["content-length"] ?? 0);
+    const buffer = new BodyBuffer(declaredBytes);
+    // A caller that stands still must not keep its reservation.
+    req.setTimeout(this.#limits.idleTimeoutMs, () => response.abort());
     req.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
+      const bytes = buffer.bytes + chunk.length;
       if (bytes > this.#limits.maxBodyBytes) {
         req.removeAllListeners("data");
         response.respond(413, "The body is too large");
         return;
       }
-      chunks.push(chunk);
+      const isReserved = bytes <= declaredBytes ||
+        reservation === undefined || reservation.extend(chunk.length);
+      if (!isReserved) return this.#refuseBody(req, response);
+      buffer.add(chunk);
     });
     req.on("end", () => {
+      req.setTimeout(0);
       if (response.finished) return;
-      const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+      const body = buffer.take();
       const handle = (heldMs: number) => {
         try {
           onBody(body, heldMs);
--- a/src/settings/node_settings.ts
+++ b/src/settings/node_settings.ts
@@ -33,6 +33,11 @@
     metrics_port: Port,
     /** Bandwidth of this host's link, in megabits per second. */
     link: DecimalNumber.default(1_000),
+    /**
+     * Memory that the process may use, in megabytes; without it, the bodies of
+     * requests have no bound on their sum.
+     */
+    memory: PositiveNumber.optional(),
     /**
      * Share of a core's time that the process may use, to choose addresses for
      * callers by capacity; without it, callers get the addresses of all nodes.
