Take a stream that ends after a comment alone for broken off

A caller got an empty response that ended as complete when an upstream sent a comment and then ended.

Cause: the check for streams without events asked whether anything was written, and a comment is. It asks for events now. Test: "should not take a stream that ends after a comment for a response" fails with the former condition (1 of 65 of @streams).

--- a/features/steps/stream_steps.ts
+++ b/features/steps/stream_steps.ts
@@ -60,6 +60,13 @@
   },
 );
 
+Given("the first group sends only a comment", function (this: StreamWorld) {
+  this.fixture.upstreams.setNextScript({
+    kind: "chunks",
+    chunksFrom: () => [Buffer.from(": ping\n\n")],
+  });
+});
+
 Given(
   "every group sends {string} in place of {string}",
   function (this: StreamWorld, sent: string, pattern: string) {
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -72,6 +72,12 @@
       | a line end for the colon of data         | data: piece 5\n  | data\na:piece 5\n | 1 |
       | a spoiled carriage return                | id: 5\ndata: piece 5\n\n | id: 5\r\ndata: piece 5\n\r\n | 1 |
 
+  Scenario: should not take a stream that ends after a comment for a response
+    Given a relay with 2 replica groups of "small"
+    And the first group sends only a comment
+    When a stream of 10 events is requested
+    Then the caller has pieces 1 to 10 in a complete response after 2 attempts
+
   Scenario: should break off a stream that can't be continued when its ids contradict each other
     Given a relay with 2 replica groups of "small"
     And the first group sends "id: 7\n" in place of "id: 1\n", 1 event a write
--- a/src/core/relay/relay_response_writer.ts
+++ b/src/core/relay/relay_response_writer.ts
@@ -141,6 +141,7 @@
   readonly #callerLastEventId: string | undefined;
   #head: RelayHead | undefined;
   #started = false;
+  #hasEvents = false;
 
   constructor(response: RelayResponse, options: SpliceOptions) {
     this.#response = response;
@@ -171,6 +172,7 @@
   write(chunk: Uint8Array): WriteResult {
     const { chunks, eventCount, fault } = this.#splice.push(chunk);
     let isWritable = true;
+    if (eventCount > 0) this.#hasEvents = true;
     if (chunks.length > 0) this.#writeHead();
     for (const part of chunks) isWritable = this.#response.write(part);
     return { hasProgress: eventCount > 0, isWritable, fault };
@@ -180,7 +182,7 @@
     const fault = this.#splice.checkEnd();
     if (fault !== undefined) return fault;
     // Only a caller that resumes may have had all events before.
-    if (!this.#started && this.#callerLastEventId === undefined) {
+    if (!this.#hasEvents && this.#callerLastEventId === undefined) {
       return { kind: "incomplete", detail: "ended before the first event" };
     }
     this.#writeHead();
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -1011,7 +1011,7 @@
     mechanism: "A stream that ends before its first event is broken off",
     edits: [{
       file: "relay/relay_response_writer.js",
-      find: "if (!this.#started && this.#callerLastEventId === undefined)",
+      find: "if (!this.#hasEvents && this.#callerLastEventId === undefined)",
       replace: "if (false)",
     }],
   },
