Copy only large bodies, and time only them

Every request with a body got a buffer of its own and a timer, which costs processor time and is of no use for bodies that arrive with their head. Both begin at 64 KiB now.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -32,10 +32,19 @@
       | sized   |
       | chunked |
 
+  Scenario: should refuse a large body that does not fit, and relay one that does
+    Given a relay server with a budget of 150000 bytes for bodies and an idle timeout of 5000 ms
+    When one caller sends a body of 100000 bytes
+    And another caller sends a sized body of 100000 bytes
+    Then the other caller is refused with 503 and a time to return, and nothing of it is relayed
+    When the response to the first caller ends
+    And another caller sends a sized body of 100000 bytes
+    Then the other caller's whole body is relayed
+
   Scenario: should close the connection of a caller that stands still within its body
-    Given a relay server with a budget of 5000 bytes for bodies and an idle timeout of 400 ms
-    When a caller stands still within a body of 3000 bytes
-    And another caller sends a sized body of 3000 bytes after 600 milliseconds
+    Given a relay server with a budget of 150000 bytes for bodies and an idle timeout of 400 ms
+    When a caller stands still within a body of 100000 bytes
+    And another caller sends a sized body of 100000 bytes after 600 milliseconds
     Then the other caller's whole body is relayed
 
   Scenario: should forward method, path, body and headers, but neither key nor tenant
--- a/src/platform/body_buffer.ts
+++ b/src/platform/body_buffer.ts
@@ -5,9 +5,12 @@
  */
 import { Buffer } from "node:buffer";
 
+/** Size above which a body is not held twice, even for a moment. */
+export const LARGE_BODY_BYTES = 65_536;
+
 /**
- * Collects a body. If its length was declared, its bytes are copied to their place
- * as they arrive, so that they are not held twice.
+ * Collects a body. The bytes of a large one whose length was declared are copied to
+ * their place as they arrive.
  */
 export class BodyBuffer {
   readonly #whole: Buffer | undefined;
@@ -15,7 +18,7 @@
   #bytes = 0;
 
   constructor(declaredBytes: number) {
-    this.#whole = declaredBytes > 0
+    this.#whole = declaredBytes > LARGE_BODY_BYTES
       ? Buffer.allocUnsafeSlow(declaredBytes)
       : undefined;
   }
--- a/src/platform/relay_server.ts
+++ b/src/platform/relay_server.ts
@@ -21,7 +21,7 @@
   RelayRequest,
   RelayResponse,
 } from "../core/relay/relay_request.ts";
-import { BodyBuffer } from "./body_buffer.ts";
+import { BodyBuffer, LARGE_BODY_BYTES } from "./body_buffer.ts";
 import type { StartGate } from "./start_gate.ts";
 import { forwardedRequestHeaders, HEADER } from "./wire_names.ts";
 
@@ -190,8 +190,16 @@
   ): void {
     const declaredBytes = Number(req.headers["content-length"] ?? 0);
     const buffer = new BodyBuffer(declaredBytes);
-    // A caller that stands still must not keep its reservation.
-    req.setTimeout(this.#limits.idleTimeoutMs, () => response.abort());
+    const isLarge = () =>
+      Math.max(declaredBytes, buffer.bytes) > LARGE_BODY_BYTES;
+    let isTimed = false;
+    // A caller that stands still must not keep a large reservation.
+    const limitIdleTime = () => {
+      if (isTimed || reservation === undefined || !isLarge()) return;
+      isTimed = true;
+      req.setTimeout(this.#limits.idleTimeoutMs, () => response.abort());
+    };
+    limitIdleTime();
     req.on("data", (chunk: Buffer) => {
       const bytes = buffer.bytes + chunk.length;
       if (bytes > this.#limits.maxBodyBytes) {
@@ -203,9 +211,10 @@
         reservation === undefined || reservation.extend(chunk.length);
       if (!isReserved) return this.#refuseBody(req, response);
       buffer.add(chunk);
+      limitIdleTime();
     });
     req.on("end", () => {
-      req.setTimeout(0);
+      if (isTimed) req.setTimeout(0);
       if (response.finished) return;
       const body = buffer.take();
       const handle = (heldMs: number) => {
