Show each rule of streams by a scenario that fails without it

Of eleven new mutations of core/streams, six survived: four for rules that only the generated streams reached, rarely, and two as the edit did not compile. Scenarios now show each: an end after a copy of the last event, an id that one event alone shows, a lost event of an engine, an end marker joined to the last event. All eleven are killed, and the one of BodyBudget. @streams: 68 passed, 0 failed. No code of the product changes.

--- a/features/steps/stream_steps.ts
+++ b/features/steps/stream_steps.ts
@@ -6,6 +6,7 @@
 import { streamEvent } from "../../src/standins/fleet/scripted_upstreams.ts";
 import { VirtualTimers } from "../../src/bench/virtual_timers.ts";
 import { ResponseWriter } from "../../src/core/gateway/response_writer.ts";
+import { StreamSplice } from "../../src/core/streams/mod.ts";
 import type { RelayFixture } from "./relay_fixture.ts";
 import { RecordedResponse } from "./relay_fixture.ts";
 import {
@@ -26,6 +27,7 @@
   fixture: RelayFixture;
   response: RecordedResponse;
   writer: ResponseWriter;
+  splice: StreamSplice;
   /** How the groups write an event. */
   format: (event: string) => string;
 }
@@ -60,6 +62,62 @@
   },
 );
 
+Given(
+  "every group breaks off after event {int}, and shows id {int} for event {int}",
+  function (this: StreamWorld, last: number, shown: number, id: number) {
+    const { upstreams } = this.fixture;
+    for (const head of ["i-0-0", "i-1-0"]) {
+      upstreams.setScript(head, {
+        kind: "chunks",
+        chunksFrom: (firstId) =>
+          firstId === 1
+            ? [...writeEvents(1, last, 1, String), Buffer.from("id")]
+            : writeEvents(
+              id,
+              id,
+              1,
+              (event) => event.replace(`id: ${id}`, `id: ${shown}`),
+            ),
+      });
+    }
+  },
+);
+
+Given(
+  "a stream that broke off after event {int}",
+  function (this: StreamWorld, last: number) {
+    this.splice = new StreamSplice({
+      lastEventId: undefined,
+      isResumable: true,
+      numbering: "consecutive",
+    });
+    for (const chunk of writeEvents(1, last, 1, String)) {
+      this.splice.push(chunk);
+    }
+    this.splice.beginAttempt();
+  },
+);
+
+When(
+  /^the (?:next )?attempt (?:begins|goes on) with id (\d+)$/,
+  function (this: StreamWorld, id: string) {
+    const { fault } = this.splice.push(streamEvent(Number(id)));
+    assert.equal(fault, undefined);
+  },
+);
+
+Then("no attempt continues the stream", function (this: StreamWorld) {
+  assert.equal(this.splice.canContinue, false);
+});
+
+Then(
+  "another attempt continues the stream after event {int}",
+  function (this: StreamWorld, id: number) {
+    assert.equal(this.splice.canContinue, true);
+    assert.equal(this.splice.lastEventId, String(id));
+  },
+);
+
 Given("the first group sends only a comment", function (this: StreamWorld) {
   this.fixture.upstreams.setNextScript({
     kind: "chunks",
@@ -207,10 +265,17 @@
 );
 
 Given(
-  "an engine that sends {string} in place of {string} and breaks off after event {int}",
-  function (this: StreamWorld, sent: string, text: string, last: number) {
+  /^an engine that sends "([^"]*)" in place of "([^"]*)" and (breaks off|ends) after event (\d+)$/,
+  function (
+    this: StreamWorld,
+    sent: string,
+    text: string,
+    end: string,
+    last: string,
+  ) {
+    const marker = end === "ends" ? "data: [DONE]\n\n" : "";
     const edit = (chunk: string) =>
-      chunk.replace(unescape(text), unescape(sent));
+      (chunk + marker).replace(unescape(text), unescape(sent));
     const response = new RecordedResponse(() => 0);
     this.response = response;
     this.writer = new ResponseWriter(
@@ -224,8 +289,9 @@
       new VirtualTimers(),
       0,
     );
-    for (const chunk of writeEvents(1, last, last, edit)) {
-      this.writer.writeStream(GATEWAY_HEAD, chunk);
+    for (const chunk of writeEvents(1, Number(last), Number(last), edit)) {
+      const { kind } = this.writer.writeStream(GATEWAY_HEAD, chunk);
+      if (kind === "ended") return this.writer.end();
     }
     this.writer.reset();
   },
@@ -234,6 +300,7 @@
 When(
   "another engine continues the stream up to event {int}",
   function (this: StreamWorld, last: number) {
+    if (this.response.isComplete) return;
     const marker = Buffer.from("data: [DONE]\n\n");
     const events = writeEvents(this.writer.eventCount + 1, last, 1, String);
     for (const chunk of [...events, marker]) {
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -72,6 +72,21 @@
       | a line end for the colon of data         | data: piece 5\n  | data\na:piece 5\n | 1 |
       | a spoiled carriage return                | id: 5\ndata: piece 5\n\n | id: 5\r\ndata: piece 5\n\r\n | 1 |
 
+  Scenario: should not take an end after a copy of the last event for the end of a stream
+    Guards against a last event that shows the id before its own.
+    Given a relay with 2 replica groups of "small"
+    And every group breaks off after event 9, and shows id 9 for event 10
+    When a stream of 10 events is requested
+    Then the response is broken off after piece 9
+
+  Scenario: should not continue a stream after an id that one event alone shows
+    Guards against a copy whose wrong id is the next one.
+    Given a stream that broke off after event 5
+    When the next attempt begins with id 6
+    Then no attempt continues the stream
+    When the attempt goes on with id 7
+    Then another attempt continues the stream after event 7
+
   Scenario: should not take a stream that ends after a comment for a response
     Given a relay with 2 replica groups of "small"
     And the first group sends only a comment
@@ -185,7 +200,13 @@
       | a spoiled end of an event     | piece 3\n\n   | piece 3\nx         |
       | a spoiled name of data        | data: piece 3 | dbta: piece 3      |
       | a wrong id                    | id: 3\n       | id: 8\n            |
+      | a lost event                  | id: 3\ndata: piece 3\n\n |           |
       | lines with CR LF              | id: 3\ndata: piece 3\n\n | id: 3\r\ndata: piece 3\r\n\r\n |
 
   Scenario: should hold each event of an engine once, in order, in a gateway's complete response
     Then any engines' streams with one wrong byte outside their data keep it at a gateway
+
+  Scenario: should not join a gateway's last event with the end marker
+    Given an engine that sends "piece 10x\n" in place of "piece 10\n\n" and ends after event 10
+    When another engine continues the stream up to event 10
+    Then the gateway's caller has pieces 1 to 10 in a complete response
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -1389,4 +1389,126 @@
       replace: "state.plan = decider?.plan;",
     }],
   },
+  {
+    promise: 5,
+    tag: "@streams",
+    mechanism: "An id that leaves others out ends the attempt",
+    edits: [{
+      file: "streams/stream_position.js",
+      find: 'return "gap";',
+      replace: "return undefined;",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@streams",
+    mechanism: "A stream that may be resumed begins with id 1",
+    edits: [{
+      file: "streams/stream_position.js",
+      find:
+        "return isResumable && lastEventId === undefined ? FIRST_ID : undefined;",
+      replace: "return undefined;",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@streams",
+    mechanism: "An id that only one fact shows is not continued after",
+    edits: [{
+      file: "streams/stream_position.js",
+      find: "this.#isConfirmed = !isFirst || isBeginning;",
+      replace: "this.#isConfirmed = true;",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@streams",
+    mechanism:
+      "An attempt that repeats a single event does not end the response",
+    edits: [{
+      file: "streams/stream_position.js",
+      find: "if (this.#shownId >= this.#lastId && !isUncertain)",
+      replace: "if (true)",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@streams",
+    mechanism: "A deviation is the service's own if a second upstream shows it",
+    edits: [{
+      file: "streams/stream_position.js",
+      find: "this.#shownEvents === 0 && this.#doubt === doubt;",
+      replace: "true;",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@streams",
+    mechanism: "A field with a wrong byte makes an event unreadable",
+    edits: [{
+      file: "streams/event_block.js",
+      find: "this.#defect ??= findDefectOfField(bytes, at, end);",
+      replace: ";",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@streams",
+    mechanism: "A comment after a field makes an event unreadable",
+    edits: [{
+      file: "streams/event_block.js",
+      find: "this.#defect ??= this.#findDefectOfComment(bytes, at, end);",
+      replace: ";",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@streams",
+    mechanism: "Two ids make an event unreadable",
+    edits: [{
+      file: "streams/event_block.js",
+      find: 'this.#defect ??= "two ids";',
+      replace: "",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@streams",
+    mechanism: "Mixed line ends make an event unreadable",
+    edits: [{
+      file: "streams/event_block.js",
+      find: 'this.#defect ??= "mixed line ends";',
+      replace: ";",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@streams",
+    mechanism: "An end marker within an event makes it unreadable",
+    edits: [{
+      file: "streams/event_block.js",
+      find: "return this.#fieldCount === 1",
+      replace: "return true",
+    }],
+  },
+  {
+    promise: 5,
+    tag: "@streams",
+    mechanism: "Ids of counted events are checked",
+    edits: [{
+      file: "streams/stream_position.js",
+      find: "if (id !== undefined && this.#checksIds && id !== place)",
+      replace: "if (false)",
+    }],
+  },
+  {
+    promise: 6,
+    tag: "@platform",
+    mechanism: "Bodies that do not fit beside the others are refused",
+    edits: [{
+      file: "limits/body_budget.js",
+      find: "if (this.#heldBytes + more > this.#maxBytes)",
+      replace: "if (false)",
+    }],
+  },
 ];
