--- a/features/steps/spoiled_streams.ts
+++ b/features/steps/spoiled_streams.ts
@@ -92,22 +92,25 @@
   fc.integer({ min: 0, max: 255 }),
 );
 
+const share = fc.double({ min: 0, max: 1, maxExcluded: true, noNaN: true });
+
+/** Attempts that may be cut off anywhere. */
+function anyAttempts(
+  overlap: fc.Arbitrary<number>,
+): fc.Arbitrary<AttemptPlan[]> {
+  const cutShare = fc.oneof(fc.constant(1), share);
+  return fc.array(
+    fc.record({ overlap, cutShare, chunkSizes }),
+    { minLength: 1, maxLength: 4 },
+  );
+}
+
 /** Attempts that repeat events, begin afresh, and are cut off anywhere. */
 export const anySpoiledStream: fc.Arbitrary<SpoiledStream> = fc.record({
   format,
-  attempts: fc.array(
-    fc.record({
-      overlap: fc.constantFrom(0, 0, 1, 2, Infinity),
-      cutShare: fc.oneof(
-        fc.constant(1),
-        fc.double({ min: 0, max: 1, noNaN: true }),
-      ),
-      chunkSizes,
-    }),
-    { minLength: 1, maxLength: 4 },
-  ),
+  attempts: anyAttempts(fc.constantFrom(0, 0, 1, 2, Infinity)),
   spoiledAttempt: fc.integer({ min: 0, max: 3 }),
-  position: fc.double({ min: 0, max: 0.9999, noNaN: true }),
+  position: share,
   wrongByte,
   callerEvents: fc.constantFrom(0, 0, 3, LAST_ID),
   numbering: fc.constantFrom("consecutive", "increasing", "opaque"),
@@ -125,7 +128,7 @@
     { minLength: 2, maxLength: 2 },
   ),
   spoiledAttempt: fc.constant(0),
-  position: fc.double({ min: 0, max: 0.9999, noNaN: true }),
+  position: share,
   wrongByte,
   callerEvents: fc.constant(0),
   numbering: fc.constant("consecutive"),
@@ -137,19 +140,9 @@
     ...sound,
     hasIds,
   })),
-  attempts: fc.array(
-    fc.record({
-      overlap: fc.constant(0),
-      cutShare: fc.oneof(
-        fc.constant(1),
-        fc.double({ min: 0, max: 1, noNaN: true }),
-      ),
-      chunkSizes,
-    }),
-    { minLength: 1, maxLength: 4 },
-  ),
+  attempts: anyAttempts(fc.constant(0)),
   spoiledAttempt: fc.integer({ min: 0, max: 3 }),
-  position: fc.double({ min: 0, max: 0.9999, noNaN: true }),
+  position: share,
   wrongByte,
   callerEvents: fc.constantFrom(0, 0, 3),
   numbering: fc.constant("counted" as const),
@@ -197,6 +190,7 @@
   const timers = new VirtualTimers();
   const writer = new ResponseWriter(response, timers, stream.callerEvents);
   for (const [index, plan] of stream.attempts.entries()) {
+    if (!writer.canContinue) break;
     const bytes = attemptBytes(stream, index, writer.eventCount);
     const sent = bytes.subarray(0, Math.floor(bytes.length * plan.cutShare));
     let kind = "passed";
