Take a numbered end marker for an end marker

An upstream that numbers its end marker ("id: 11", "data: [DONE]") would have been taken for one that spoils its last event, since the check for an end marker that a spoiled line end joins to an event looked at all fields. It looks at lines of data now: an event and a marker together have two. Found by reading the change for sound formats; passed such streams on.

--- a/features/streams.feature
+++ b/features/streams.feature
@@ -113,6 +113,7 @@
       | an extension field        | id: 5\n          | weight-versions: 7\nid: 5\n    |
       | an event's name           | id: 5\n          | event: delta\nid: 5\n          |
       | a retry time              | id: 1\n          | retry: 500\n\nid: 1\n          |
+      | a numbered end marker     | data: piece 10\n | data: piece 10\n\nid: 11\ndata: [DONE]\n |
       | an end marker             | data: piece 10\n | data: piece 10\n\ndata: [DONE]\n |
       | data of several lines     | data: piece 5\n  | data: piece 5\ndata:\ndata:x\n  |
       | an id without a space     | id: 5\n          | id:5\n                         |
@@ -210,3 +211,7 @@
     Given an engine that sends "piece 10x\n" in place of "piece 10\n\n" and ends after event 10
     When another engine continues the stream up to event 10
     Then the gateway's caller has pieces 1 to 10 in a complete response
+
+  Scenario: should end a gateway's stream at an end marker with an id
+    Given an engine that sends "id: 11\ndata: [DONE]" in place of "data: [DONE]" and ends after event 10
+    Then the gateway's caller has pieces 1 to 10 in a complete response
--- a/src/core/streams/event_block.ts
+++ b/src/core/streams/event_block.ts
@@ -22,7 +22,7 @@
 export type EventBlock =
   /** Comments, and fields without an id and data. */
   | { readonly kind: "control" }
-  /** `data: [DONE]`, which has no id. */
+  /** `data: [DONE]`, with an id or none. */
   | { readonly kind: "end_marker" }
   | { readonly kind: "event"; readonly id: number }
   /** An event without an id, but otherwise sound. */
@@ -51,8 +51,9 @@
  */
 export class EventBlockParser {
   #id: number | undefined;
-  #hasData = false;
   #hasEndMarker = false;
+  /** Number of lines with data. */
+  #dataCount = 0;
   /** Number of lines with a field. */
   #fieldCount = 0;
   /** Whether a line ended without a carriage return. */
@@ -68,7 +69,7 @@
     }
     this.#fieldCount += 1;
     if (startsWithData(bytes, at)) {
-      this.#hasData = true;
+      this.#dataCount += 1;
       this.#hasEndMarker ||= isEndMarker(bytes, at, end);
     } else if (startsWithId(bytes, at)) {
       this.#addId(bytes, at + 3, end);
@@ -87,8 +88,8 @@
   /** Forgets the lines of a block that is not complete. */
   reset(): void {
     this.#id = undefined;
-    this.#hasData = false;
     this.#hasEndMarker = false;
+    this.#dataCount = 0;
     this.#fieldCount = 0;
     this.#hasBareLine = false;
     this.#defect = undefined;
@@ -97,14 +98,15 @@
   #toBlock(): EventBlock {
     const id = this.#id;
     if (this.#defect !== undefined) return unreadable(this.#defect);
+    const hasData = this.#dataCount > 0;
     if (this.#hasEndMarker) {
       // A spoiled line end joins it to the last event.
-      return this.#fieldCount === 1
+      return this.#dataCount === 1
         ? END
         : unreadable("an end marker within an event");
     }
-    if (id === undefined) return this.#hasData ? UNNUMBERED : CONTROL;
-    return this.#hasData
+    if (id === undefined) return hasData ? UNNUMBERED : CONTROL;
+    return hasData
       ? { kind: "event", id }
       : unreadable(`id ${id} without data`);
   }
--- a/tools/mutations.ts
+++ b/tools/mutations.ts
@@ -1487,7 +1487,7 @@
     mechanism: "An end marker within an event makes it unreadable",
     edits: [{
       file: "streams/event_block.js",
-      find: "return this.#fieldCount === 1",
+      find: "return this.#dataCount === 1",
       replace: "return true",
     }],
   },
