--- a/features/steps/spoiled_streams.ts
+++ b/features/steps/spoiled_streams.ts
@@ -295,8 +295,8 @@
   const outside = (text: string) => ({ text, isData: false });
   const inside = (text: string) => ({ text, isData: true });
   const idLine = outside(hasIds ? `id${separator}${id}${lineEnd}` : "");
-  // Without ids, two events that a spoiled line end joins can't be told from one
-  // with two lines of data.
+  // Without ids, two events that a spoiled line end joins are the same as one with
+  // two lines of data.
   const lineEndPart = { text: lineEnd, isData: !hasIds };
   // The line end between two lines of data is part of the data.
   const space = separator.slice(1);
@@ -316,8 +316,8 @@
   { lineEnd, isIdFirst, hasIds, hasTwoLines }: StreamFormat,
   kind: StreamFormat["prefixes"][number],
 ): TextPart {
-  // A comment that swallows a line of data can't be told from a longer comment,
-  // unless the event's id follows it or loses its data.
+  // A comment that absorbs a line of data is the same as a longer comment, unless
+  // the event's id follows it or loses its data.
   const isData = !hasIds || hasTwoLines && !isIdFirst;
   const end = lineEnd;
   const text = {
--- a/src/core/streams/event_block.ts
+++ b/src/core/streams/event_block.ts
@@ -27,7 +27,7 @@
   | { readonly kind: "event"; readonly id: number }
   /** An event without an id, but otherwise sound. */
   | { readonly kind: "unnumbered" }
-  /** An event of which it can't be told which one it is, or whether it is one. */
+  /** An event whose identity is ambiguous, or several events joined into one. */
   | { readonly kind: "unreadable"; readonly detail: string };
 
 const CONTROL: EventBlock = { kind: "control" };
@@ -38,7 +38,7 @@
  * Parses the lines of one block after the other. Each event has data, and one numeric
  * id or none. Any byte of a field's name, an id or a line end that is wrong makes an
  * event unreadable, or one with another id: a name that is one edit away from that of
- * a standard field, and a comment after a field, are not taken for an extension.
+ * a standard field, and a comment after a field, are rejected.
  *
  * @example
  * ```ts
--- a/src/core/streams/stream_fault.ts
+++ b/src/core/streams/stream_fault.ts
@@ -10,7 +10,7 @@
   | "gap"
   /** An id is lower than the one that must come next. */
   | "order"
-  /** It can't be told which event it is, or whether it is one event. */
+  /** The identity of an event is ambiguous, or several events are joined. */
   | "unreadable"
   /** An event exceeds the size limit. */
   | "too_large"
--- a/src/core/streams/stream_splice.ts
+++ b/src/core/streams/stream_splice.ts
@@ -30,7 +30,7 @@
   readonly fault: StreamFault | undefined;
 }
 
-/** What a {@linkcode StreamSplice} is told about its stream. */
+/** Options of a {@linkcode StreamSplice}. */
 export type SpliceOptions = StreamPositionOptions;
 
 /**
--- a/src/platform/relay_server.ts
+++ b/src/platform/relay_server.ts
@@ -193,7 +193,7 @@
     const isLarge = () =>
       Math.max(declaredBytes, buffer.bytes) > LARGE_BODY_BYTES;
     let isTimed = false;
-    // A caller that stands still must not keep a large reservation.
+    // A stalled caller must not keep a large reservation.
     const limitIdleTime = () => {
       if (isTimed || reservation === undefined || !isLarge()) return;
       isTimed = true;
