Review case 13: a cold server that is cut off from the store gets full traffic

A server that becomes cold while it is partitioned from the store can say so in its health answers only, which nobody asks for (FAILBACK).

--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -276,7 +276,11 @@
       return;
     }
     if (req.url === "/health") {
-      res.writeHead(200, { "oleanderarch-instance-id": this.id }).end();
+      const coldMs = this.coldLeftMs();
+      res.writeHead(200, {
+        "oleanderarch-instance-id": this.id,
+        ...(coldMs > 0 ? { "oleanderarch-cold-ms": coldMs } : {}),
+      }).end();
       return;
     }
     const attemptId = req.headers["oleanderarch-attempt-id"];
