--- a/review/lib-3/link.mjs
+++ b/review/lib-3/link.mjs
@@ -70,7 +70,7 @@
         return;
       }
       if (end === "fin") to.end();
-      if (end === "reset") to.destroy();
+      if (end === "reset") to.resetAndDestroy();
       if (end !== undefined) this.#pumps.delete(pump);
     };
     const pump = { run, destroy: () => from.destroy() };
@@ -82,7 +82,8 @@
       run();
     });
     from.on("end", () => {
-      end ??= "fin";
+      // A reset right after data shows as an end without a remote address.
+      end ??= from.remoteAddress === undefined ? "reset" : "fin";
       run();
     });
     from.on("error", () => {});
--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -458,7 +458,9 @@
 
 /** Starts a small deployment of `count` machines; each has an address of its own. */
 export async function startMachines(count, store, record) {
-  const ips = Array.from({ length: count }, (_, i) => `127.0.1.${i + 1}`);
+  // Other runs at the same time have other addresses.
+  const subnet = `127.${10 + process.pid % 200}.${1 + (process.pid >> 8) % 200}`;
+  const ips = Array.from({ length: count }, (_, i) => `${subnet}.${i + 1}`);
   const internalPort = await freePort(ips[0]);
   const machines = ips.map((ip, i) =>
     new Machine({
