--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -14,6 +14,19 @@
 export const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), "../..");
 export const sleep = (ms) => new Promise((done) => setTimeout(done, ms));
 
+/** Processes that were started and have not ended. */
+const children = new Set();
+process.on("exit", () => {
+  for (const child of children) child.kill("SIGKILL");
+});
+for (const name of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+  process.on(name, () => process.exit(2));
+}
+process.on("uncaughtException", (err) => {
+  process.stderr.write(`${err.stack}\n`);
+  process.exit(2);
+});
+
 /** Collects what was sent, answered and run, and writes it to `record.txt`. */
 export class Record {
   #lines = [];
@@ -333,8 +346,8 @@
   /** Called when the process has ended by itself. */
   onEnded = () => {};
 
-  constructor({ id, ip, zone, store, record }) {
-    Object.assign(this, { id, ip, zone, store, record });
+  constructor({ id, ip, zone, index, record }) {
+    Object.assign(this, { id, ip, zone, index, record });
   }
 
   /** Chooses the machine's ports; `seeds` are the IP addresses of machines. */
@@ -403,6 +416,8 @@
       stdio: ["ignore", "pipe", "pipe"],
     });
     this.#process = child;
+    children.add(child);
+    child.once("exit", () => children.delete(child));
     this.log = "";
     for (const stream of [child.stdout, child.stderr]) {
       stream.on("data", (bytes) => {
@@ -456,8 +471,12 @@
   }
 }
 
-/** Starts a small deployment of `count` machines; each has an address of its own. */
+/**
+ * Starts a small deployment of `count` machines; each has an address of its own.
+ * `store` is the store's address, or addresses, one for each machine.
+ */
 export async function startMachines(count, store, record) {
+  const storeOf = ({ index }) => Array.isArray(store) ? store[index] : store;
   // Other runs at the same time have other addresses.
   const subnet = `127.${10 + process.pid % 200}.${1 + (process.pid >> 8) % 200}`;
   const ips = Array.from({ length: count }, (_, i) => `${subnet}.${i + 1}`);
@@ -467,11 +486,12 @@
       id: `edge-${"abc"[i % 3]}-${i}`,
       ip,
       zone: `zone-${"abc"[i % 3]}`,
-      store,
+      index: i,
       record,
     })
   );
   for (const machine of machines) {
+    machine.store = storeOf(machine);
     await machine.prepare(internalPort, ips.slice(0, 3));
   }
   for (const machine of machines) machine.start();
